Lay out the workspace, the API documents and the contracts between packages

Cause: nothing exists yet; five parts are to be built side by side, so the shapes they share come first. Conclusion: a base on which each part compiles alone.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+# Commands for people and for CI. `make help` lists them.
+
+GOLANGCI_VERSION := v2.15.0
+MODULES := core entry admin stand
+APIS := caller fault member object oper tables target worker
+TOOLS := $(CURDIR)/.tools
+LINTER := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
+# Process tests start real daemons; the time limit covers a slow machine.
+TEST_TIMEOUT := 20m
+
+.PHONY: help build demo test test-short lint format generate generate-check ratio tools fuzz
+
+help: ## List the commands.
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 20
+
+build: ## Build the three programs into bin/.
+	@mkdir -p bin
+	go build -o bin/tanager-entry ./entry
+	go build -o bin/tanager ./admin
+	go build -o bin/tanager-stand ./stand
+
+demo: build ## Run the whole product on loopback under load, with a kill on the way.
+	@scripts/demo
+
+test: ## Run all tests with the race detector.
+	go test -race -timeout $(TEST_TIMEOUT) $(PACKAGES)
+
+test-short: ## Run the tests that start no processes.
+	go test -short $(PACKAGES)
+
+$(LINTER):
+	@mkdir -p $(TOOLS)
+	cd /tmp && GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(TOOLS)/golangci-lint $(LINTER)
+
+tools: $(LINTER) ## Install the linter at its pinned version.
+
+lint: $(LINTER) ## Run the linter.
+	$(LINTER) run $(PACKAGES)
+
+format: $(LINTER) ## Format the code.
+	$(LINTER) fmt $(MODULES)
+
+format-check: $(LINTER)
+	$(LINTER) fmt --diff $(MODULES)
+
+generate: ## Generate the API packages from their OpenAPI documents.
+	cd core && for api in $(APIS); do \
+	  go tool ogen -config api/ogen.yml -loglevel error -target api/$$api -package $$api -clean api/$$api.yaml || exit 1; done
+
+generate-check: generate ## Check that the generated code matches its documents.
+	git diff --exit-code --stat -- core/api
+
+ratio: ## Count hand-written code and its tests.
+	@scripts/ratio
--- /dev/null
+++ b/admin/main.go
@@ -0,0 +1,4 @@
+// Command tanager is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/roster/doc.go
@@ -0,0 +1,15 @@
+// Package roster knows which VMs there are.
+//
+// The model has three sources of different strength:
+//
+//   - The platform's membership list is authoritative but lags.
+//   - Heartbeats between entry VMs are fast but can be cut. They only decide
+//     whom to route to; silence never removes a VM.
+//   - The stored roster is a row of the platform's tables. It says which entry
+//     VMs hold a seat, and with it a share of each target's slots and a place in
+//     the hash order of claim owners. A VM leaves it only after the platform's
+//     list has dropped the VM, read past the list's lag.
+//
+// All three are merged into a View, an immutable picture that readers take
+// without a lock.
+package roster
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Command tanager-entry is the daemon of an entry VM.
+package main
+
+func main() {}
