--- a/core/policy/document.go
+++ b/core/policy/document.go
@@ -101,8 +101,6 @@
 	Team string `json:"team"`
 	// Domain is the home failure domain: the caller's claims are kept there.
 	Domain string `json:"domain"`
-	// Operator callers may use the operators' API; others may not.
-	Operator bool `json:"operator,omitempty"`
 }
 
 // Team has a quota and a share of the workers.
