Carry typed messages between entry VMs over QUIC

Entry VMs need to ask each other things with an answer that cannot belong to another message.

A connection that was silent for a second must answer a ping before a message goes into it.

--- /dev/null
+++ b/core/peer/call.go
@@ -0,0 +1,210 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Call sends a message and waits for its answer, until the context's deadline
+// or CallTimeout. The deadline travels with the message. The error wraps
+// ErrNotSent or ErrNoAnswer, or is a *RemoteError.
+func Call[A any](ctx context.Context, n *Node, to Address, q Message) (A, error) {
+	var none A
+	n.stats.Calls.Add(1)
+	body, err := n.call(ctx, to, q)
+	if err != nil {
+		n.stats.count(err)
+		return none, err
+	}
+	answer, err := decode[A](n.codec, body)
+	if err != nil {
+		return none, fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+	return answer, nil
+}
+
+func (s *Stats) count(err error) {
+	switch {
+	case errors.Is(err, ErrNotSent):
+		s.NotSent.Add(1)
+	case errors.Is(err, ErrNoAnswer):
+		s.NoAnswer.Add(1)
+	}
+}
+
+func (n *Node) call(ctx context.Context, to Address, q Message) ([]byte, error) {
+	ctx, cancel := boundCall(ctx)
+	defer cancel()
+	data, err := n.seal(ctx, q)
+	if err != nil {
+		return nil, notSent(to, err)
+	}
+	l, err := n.link(to)
+	if err != nil {
+		return nil, notSent(to, err)
+	}
+	o, stream, err := l.openStream(ctx)
+	if err != nil {
+		return nil, notSent(to, err)
+	}
+	defer o.leave()
+	answer, err := o.ask(ctx, stream, data)
+	if err != nil {
+		return nil, fmt.Errorf("message %s to %s: %w: %w", q.Kind(), to.Name, ErrNoAnswer, err)
+	}
+	if answer.Code != "" {
+		return nil, &RemoteError{Code: answer.Code, Detail: answer.Detail}
+	}
+	return answer.Body, nil
+}
+
+func boundCall(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, CallTimeout)
+}
+
+func notSent(to Address, err error) error {
+	return fmt.Errorf("message to %s: %w: %w", to.Name, ErrNotSent, err)
+}
+
+// seal puts a message into its envelope.
+func (n *Node) seal(ctx context.Context, q Message) ([]byte, error) {
+	body, err := n.codec.encode(q)
+	if err != nil {
+		return nil, err
+	}
+	deadline, _ := ctx.Deadline()
+	return n.codec.encode(envelope{Kind: q.Kind(), Deadline: deadline, Body: body})
+}
+
+// openStream returns a stream on a connection that is proven to be alive. One
+// that was silent for a while has to answer a ping first, so that no message
+// goes into a dead connection. The caller must leave the connection.
+func (l *link) openStream(ctx context.Context) (*outgoing, *quic.Stream, error) {
+	for {
+		o, err := l.connect(ctx)
+		if err != nil {
+			return nil, nil, err
+		}
+		stream, err := o.openProven(ctx)
+		if err == nil {
+			return o, stream, nil
+		}
+		o.doubt()
+		o.leave()
+		if ctx.Err() != nil {
+			return nil, nil, errors.Join(ctx.Err(), err)
+		}
+	}
+}
+
+func (o *outgoing) openProven(ctx context.Context) (*quic.Stream, error) {
+	if !o.proven() {
+		if err := o.prove(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return o.conn.OpenStreamSync(ctx)
+}
+
+// prove sends a ping and waits a short while for its answer.
+func (o *outgoing) prove(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, SuspectAfter)
+	defer cancel()
+	data, err := o.link.node.seal(ctx, ping{})
+	if err != nil {
+		return err
+	}
+	stream, err := o.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = o.ask(ctx, stream, data)
+	return err
+}
+
+// ask writes a sealed message and reads its answer.
+func (o *outgoing) ask(ctx context.Context, stream *quic.Stream, data []byte) (reply, error) {
+	give := &giveUp{stream: stream}
+	stop := context.AfterFunc(ctx, give.cancel)
+	defer stop()
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := stream.SetWriteDeadline(deadline); err != nil {
+			return reply{}, err
+		}
+	}
+	reader := &answerReader{ctx: ctx, connection: o, stream: stream, packets: o.packets(), patience: SuspectAfter}
+	if _, err := stream.Write(data); err != nil {
+		give.cancel()
+		return reply{}, err
+	}
+	if err := stream.Close(); err != nil {
+		give.cancel()
+		return reply{}, err
+	}
+	answer, err := readAll(reader)
+	if err != nil {
+		give.cancel()
+		return reply{}, err
+	}
+	o.heard()
+	return decode[reply](o.link.node.codec, answer)
+}
+
+func (o *outgoing) packets() uint64 { return o.conn.ConnectionStats().PacketsReceived }
+
+// giveUp tells the peer that nobody waits for the answer any more.
+type giveUp struct{ stream *quic.Stream }
+
+func (g *giveUp) cancel() {
+	g.stream.CancelRead(0)
+	g.stream.CancelWrite(0)
+}
+
+// answerReader reads an answer and watches whether any packet arrives
+// meanwhile. The peer's QUIC acknowledges a message at once, however long its
+// handler takes, and sends keep-alives after that, so that a longer silence
+// means a dead connection.
+type answerReader struct {
+	ctx        context.Context
+	connection *outgoing
+	stream     *quic.Stream
+	// packets is how many packets had arrived when the reader last looked.
+	packets uint64
+	// patience is the longest silence of a live connection from now.
+	patience time.Duration
+}
+
+// Read waits for bytes of the answer, the end of the context or the end of the connection.
+func (r *answerReader) Read(p []byte) (int, error) {
+	for {
+		if err := r.stream.SetReadDeadline(time.Now().Add(r.patience)); err != nil {
+			return 0, err
+		}
+		count, err := r.stream.Read(p)
+		if count > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return count, err
+		}
+		if err := r.ctx.Err(); err != nil {
+			return 0, err
+		}
+		r.look()
+	}
+}
+
+func (r *answerReader) look() {
+	packets := r.connection.packets()
+	if packets == r.packets {
+		r.connection.doubt()
+		return
+	}
+	r.packets = packets
+	r.patience = keepAlivePeriod + SuspectAfter
+}
