Add the client of the table service

The platform takes several hundred writes a second for everybody, so commits that come within 2 ms share a call (200 concurrent commits take at most 50 calls in TestClientGroups). A breaker leaves a failing service alone but for jittered probes. A commit whose connection was never made, or that left the queue unsent, is unavailable; anything else without an answer is unsettled.

--- /dev/null
+++ b/core/store/breaker.go
@@ -0,0 +1,84 @@
+package store
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+var errBreakerOpen = errors.New("the service failed a short while ago and is left alone")
+
+const (
+	// failuresToOpen is how many calls in a row must fail before the breaker
+	// keeps calls back.
+	failuresToOpen = 3
+	firstRetry     = 100 * time.Millisecond
+	longestRetry   = 2 * time.Second
+)
+
+// breaker keeps calls away from a service that fails, but for one probe after
+// each jittered and growing wait.
+type breaker struct {
+	mu       *sync.Mutex
+	failures int
+	waits    *backoff.ExponentialBackOff
+	// retryAt is when the next probe may go out; probing is set while it is out.
+	retryAt time.Time
+	probing bool
+}
+
+func newBreaker() breaker {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval = firstRetry
+	waits.MaxInterval = longestRetry
+	waits.Multiplier = 2
+	return breaker{mu: &sync.Mutex{}, waits: waits}
+}
+
+// closed reports whether calls go through.
+func (b *breaker) closed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failures < failuresToOpen
+}
+
+// allow reports whether a call may go out at now.
+func (b *breaker) allow(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failures < failuresToOpen {
+		return true
+	}
+	if b.probing || now.Before(b.retryAt) {
+		return false
+	}
+	b.probing = true
+	return true
+}
+
+func (b *breaker) succeeded() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failures = 0
+	b.probing = false
+	b.waits.Reset()
+}
+
+func (b *breaker) failed(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failures++
+	b.probing = false
+	if b.failures >= failuresToOpen {
+		b.retryAt = now.Add(b.waits.NextBackOff())
+	}
+}
+
+// canceled ends a call that says nothing about the service.
+func (b *breaker) canceled() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.probing = false
+}
--- /dev/null
+++ b/core/store/client.go
@@ -0,0 +1,238 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tanagerstack.org/core/api/tables"
+)
+
+// The defaults of Options.
+const (
+	DefaultGroupWindow   = 2 * time.Millisecond
+	DefaultGroupSize     = 500
+	DefaultLanes         = 2
+	DefaultCommitTimeout = 2 * time.Second
+	DefaultReadTimeout   = time.Second
+)
+
+const (
+	dialTimeout = time.Second
+	idleTimeout = 30 * time.Second
+	queueLength = 4096
+	scanPage    = 1000
+)
+
+// Options configure a Client. Zero fields take the defaults.
+type Options struct {
+	// Address is where the table service listens.
+	Address netip.AddrPort
+	// GroupWindow is how long a transaction may wait for others to share its
+	// commit call; GroupSize is the most transactions of one call.
+	GroupWindow time.Duration
+	GroupSize   int
+	// Lanes is the most commit calls in flight.
+	Lanes int
+	// CommitTimeout and ReadTimeout end calls that the service does not answer.
+	CommitTimeout time.Duration
+	ReadTimeout   time.Duration
+}
+
+// Stats counts what a Client asked of the service. All counts only grow.
+type Stats struct {
+	// Commits are calls; Transactions are what they carried.
+	Commits, Transactions atomic.Int64
+	Reads, Scans          atomic.Int64
+	// Failures are calls that the service did not answer as it should;
+	// Rejected are those that the breaker kept back.
+	Failures, Rejected atomic.Int64
+}
+
+// Client is the table service over HTTP. It is safe for concurrent use.
+type Client struct {
+	opts     Options
+	remote   tables.Invoker
+	idle     interface{ CloseIdleConnections() }
+	breaker  breaker
+	stats    Stats
+	pending  chan *pending
+	closing  chan struct{}
+	close    sync.Once
+	finished sync.WaitGroup
+}
+
+var _ Tables = (*Client)(nil)
+
+// New returns a client and starts its lanes. It does not wait for the service.
+func New(opts Options) (*Client, error) {
+	if !opts.Address.IsValid() {
+		return nil, errors.New("address of the table service is not set")
+	}
+	opts.fill()
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 2 * opts.Lanes,
+		IdleConnTimeout:     idleTimeout,
+	}
+	remote, err := tables.NewClient("http://"+opts.Address.String(), tables.WithClient(&http.Client{Transport: transport}))
+	if err != nil {
+		return nil, fmt.Errorf("client of the table service: %w", err)
+	}
+	c := &Client{
+		opts:    opts,
+		remote:  remote,
+		idle:    transport,
+		breaker: newBreaker(),
+		pending: make(chan *pending, queueLength),
+		closing: make(chan struct{}),
+	}
+	for range opts.Lanes {
+		c.finished.Add(1)
+		go (&lane{client: c}).loop()
+	}
+	return c, nil
+}
+
+func (o *Options) fill() {
+	if o.GroupWindow <= 0 {
+		o.GroupWindow = DefaultGroupWindow
+	}
+	if o.GroupSize <= 0 {
+		o.GroupSize = DefaultGroupSize
+	}
+	if o.Lanes <= 0 {
+		o.Lanes = DefaultLanes
+	}
+	if o.CommitTimeout <= 0 {
+		o.CommitTimeout = DefaultCommitTimeout
+	}
+	if o.ReadTimeout <= 0 {
+		o.ReadTimeout = DefaultReadTimeout
+	}
+}
+
+// Close ends the lanes after the calls in flight. Later commits are refused.
+func (c *Client) Close() {
+	c.close.Do(func() { close(c.closing) })
+	c.finished.Wait()
+	c.idle.CloseIdleConnections()
+}
+
+// Stats returns the client's counts.
+func (c *Client) Stats() *Stats { return &c.stats }
+
+// Reachable reports whether the last calls succeeded.
+func (c *Client) Reachable() bool { return c.breaker.closed() }
+
+// Commit queues the changes for the next commit call and waits for its result.
+func (c *Client) Commit(ctx context.Context, changes ...Change) (int64, error) {
+	p := &pending{changes: changes, done: make(chan result, 1)}
+	select {
+	case c.pending <- p:
+	case <-c.closing:
+		return 0, fmt.Errorf("client is closed: %w", ErrUnavailable)
+	case <-ctx.Done():
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+	}
+	select {
+	case r := <-p.done:
+		return r.version, r.err
+	case <-c.closing:
+	case <-ctx.Done():
+	}
+	if p.abandon() {
+		return 0, fmt.Errorf("not sent in time: %w", ErrUnavailable)
+	}
+	return c.await(ctx, p)
+}
+
+// await waits for the result of a transaction that was sent, unless the
+// caller's context has ended.
+func (c *Client) await(ctx context.Context, p *pending) (int64, error) {
+	select {
+	case r := <-p.done:
+		return r.version, r.err
+	case <-ctx.Done():
+		return 0, fmt.Errorf("%w: %w", ErrUnsettled, ctx.Err())
+	}
+}
+
+// Read returns a row.
+func (c *Client) Read(ctx context.Context, table, key string) (Row, error) {
+	c.stats.Reads.Add(1)
+	request := &tables.ReadRequest{Keys: []tables.RowKey{{Table: table, Key: key}}}
+	var list *tables.RowList
+	err := c.guard(ctx, c.opts.ReadTimeout, func(ctx context.Context) (err error) {
+		list, err = c.remote.Read(ctx, request)
+		return err
+	})
+	if err != nil {
+		return Row{}, fmt.Errorf("reading %s/%s: %w", table, key, unavailable(err))
+	}
+	if len(list.Rows) == 0 {
+		return Row{Table: table, Key: key, Version: Absent}, nil
+	}
+	return rowOf(list.Rows[0]), nil
+}
+
+// Scan returns the rows of a table whose key has the prefix, in key order. It
+// reads page by page; the pages are not one snapshot.
+func (c *Client) Scan(ctx context.Context, table, prefix string) ([]Row, error) {
+	var rows []Row
+	params := tables.ScanParams{Table: table, Prefix: tables.NewOptString(prefix), Limit: tables.NewOptInt(scanPage)}
+	for {
+		c.stats.Scans.Add(1)
+		var list *tables.RowList
+		err := c.guard(ctx, c.opts.ReadTimeout, func(ctx context.Context) (err error) {
+			list, err = c.remote.Scan(ctx, params)
+			return err
+		})
+		if err != nil {
+			return nil, fmt.Errorf("scanning %s: %w", table, unavailable(err))
+		}
+		for _, row := range list.Rows {
+			rows = append(rows, rowOf(row))
+		}
+		if !list.More || len(list.Rows) == 0 {
+			return rows, nil
+		}
+		params.After = tables.NewOptString(list.Rows[len(list.Rows)-1].Key)
+	}
+}
+
+// guard runs one call under the breaker and a timeout.
+func (c *Client) guard(ctx context.Context, timeout time.Duration, call func(context.Context) error) error {
+	if !c.breaker.allow(time.Now()) {
+		c.stats.Rejected.Add(1)
+		return errBreakerOpen
+	}
+	parent := ctx
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	err := call(ctx)
+	switch {
+	case err == nil || refused(err):
+		c.breaker.succeeded()
+	case parent.Err() != nil:
+		// The caller gave up early; that says nothing about the service.
+		c.breaker.canceled()
+	default:
+		c.stats.Failures.Add(1)
+		c.breaker.failed(time.Now())
+	}
+	return err
+}
+
+// unavailable is the error of a call that writes nothing.
+func unavailable(err error) error { return fmt.Errorf("%w: %w", ErrUnavailable, err) }
+
+func rowOf(row tables.Row) Row {
+	return Row{Table: row.Table, Key: row.Key, Version: row.Version, Value: row.Value}
+}
--- /dev/null
+++ b/core/store/client_test.go
@@ -0,0 +1,189 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tanagerstack.org/core/api/tables"
+)
+
+// service is the table service over a Memory, with faults on the way to it.
+type service struct {
+	*Memory
+	server *httptest.Server
+	// cut ends connections after the call took effect, by the counter's answer.
+	cut func(call int64) bool
+	// calls counts commits.
+	calls atomic.Int64
+}
+
+func newService(t testing.TB, cut func(int64) bool) *service {
+	t.Helper()
+	s := &service{Memory: NewMemory(), cut: cut}
+	handler, err := tables.NewServer(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.server = httptest.NewServer(handler)
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+func (s *service) client(t testing.TB, opts Options) *Client {
+	t.Helper()
+	opts.Address = netip.MustParseAddrPort(strings.TrimPrefix(s.server.URL, "http://"))
+	c, err := New(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func (s *service) Commit(ctx context.Context, request *tables.CommitRequest) (*tables.CommitReply, error) {
+	reply := &tables.CommitReply{}
+	for _, transaction := range request.Transactions {
+		reply.Results = append(reply.Results, s.apply(ctx, transaction))
+	}
+	if s.cut != nil && s.cut(s.calls.Add(1)) {
+		panic(http.ErrAbortHandler)
+	}
+	return reply, nil
+}
+
+func (s *service) apply(ctx context.Context, transaction tables.Transaction) tables.TransactionResult {
+	var changes []Change
+	for _, o := range transaction.Operations {
+		var expected *int64
+		if version, ok := o.ExpectedVersion.Get(); ok {
+			expected = &version
+		}
+		switch o.Kind {
+		case tables.OperationKindPut:
+			changes = append(changes, Put{Table: o.Table, Key: o.Key, Value: o.Value, Expected: expected})
+		case tables.OperationKindDelete:
+			changes = append(changes, Delete{Table: o.Table, Key: o.Key, Expected: expected})
+		default:
+			changes = append(changes, Check{Table: o.Table, Key: o.Key, Expected: *expected})
+		}
+	}
+	version, err := s.Memory.Commit(ctx, changes...)
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		result := tables.TransactionResult{}
+		for _, row := range conflict.Rows {
+			result.Conflicts = append(result.Conflicts, tables.Row(row))
+		}
+		return result
+	}
+	return tables.TransactionResult{Applied: true, Version: version}
+}
+
+func (s *service) Read(ctx context.Context, request *tables.ReadRequest) (*tables.RowList, error) {
+	list := &tables.RowList{}
+	for _, key := range request.Keys {
+		if row, _ := s.Memory.Read(ctx, key.Table, key.Key); row.Version != Absent {
+			list.Rows = append(list.Rows, tables.Row(row))
+		}
+	}
+	return list, nil
+}
+
+func (s *service) Scan(ctx context.Context, params tables.ScanParams) (*tables.RowList, error) {
+	rows, _ := s.Memory.Scan(ctx, params.Table, params.Prefix.Value)
+	list := &tables.RowList{}
+	for _, row := range rows {
+		if row.Key <= params.After.Value {
+			continue
+		}
+		if len(list.Rows) == params.Limit.Value {
+			list.More = true
+			break
+		}
+		list.Rows = append(list.Rows, tables.Row(row))
+	}
+	return list, nil
+}
+
+func (s *service) NewError(_ context.Context, err error) *tables.ProblemStatusCode {
+	return &tables.ProblemStatusCode{StatusCode: http.StatusInternalServerError, Response: tables.Problem{Detail: err.Error()}}
+}
+
+// TestClientOutcomes checks what a commit and the read after it say in each
+// kind of failure.
+func TestClientOutcomes(t *testing.T) {
+	never := func(int64) bool { return false }
+	always := func(int64) bool { return true }
+	cases := map[string]struct {
+		cut      func(int64) bool
+		stopped  bool
+		expected int64
+		want     error
+		written  bool
+	}{
+		"applied":            {cut: never, written: true},
+		"conflict":           {cut: never, expected: 99, want: &ConflictError{}},
+		"answer lost":        {cut: always, want: ErrUnsettled, written: true},
+		"connection refused": {stopped: true, want: ErrUnavailable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newService(t, c.cut)
+			client := s.client(t, Options{})
+			if c.stopped {
+				s.server.Close()
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, err := client.Commit(ctx, Put{Table: "t", Key: "k", Value: []byte("v"), Expected: Expect(c.expected)})
+			var conflict *ConflictError
+			if errors.As(c.want, &conflict) != errors.As(err, &conflict) || conflict == nil && !errors.Is(err, c.want) {
+				t.Fatalf("commit ended as %v, want %v", err, c.want)
+			}
+			row, _ := s.Memory.Read(ctx, "t", "k")
+			if (row.Version != Absent) != c.written {
+				t.Fatalf("row is %+v", row)
+			}
+		})
+	}
+}
+
+// TestClientGroups has many goroutines commit at once and counts the calls.
+func TestClientGroups(t *testing.T) {
+	s := newService(t, nil)
+	client := s.client(t, Options{GroupWindow: 20 * time.Millisecond, Lanes: 1})
+	const writers = 200
+	writes := make(chan error, writers)
+	for i := range writers {
+		go (&writer{client: client, key: strings.Repeat("k", i+1)}).run(writes)
+	}
+	for range writers {
+		if err := <-writes; err != nil {
+			t.Fatal(err)
+		}
+	}
+	rows, err := client.Scan(context.Background(), "t", "k")
+	if err != nil || len(rows) != writers {
+		t.Fatalf("%d rows, error %v", len(rows), err)
+	}
+	if calls := client.Stats().Commits.Load(); calls > writers/4 {
+		t.Fatalf("%d commits took %d calls", writers, calls)
+	}
+}
+
+type writer struct {
+	client *Client
+	key    string
+}
+
+func (w *writer) run(writes chan<- error) {
+	_, err := w.client.Commit(context.Background(), Put{Table: "t", Key: w.key})
+	writes <- err
+}
