--- /dev/null
+++ b/core/conf/fields.go
@@ -0,0 +1,140 @@
+package conf
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"tanagerstack.org/core/peer"
+)
+
+const hashBytes = 32
+
+var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+func nameField(name, usage string, at func(*Settings) *string) field {
+	return field{
+		name:     name,
+		usage:    usage,
+		accepted: "1 to 63 of a-z, 0-9, '-' and '.', starting with a letter or digit",
+		set: func(s *Settings, text string) bool {
+			*at(s) = text
+			return nameForm.MatchString(text)
+		},
+	}
+}
+
+func addressField(name, usage string, at func(*Settings) *netip.AddrPort) field {
+	return field{
+		name:     name,
+		usage:    usage,
+		accepted: "IP:PORT with a port from 1 to 65535",
+		set: func(s *Settings, text string) bool {
+			addr, ok := parseAddress(text)
+			*at(s) = addr
+			return ok
+		},
+	}
+}
+
+func parseAddress(text string) (netip.AddrPort, bool) {
+	addr, err := netip.ParseAddrPort(text)
+	return addr, err == nil && addr.Port() != 0
+}
+
+func fileField(name, usage string, at func(*Settings) *string) field {
+	return field{
+		name:     name,
+		usage:    usage,
+		accepted: "the path of a file",
+		set: func(s *Settings, text string) bool {
+			*at(s) = text
+			return text != ""
+		},
+	}
+}
+
+func durationField(name string, fallback, least, most time.Duration, usage string, at func(*Settings) *time.Duration) field {
+	return field{
+		name:     name,
+		fallback: fallback.String(),
+		usage:    usage,
+		accepted: fmt.Sprintf("a duration from %s to %s, such as 250ms", least, most),
+		set: func(s *Settings, text string) bool {
+			value, err := time.ParseDuration(text)
+			*at(s) = value
+			return err == nil && value >= least && value <= most
+		},
+	}
+}
+
+func countField(name string, fallback, least, most int, usage string, at func(*Settings) *int) field {
+	return field{
+		name:     name,
+		fallback: strconv.Itoa(fallback),
+		usage:    usage,
+		accepted: fmt.Sprintf("a whole number from %d to %d", least, most),
+		set: func(s *Settings, text string) bool {
+			value, err := strconv.Atoi(text)
+			*at(s) = value
+			return err == nil && value >= least && value <= most
+		},
+	}
+}
+
+func setSeeds(s *Settings, text string) bool {
+	pairs, ok := parsePairs(text)
+	if !ok {
+		return false
+	}
+	s.Seeds = nil
+	for _, p := range pairs {
+		addr, ok := parseAddress(p.value)
+		if !ok {
+			return false
+		}
+		s.Seeds = append(s.Seeds, peer.Address{Name: p.name, Addr: addr})
+	}
+	return true
+}
+
+func setOperatorTokens(s *Settings, text string) bool {
+	pairs, ok := parsePairs(text)
+	if !ok {
+		return false
+	}
+	s.OperatorTokens = make(map[string]string, len(pairs))
+	for _, p := range pairs {
+		hash, err := hex.DecodeString(p.value)
+		if err != nil || len(hash) != hashBytes {
+			return false
+		}
+		s.OperatorTokens[p.name] = strings.ToLower(p.value)
+	}
+	return true
+}
+
+// pair is one NAME=VALUE of a list.
+type pair struct{ name, value string }
+
+// parsePairs splits a list and refuses a name that stands twice.
+func parsePairs(text string) ([]pair, bool) {
+	if text == "" {
+		return nil, true
+	}
+	seen := make(map[string]bool)
+	var pairs []pair
+	for item := range strings.SplitSeq(text, ",") {
+		name, value, found := strings.Cut(strings.TrimSpace(item), "=")
+		if !found || !nameForm.MatchString(name) || seen[name] {
+			return nil, false
+		}
+		seen[name] = true
+		pairs = append(pairs, pair{name: name, value: value})
+	}
+	return pairs, true
+}
