--- a/core/lease/grant.go
+++ b/core/lease/grant.go
@@ -9,6 +9,11 @@
 	Epoch int64
 	// Deadline ends the grant, by the clock of this VM.
 	Deadline time.Time
+	// TasksUntil is the latest deadline that earlier holders may have given to a
+	// task, as recorded when the lease was taken.
+	TasksUntil time.Time
+	// Former are earlier holders that may still renew tasks while cut off.
+	Former []Former
 }
 
 // Valid reports whether the grant still holds at now.
