Schedule the jobs of a domain on its lease holder

Change: entry/sched accepts jobs on any VM (key row, job row and inbox row in one transaction; a lost answer is settled by the key row), and on the lease holder loads rows, fences and lists each worker with a renewal of the new epoch, places, starts, renews (one message a worker), ends and records jobs. Tests: go test -race ./entry/sched, in-process workers and tables.

--- /dev/null
+++ b/entry/sched/options.go
@@ -0,0 +1,76 @@
+package sched
+
+import (
+	"net/http"
+	"time"
+
+	"tanagerstack.org/core/peer"
+	"tanagerstack.org/core/policy"
+	"tanagerstack.org/core/roster"
+	"tanagerstack.org/core/store"
+	"tanagerstack.org/core/trace"
+)
+
+// Times of the controllers.
+const (
+	// renewEvery is the time between messages to one worker.
+	renewEvery = time.Second
+	// workerCallTimeout bounds one call to a worker.
+	workerCallTimeout = 800 * time.Millisecond
+	// silenceLimit is the silence after which a worker gets no new tasks.
+	silenceLimit = 2500 * time.Millisecond
+	// startLimit is how long a start command is valid at most.
+	startLimit = time.Second
+	// placeEvery is the time between passes over the queue that nothing asked for.
+	placeEvery = 250 * time.Millisecond
+	// recordEvery is the least time between writes of changed jobs.
+	recordEvery = 100 * time.Millisecond
+	// inboxEvery is the time between reads of the domain's inbox.
+	inboxEvery = time.Second
+	// fleetEvery is the time between looks at the roster.
+	fleetEvery = 500 * time.Millisecond
+	// retryDelay is the wait before a failed task is placed again; it doubles.
+	retryDelay = 500 * time.Millisecond
+	// defaultTaskLease is used where the policy names none.
+	defaultTaskLease = 10 * time.Second
+	// maxTaskLease bounds what a policy may ask for.
+	maxTaskLease = time.Minute
+	minTaskLease = 3 * time.Second
+)
+
+// Options configure a Scheduler. All but HTTP, Trace and Now are needed.
+type Options struct {
+	// Name, Domain and Region say where this entry VM is.
+	Name   string
+	Domain string
+	Region string
+	Policy *policy.Keeper
+	// Roster returns the present picture of the fleet.
+	Roster func() *roster.View
+	// Peers sends messages to other entry VMs; nil means that there are none.
+	Peers  *peer.Node
+	Tables store.Tables
+	Trace  *trace.Log
+	// ClockSkew is the most by which two clocks differ.
+	ClockSkew time.Duration
+	// HTTP carries calls to workers; a client of its own if nil.
+	HTTP *http.Client
+	// Now is the clock; time.Now if nil.
+	Now func() time.Time
+}
+
+func (o Options) withDefaults() Options {
+	if o.HTTP == nil {
+		o.HTTP = &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 2,
+			IdleConnTimeout:     10 * time.Second,
+		}}
+	}
+	if o.Trace == nil {
+		o.Trace = trace.NewLog(trace.Options{VM: o.Name})
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
--- /dev/null
+++ b/entry/sched/place.go
@@ -0,0 +1,176 @@
+package sched
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"tanagerstack.org/core/api/caller"
+	"tanagerstack.org/core/ledger"
+	"tanagerstack.org/core/place"
+	"tanagerstack.org/core/queue"
+	"tanagerstack.org/core/roster"
+)
+
+const (
+	// passDecisions bounds one pass over the queue, so that reports of workers
+	// need not wait for the lock for long.
+	passDecisions = 500
+	// chunk is the most tasks of one job that are placed before the shares of
+	// teams are compared again.
+	chunk = 8
+	// passGap is the least time between passes.
+	passGap = 5 * time.Millisecond
+	// defaultAgeBatch is used where the policy names none.
+	defaultAgeBatch = 10 * time.Minute
+)
+
+// placer walks the queue whenever something changed.
+type placer struct{ h *holder }
+
+func (p *placer) run(ctx context.Context) {
+	defer p.h.loops.Done()
+	ticker := time.NewTicker(placeEvery)
+	defer ticker.Stop()
+	for {
+		p.h.pass(p.h.now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-p.h.wake:
+			time.Sleep(passGap)
+		}
+	}
+}
+
+// pass walks the queue once and reserves workers.
+func (h *holder) pass(now time.Time) {
+	if !h.valid(now) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	touched := make(map[string]*job)
+	walk := h.queue.Begin(h.frame(now))
+	for range passDecisions {
+		it, ok := walk.Next()
+		if !ok {
+			break
+		}
+		j := h.jobs[it.Job]
+		touched[it.Job] = j
+		if h.placeNext(walk, it, j, now) == 0 {
+			walk.Skip(it)
+		}
+	}
+	for _, j := range touched {
+		h.enqueuePlaced(j)
+	}
+}
+
+// enqueuePlaced takes a job out of the queue once no task of it waits. The lock
+// must be held.
+func (h *holder) enqueuePlaced(j *job) {
+	if j.pending == 0 {
+		h.queue.Remove(j.row.ID)
+	} else if j.row.Spec.Kind == caller.JobSpecKindGang {
+		h.queue.Add(j.item())
+	}
+}
+
+// frame is what a pass goes by. The lock must be held.
+func (h *holder) frame(now time.Time) queue.Frame {
+	frame := queue.Frame{Now: now, AgeBatch: defaultAgeBatch, Teams: h.teams}
+	for _, w := range h.ledger.Workers() {
+		frame.Fleet = ledger.Sum(frame.Fleet, w.Capacity)
+	}
+	document := h.s.document()
+	if document == nil {
+		return frame
+	}
+	if document.Jobs.AgeBatch > 0 {
+		frame.AgeBatch = time.Duration(document.Jobs.AgeBatch)
+	}
+	for name, granted := range document.Teams {
+		team := h.team(name)
+		team.Weight = granted.Share
+		team.Quota = roster.Resources{
+			Millicores:   granted.Quota.Millicores,
+			MemoryBytes:  granted.Quota.MemoryBytes,
+			Accelerators: granted.Quota.Accelerators,
+		}
+	}
+	return frame
+}
+
+// placeNext places the next tasks of a job and returns how many. The lock must
+// be held.
+func (h *holder) placeNext(walk *queue.Pass, it queue.Item, j *job, now time.Time) int {
+	if j.pending == 0 || j.ends != "" || now.Before(j.retryAt) {
+		return 0
+	}
+	if j.inherited && !h.settled {
+		h.explain(j, "waits until all workers have listed their tasks")
+		return 0
+	}
+	if j.triedAt == h.ledger.Freed()+1 {
+		return 0
+	}
+	n := min(j.pending, chunk)
+	if it.Least > 1 {
+		n = j.pending
+	}
+	allowed := walk.Allowed(it, n)
+	if allowed == 0 || (it.Least > 1 && allowed < n) {
+		h.explain(j, fmt.Sprintf("over the quota of team %q: %d of %d tasks allowed", it.Team, allowed, n))
+		return 0
+	}
+	decision := place.Choose(&h.ledger, place.Demand{
+		Each: it.Each, Count: allowed, Policy: j.policy(), Avoid: j.failedOn,
+	})
+	if len(decision.Workers) == 0 {
+		j.triedAt = h.ledger.Freed() + 1
+		h.explain(j, fmt.Sprintf("%d tasks wait for room; %d workers ruled out: %s", j.pending, decision.Considered, decision.Ruled))
+		return 0
+	}
+	h.reserve(j, it, decision.Workers)
+	return len(decision.Workers)
+}
+
+// reserve charges pending tasks to workers and hands them to the links. The lock
+// must be held.
+func (h *holder) reserve(j *job, it queue.Item, workers []string) {
+	for n, index := range j.pendingTasks(len(workers)) {
+		name := workers[n]
+		j.set(index, starting)
+		j.tasks[index].worker = name
+		h.charge(name, ledger.Charge{Task: j.key(index), Team: it.Team, Amount: it.Each, State: ledger.Reserved})
+		l := h.links[name]
+		l.starts = append(l.starts, j.key(index))
+		signal(l.wake)
+	}
+	h.trace(j.row.ID, "place", "placed", fmt.Sprintf("%d tasks on %v", len(workers), workers))
+	j.explained = ""
+}
+
+// explain keeps why a job waits, and traces it when it changed. The lock must be held.
+func (h *holder) explain(j *job, why string) {
+	if j.explained == why {
+		return
+	}
+	j.explained = why
+	h.trace(j.row.ID, "place", "waits", why)
+}
+
+// policy is how the tasks of the job are laid out.
+func (j *job) policy() place.Policy {
+	switch j.row.Spec.Kind {
+	case caller.JobSpecKindService:
+		return place.Spread{Placed: j.placed()}
+	case caller.JobSpecKindGang:
+		return place.Together{}
+	default:
+		return place.Packed{}
+	}
+}
