--- /dev/null
+++ b/core/roster/seat.go
@@ -0,0 +1,157 @@
+package roster
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// seat is a share of the slots of each target of a failure domain.
+type seat struct {
+	Seat int `json:"seat"`
+	// VM keeps the seat over restarts, until the platform's list drops it.
+	VM string `json:"vm"`
+	// Instance is the process that may use the seat. It is empty after a
+	// graceful shutdown, when no request of the VM is in flight.
+	Instance string    `json:"instance,omitempty"`
+	TakenAt  time.Time `json:"taken-at"`
+	// UsableAt is when the last request of an earlier instance must have ended.
+	UsableAt time.Time `json:"usable-at"`
+	// FreeAt is set once the list has dropped the VM. Another VM may take the
+	// seat from then on.
+	FreeAt time.Time `json:"free-at,omitzero"`
+}
+
+// seatRow is the stored roster of one failure domain.
+type seatRow struct {
+	Seats []seat `json:"seats"`
+}
+
+func decodeSeats(value []byte) (seatRow, error) {
+	var row seatRow
+	if len(value) == 0 {
+		return row, nil
+	}
+	if err := json.Unmarshal(value, &row); err != nil {
+		return row, fmt.Errorf("stored roster: %w", err)
+	}
+	return row, nil
+}
+
+// seatInput is what the decision about a row of seats rests on.
+type seatInput struct {
+	now      time.Time
+	vm       string
+	instance string
+	// seats is the number of seats of the failure domain.
+	seats int
+	// window is the longest window of a request; it is zero while no policy is known.
+	window time.Duration
+	skew   time.Duration
+	// listed has the names on the platform's list, as it was at listedAt.
+	listed   map[string]bool
+	listedAt time.Time
+}
+
+// next returns the row as the VM wants it, and whether that differs from r. It
+// takes or keeps the VM's own seat, and starts or ends the wait for the seats of
+// VMs that the list has dropped.
+func (r seatRow) next(in seatInput) (seatRow, bool) {
+	row := seatRow{Seats: slices.Clone(r.Seats)}
+	changed := false
+	for i := range row.Seats {
+		if row.Seats[i].VM == in.vm {
+			changed = row.Seats[i].keep(in) || changed
+		} else {
+			changed = row.Seats[i].age(in) || changed
+		}
+	}
+	if row.of(in.vm) == nil {
+		changed = row.take(in) || changed
+	}
+	return row, changed
+}
+
+// of returns the seat of a VM, or nil.
+func (r seatRow) of(vm string) *seat {
+	for i := range r.Seats {
+		if r.Seats[i].VM == vm {
+			return &r.Seats[i]
+		}
+	}
+	return nil
+}
+
+// keep makes a seat that the VM has the seat of its present instance.
+func (s *seat) keep(in seatInput) bool {
+	if s.Instance == in.instance {
+		dropped := !s.FreeAt.IsZero()
+		s.FreeAt = time.Time{}
+		return dropped
+	}
+	if s.Instance != "" && in.window == 0 {
+		return false
+	}
+	switch {
+	case s.Instance == "":
+		s.UsableAt = in.now
+	case s.UsableAt.After(in.now):
+		// The earlier instance died before it used the seat.
+	default:
+		s.UsableAt = in.now.Add(in.window + in.skew)
+	}
+	s.Instance = in.instance
+	s.TakenAt = in.now
+	s.FreeAt = time.Time{}
+	return true
+}
+
+// age starts the wait for the seat of a VM that the list has dropped, and ends
+// it for one that is listed again. A list from before the seat was taken proves
+// nothing, since a VM takes its seat only after it was listed.
+func (s *seat) age(in seatInput) bool {
+	switch {
+	case !in.listedAt.After(s.TakenAt.Add(in.skew)):
+		return false
+	case in.listed[s.VM] && !s.FreeAt.IsZero():
+		s.FreeAt = time.Time{}
+		return true
+	case in.listed[s.VM] || !s.FreeAt.IsZero():
+		return false
+	case s.Instance == "":
+		s.FreeAt = in.now
+		return true
+	case in.window == 0:
+		return false
+	default:
+		s.FreeAt = in.now.Add(in.window + in.skew)
+		return true
+	}
+}
+
+// take gives the VM a seat that nobody has, or one whose wait has ended.
+func (r *seatRow) take(in seatInput) bool {
+	if !in.listed[in.vm] {
+		return false
+	}
+	fresh := seat{VM: in.vm, Instance: in.instance, TakenAt: in.now, UsableAt: in.now}
+	for number := range in.seats {
+		at := slices.IndexFunc(r.Seats, func(s seat) bool { return s.Seat == number })
+		fresh.Seat = number
+		if at < 0 {
+			r.Seats = append(r.Seats, fresh)
+			slices.SortFunc(r.Seats, func(a, b seat) int { return a.Seat - b.Seat })
+			return true
+		}
+		if r.Seats[at].free(in) {
+			r.Seats[at] = fresh
+			return true
+		}
+	}
+	return false
+}
+
+func (s *seat) free(in seatInput) bool {
+	return !s.FreeAt.IsZero() && in.now.After(s.FreeAt.Add(in.skew))
+}
--- /dev/null
+++ b/core/roster/seater.go
@@ -0,0 +1,239 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"tanagerstack.org/core/store"
+)
+
+const (
+	// tableName is the table with a row for each failure domain.
+	tableName = "roster"
+	// PauseLimit is how long a VM's own loop may stand still before the VM must
+	// read its seat again. It is far below the wait for a dropped VM's seat.
+	PauseLimit = 2 * time.Second
+
+	seatPeriod  = 3 * time.Second
+	seatTimeout = 2 * time.Second
+)
+
+// stored is the roster row of a failure domain as last read.
+type stored struct {
+	version int64
+	row     seatRow
+}
+
+// seater keeps the VM's seat and knows those of all failure domains. Instants
+// are given by its caller.
+type seater struct {
+	tables   store.Tables
+	domain   string
+	vm       string
+	instance string
+
+	mu   sync.Mutex
+	rows map[string]stored
+	// confirmed is set while the VM knows its own seat: it has read the row and
+	// has not been paused since.
+	confirmed bool
+	tickedAt  time.Time
+	// pausedAt is when a pause was last noticed. A read that began before it
+	// confirms nothing.
+	pausedAt time.Time
+}
+
+func newSeater(opts Options, instance string) *seater {
+	return &seater{
+		tables:   opts.Tables,
+		domain:   opts.Domain,
+		vm:       opts.Name,
+		instance: instance,
+		rows:     make(map[string]stored),
+	}
+}
+
+// tick notes that the VM is running at now. After a pause the seat counts as
+// unknown until it is read again.
+func (s *seater) tick(now time.Time) {
+	now = now.Round(0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.tickedAt) > PauseLimit && !s.tickedAt.IsZero() {
+		s.confirmed = false
+		s.pausedAt = now
+	}
+	s.tickedAt = now
+}
+
+// refresh reads the rows of all failure domains and changes that of its own
+// where the VM's seat or the seats of dropped VMs ask for it.
+func (s *seater) refresh(ctx context.Context, in seatInput) error {
+	s.tick(in.now)
+	rows, err := s.tables.Scan(ctx, tableName, "")
+	if err != nil {
+		return fmt.Errorf("seats: %w", err)
+	}
+	s.learn(rows, in.now)
+	own := s.own(rows)
+	present, err := decodeSeats(own.Value)
+	if err != nil {
+		return err
+	}
+	in.vm, in.instance = s.vm, s.instance
+	wanted, changed := present.next(in)
+	if !changed {
+		return nil
+	}
+	return s.write(ctx, own, wanted, in.now)
+}
+
+// own picks the row of the VM's failure domain.
+func (s *seater) own(rows []store.Row) store.Row {
+	for _, row := range rows {
+		if row.Key == s.domain {
+			return row
+		}
+	}
+	return store.Row{Table: tableName, Key: s.domain, Version: store.Absent}
+}
+
+// write replaces the VM's own row. A conflict is no error: the row that another
+// VM has written is read with the next refresh.
+func (s *seater) write(ctx context.Context, row store.Row, wanted seatRow, began time.Time) error {
+	value, err := json.Marshal(wanted)
+	if err != nil {
+		return fmt.Errorf("seats: %w", err)
+	}
+	written, err := store.CompareAndSet(ctx, s.tables, row, value)
+	var conflict *store.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		s.learn(conflict.Rows, began)
+		return nil
+	case err != nil:
+		return fmt.Errorf("seats: %w", err)
+	}
+	s.learn([]store.Row{written}, began)
+	return nil
+}
+
+// learn takes in rows that were read or written by a call that began at began.
+func (s *seater) learn(rows []store.Row, began time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range rows {
+		decoded, err := decodeSeats(row.Value)
+		if err != nil {
+			klog.ErrorS(err, "Ignored a stored roster", "domain", row.Key)
+			continue
+		}
+		if row.Version >= s.rows[row.Key].version {
+			s.rows[row.Key] = stored{version: row.Version, row: decoded}
+		}
+	}
+	if !began.Before(s.pausedAt) {
+		s.confirmed = true
+	}
+}
+
+// release gives up the use of the seat after the VM's last request has ended.
+// The VM keeps the seat, and its next instance may use it at once.
+func (s *seater) release(ctx context.Context, now time.Time) error {
+	row, err := s.tables.Read(ctx, tableName, s.domain)
+	if err != nil {
+		return fmt.Errorf("releasing the seat: %w", err)
+	}
+	present, err := decodeSeats(row.Value)
+	if err != nil {
+		return err
+	}
+	mine := present.of(s.vm)
+	if mine == nil || mine.Instance != s.instance {
+		return nil
+	}
+	mine.Instance, mine.UsableAt = "", now
+	return s.write(ctx, row, present, now)
+}
+
+// ownSeat returns the seat of this instance and the instant until which it may
+// be used without reading the row again, or nil.
+func (s *seater) ownSeat() (*seat, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.confirmed {
+		return nil, time.Time{}
+	}
+	mine := s.rows[s.domain].row.of(s.vm)
+	if mine == nil || mine.Instance != s.instance || !mine.FreeAt.IsZero() {
+		return nil, time.Time{}
+	}
+	return mine, s.tickedAt.Add(PauseLimit)
+}
+
+// snapshot returns the seats of all failure domains and a number that grows
+// with each change of them.
+func (s *seater) snapshot() (map[string][]seat, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	generation := int64(0)
+	seats := make(map[string][]seat, len(s.rows))
+	for domain, row := range s.rows {
+		seats[domain] = row.row.Seats
+		generation += row.version
+	}
+	return seats, generation
+}
+
+// keeper refreshes the seats of a Tracker again and again.
+type keeper struct {
+	tracker *Tracker
+	// kick asks for a refresh before the next is due.
+	kick chan struct{}
+}
+
+func (k *keeper) loop(ctx context.Context) {
+	for {
+		refreshing, cancel := context.WithTimeout(ctx, seatTimeout)
+		err := k.tracker.seater.refresh(refreshing, k.tracker.seatInput())
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			klog.V(1).ErrorS(err, "Stored roster not refreshed")
+		}
+		k.tracker.publish()
+		wait := jitter(seatPeriod)
+		if k.tracker.View().Seat < 0 {
+			wait = jitter(seatPeriod / 6)
+		}
+		if !k.wait(ctx, wait) {
+			return
+		}
+	}
+}
+
+// wait reports whether ctx still holds when the next refresh is due.
+func (k *keeper) wait(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-k.kick:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// jitter spreads a period by a fifth to both sides, so that VMs which started
+// together do not call together.
+func jitter(period time.Duration) time.Duration {
+	return period*4/5 + time.Duration(rand.Int63n(int64(period)*2/5))
+}
--- a/core/roster/view.go
+++ b/core/roster/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -48,6 +50,8 @@
 	HeardAt time.Time
 	// PolicyVersion is the version in force there, as last heard.
 	PolicyVersion int64
+	// LeaseEpoch is the epoch of the domain lease that the VM said it holds; 0 if none.
+	LeaseEpoch int64
 	// Seat is the VM's seat in its failure domain, from 0; -1 if it holds none.
 	// The slots of a target are divided among the seats of the target's domain.
 	Seat int
@@ -79,6 +83,8 @@
 
 // View is an immutable picture of the fleet. Slices are sorted by name.
 type View struct {
+	// Self is the name of this VM.
+	Self string
 	// AsOf is the instant of the platform's list that the view rests on.
 	AsOf time.Time
 	// Generation numbers the stored roster that seats and claim owners come from.
@@ -88,4 +94,68 @@
 	Workers    []Worker
 	// Seats is the number of seats of each failure domain.
 	Seats int
+	// Seat is the seat that this instance holds, -1 if none. Its slots may be
+	// used from SeatUsableAt, and until SeatLapsesAt, which moves on as long as
+	// this VM is running: a VM that was paused must not act on an old view.
+	Seat         int
+	SeatUsableAt time.Time
+	SeatLapsesAt time.Time
+	// seatHolders has the seats of each failure domain that VMs hold, by number.
+	seatHolders map[string][]Seat
+}
+
+// Seat is a seat of a failure domain as the stored roster has it.
+type Seat struct {
+	Number int
+	// VM is the holder; empty if the seat is free.
+	VM string
+	// UsableAt is the instant from which the holder may use the seat, or, of a
+	// free seat, from which its slots may be granted to others.
+	UsableAt time.Time
+}
+
+// OwnSeat returns the seat whose slots this VM may use at now.
+func (v *View) OwnSeat(now time.Time) (int, bool) {
+	wall := now.Round(0)
+	usable := v.Seat >= 0 && !wall.Before(v.SeatUsableAt) && wall.Before(v.SeatLapsesAt)
+	return v.Seat, usable
+}
+
+// SeatsOf returns all seats of a failure domain, by number. It returns nil while
+// the stored roster of the domain is not known: then no seat counts as free.
+func (v *View) SeatsOf(domain string) []Seat {
+	held, known := v.seatHolders[domain]
+	if !known {
+		return nil
+	}
+	seats := make([]Seat, v.Seats)
+	for number := range seats {
+		seats[number].Number = number
+	}
+	for _, s := range held {
+		if s.Number < len(seats) {
+			seats[s.Number] = s
+		}
+	}
+	return seats
+}
+
+// FreeSeats returns the seats of a failure domain that no VM holds.
+func (v *View) FreeSeats(domain string) []Seat {
+	var free []Seat
+	for _, s := range v.SeatsOf(domain) {
+		if s.VM == "" {
+			free = append(free, s)
+		}
+	}
+	return free
+}
+
+// VM returns the entry VM with the name.
+func (v *View) VM(name string) (VM, bool) {
+	at, found := slices.BinarySearchFunc(v.VMs, name, func(vm VM, name string) int { return strings.Compare(vm.Name, name) })
+	if !found {
+		return VM{}, false
+	}
+	return v.VMs[at], true
 }
