--- a/core/api/fault/oas_client_gen.go
+++ b/core/api/fault/oas_client_gen.go
@@ -39,6 +39,12 @@
 	//
 	// GET /v1/record/{id}
 	GetRunCount(ctx context.Context, params GetRunCountParams) (*RunCount, error)
+	// ListRunCounts invokes listRunCounts operation.
+	//
+	// How often each of many requests or tasks ran.
+	//
+	// POST /v1/record-counts
+	ListRunCounts(ctx context.Context, request *RunCountRequest) (*RunCountList, error)
 	// SetFault invokes setFault operation.
 	//
 	// Sets the fault in force, in place of the one before.
@@ -233,6 +239,52 @@
 	return result, nil
 }
 
+// ListRunCounts invokes listRunCounts operation.
+//
+// How often each of many requests or tasks ran.
+//
+// POST /v1/record-counts
+func (c *Client) ListRunCounts(ctx context.Context, request *RunCountRequest) (*RunCountList, error) {
+	res, err := c.sendListRunCounts(ctx, request)
+	return res, err
+}
+
+func (c *Client) sendListRunCounts(ctx context.Context, request *RunCountRequest) (res *RunCountList, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/record-counts"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodeListRunCountsRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListRunCountsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // SetFault invokes setFault operation.
 //
 // Sets the fault in force, in place of the one before.
--- a/core/api/fault/oas_handlers_gen.go
+++ b/core/api/fault/oas_handlers_gen.go
@@ -275,6 +275,101 @@
 	}
 }
 
+// handleListRunCountsRequest handles listRunCounts operation.
+//
+// How often each of many requests or tasks ran.
+//
+// POST /v1/record-counts
+func (s *Server) handleListRunCountsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListRunCountsOperation,
+			ID:   "listRunCounts",
+		}
+	)
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodeListRunCountsRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response *RunCountList
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListRunCountsOperation,
+			OperationSummary: "How often each of many requests or tasks ran.",
+			OperationID:      "listRunCounts",
+			Body:             request,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = *RunCountRequest
+			Params   = struct{}
+			Response = *RunCountList
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListRunCounts(ctx, request)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListRunCounts(ctx, request)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListRunCountsResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleSetFaultRequest handles setFault operation.
 //
 // Sets the fault in force, in place of the one before.
--- a/core/api/fault/oas_json_gen.go
+++ b/core/api/fault/oas_json_gen.go
@@ -756,6 +756,12 @@
 		e.FieldStart("rejected")
 		e.Int64(s.Rejected)
 	}
+	{
+		if s.AfterLeaving.Set {
+			e.FieldStart("after-leaving")
+			s.AfterLeaving.Encode(e)
+		}
+	}
 	{
 		if s.Writes.Set {
 			e.FieldStart("writes")
@@ -778,14 +784,15 @@
 	}
 }
 
-var jsonFieldsNameOfRecord = [7]string{
+var jsonFieldsNameOfRecord = [8]string{
 	0: "executions",
 	1: "doubled",
 	2: "overloaded",
 	3: "rejected",
-	4: "writes",
-	5: "reads",
-	6: "doubled-ids",
+	4: "after-leaving",
+	5: "writes",
+	6: "reads",
+	7: "doubled-ids",
 }
 
 // Decode decodes Record from json.
@@ -845,6 +852,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"rejected\"")
 			}
+		case "after-leaving":
+			if err := func() error {
+				s.AfterLeaving.Reset()
+				if err := s.AfterLeaving.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"after-leaving\"")
+			}
 		case "writes":
 			if err := func() error {
 				s.Writes.Reset()
@@ -866,7 +883,7 @@
 				return errors.Wrap(err, "decode field \"reads\"")
 			}
 		case "doubled-ids":
-			requiredBitSet[0] |= 1 << 6
+			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
 				s.DoubledIDs = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -895,7 +912,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b01001111,
+		0b10001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1053,3 +1070,217 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *RunCountList) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *RunCountList) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("counts")
+		e.ArrStart()
+		for _, elem := range s.Counts {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfRunCountList = [1]string{
+	0: "counts",
+}
+
+// Decode decodes RunCountList from json.
+func (s *RunCountList) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode RunCountList to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "counts":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Counts = make([]RunCount, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem RunCount
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Counts = append(s.Counts, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"counts\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode RunCountList")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfRunCountList) {
+					name = jsonFieldsNameOfRunCountList[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *RunCountList) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *RunCountList) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *RunCountRequest) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *RunCountRequest) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("ids")
+		e.ArrStart()
+		for _, elem := range s.IDs {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfRunCountRequest = [1]string{
+	0: "ids",
+}
+
+// Decode decodes RunCountRequest from json.
+func (s *RunCountRequest) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode RunCountRequest to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "ids":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.IDs = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.IDs = append(s.IDs, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"ids\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode RunCountRequest")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfRunCountRequest) {
+					name = jsonFieldsNameOfRunCountRequest[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *RunCountRequest) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *RunCountRequest) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/core/api/fault/oas_operations_gen.go
+++ b/core/api/fault/oas_operations_gen.go
@@ -6,8 +6,9 @@
 type OperationName = string
 
 const (
-	GetFaultOperation    OperationName = "GetFault"
-	GetRecordOperation   OperationName = "GetRecord"
-	GetRunCountOperation OperationName = "GetRunCount"
-	SetFaultOperation    OperationName = "SetFault"
+	GetFaultOperation      OperationName = "GetFault"
+	GetRecordOperation     OperationName = "GetRecord"
+	GetRunCountOperation   OperationName = "GetRunCount"
+	ListRunCountsOperation OperationName = "ListRunCounts"
+	SetFaultOperation      OperationName = "SetFault"
 )
--- a/core/api/fault/oas_request_decoders_gen.go
+++ b/core/api/fault/oas_request_decoders_gen.go
@@ -14,6 +14,85 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s *Server) decodeListRunCountsRequest(r *http.Request) (
+	req *RunCountRequest,
+	rawBody []byte,
+	close func() error,
+	rerr error,
+) {
+	var closers []func() error
+	close = func() error {
+		var merr error
+		// Close in reverse order, to match defer behavior.
+		for i := len(closers) - 1; i >= 0; i-- {
+			c := closers[i]
+			merr = errors.Join(merr, c())
+		}
+		return merr
+	}
+	defer func() {
+		if rerr != nil {
+			rerr = errors.Join(rerr, close())
+		}
+	}()
+	ct, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil {
+		return req, rawBody, close, errors.Wrap(err, "parse media type")
+	}
+	switch {
+	case ct == "application/json":
+		if r.ContentLength == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+		buf, err := io.ReadAll(r.Body)
+		defer func() {
+			_ = r.Body.Close()
+		}()
+		if err != nil {
+			return req, rawBody, close, err
+		}
+
+		// Reset the body to allow for downstream reading.
+		r.Body = io.NopCloser(bytes.NewBuffer(buf))
+
+		if len(buf) == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+
+		rawBody = append(rawBody, buf...)
+		d := jx.DecodeBytes(buf)
+
+		var request RunCountRequest
+		if err := func() error {
+			if err := request.Decode(d); err != nil {
+				return err
+			}
+			if err := d.Skip(); err != io.EOF {
+				return errors.New("unexpected trailing data")
+			}
+			return nil
+		}(); err != nil {
+			err = &ogenerrors.DecodeBodyError{
+				ContentType: ct,
+				Body:        buf,
+				Err:         err,
+			}
+			return req, rawBody, close, err
+		}
+		if err := func() error {
+			if err := request.Validate(); err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return req, rawBody, close, errors.Wrap(err, "validate")
+		}
+		return &request, rawBody, close, nil
+	default:
+		return req, rawBody, close, validate.InvalidContentType(ct)
+	}
+}
+
 func (s *Server) decodeSetFaultRequest(r *http.Request) (
 	req *Fault,
 	rawBody []byte,
--- a/core/api/fault/oas_request_encoders_gen.go
+++ b/core/api/fault/oas_request_encoders_gen.go
@@ -10,6 +10,20 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
+func encodeListRunCountsRequest(
+	req *RunCountRequest,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		req.Encode(e)
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
+
 func encodeSetFaultRequest(
 	req *Fault,
 	r *http.Request,
--- a/core/api/fault/oas_response_decoders_gen.go
+++ b/core/api/fault/oas_response_decoders_gen.go
@@ -307,6 +307,107 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeListRunCountsResponse(resp *http.Response) (res *RunCountList, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response RunCountList
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &ProblemStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeSetFaultResponse(resp *http.Response) (res *SetFaultNoContent, _ error) {
 	switch resp.StatusCode {
 	case 204:
--- a/core/api/fault/oas_response_encoders_gen.go
+++ b/core/api/fault/oas_response_encoders_gen.go
@@ -49,6 +49,19 @@
 	return nil
 }
 
+func encodeListRunCountsResponse(response *RunCountList, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeSetFaultResponse(response *SetFaultNoContent, w http.ResponseWriter) error {
 	w.WriteHeader(204)
 
--- a/core/api/fault/oas_router_gen.go
+++ b/core/api/fault/oas_router_gen.go
@@ -14,6 +14,9 @@
 	rn1AllowedHeaders = map[string]string{
 		"PUT": "Content-Type",
 	}
+	rn6AllowedHeaders = map[string]string{
+		"POST": "Content-Type",
+	}
 )
 
 func (s *Server) cutPrefix(path string) (string, bool) {
@@ -118,6 +121,31 @@
 					return
 				}
 				switch elem[0] {
+				case '-': // Prefix: "-counts"
+
+					if l := len("-counts"); len(elem) >= l && elem[0:l] == "-counts" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "POST":
+							s.handleListRunCountsRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "POST",
+								allowedHeaders: rn6AllowedHeaders,
+								acceptPost:     "application/json",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
 				case '/': // Prefix: "/"
 
 					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
@@ -314,6 +342,31 @@
 					}
 				}
 				switch elem[0] {
+				case '-': // Prefix: "-counts"
+
+					if l := len("-counts"); len(elem) >= l && elem[0:l] == "-counts" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "POST":
+							r.name = ListRunCountsOperation
+							r.summary = "How often each of many requests or tasks ran."
+							r.operationID = "listRunCounts"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/record-counts"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
 				case '/': // Prefix: "/"
 
 					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
--- a/core/api/fault/oas_schemas_gen.go
+++ b/core/api/fault/oas_schemas_gen.go
@@ -652,11 +652,13 @@
 	// Requests or tasks that ran twice though they must not.
 	Doubled int64 `json:"doubled"`
 	// How often a VM carried more than it has.
-	Overloaded int64    `json:"overloaded"`
-	Rejected   int64    `json:"rejected"`
-	Writes     OptInt64 `json:"writes"`
-	Reads      OptInt64 `json:"reads"`
-	DoubledIDs []string `json:"doubled-ids"`
+	Overloaded int64 `json:"overloaded"`
+	Rejected   int64 `json:"rejected"`
+	// Requests that reached a target 3 s or more after it said that it was leaving.
+	AfterLeaving OptInt64 `json:"after-leaving"`
+	Writes       OptInt64 `json:"writes"`
+	Reads        OptInt64 `json:"reads"`
+	DoubledIDs   []string `json:"doubled-ids"`
 }
 
 // GetExecutions returns the value of Executions.
@@ -679,6 +681,11 @@
 	return s.Rejected
 }
 
+// GetAfterLeaving returns the value of AfterLeaving.
+func (s *Record) GetAfterLeaving() OptInt64 {
+	return s.AfterLeaving
+}
+
 // GetWrites returns the value of Writes.
 func (s *Record) GetWrites() OptInt64 {
 	return s.Writes
@@ -714,6 +721,11 @@
 	s.Rejected = val
 }
 
+// SetAfterLeaving sets the value of AfterLeaving.
+func (s *Record) SetAfterLeaving(val OptInt64) {
+	s.AfterLeaving = val
+}
+
 // SetWrites sets the value of Writes.
 func (s *Record) SetWrites(val OptInt64) {
 	s.Writes = val
@@ -756,5 +768,37 @@
 	s.Executions = val
 }
 
+// Counts in the order asked for.
+// Ref: #/components/schemas/RunCountList
+type RunCountList struct {
+	Counts []RunCount `json:"counts"`
+}
+
+// GetCounts returns the value of Counts.
+func (s *RunCountList) GetCounts() []RunCount {
+	return s.Counts
+}
+
+// SetCounts sets the value of Counts.
+func (s *RunCountList) SetCounts(val []RunCount) {
+	s.Counts = val
+}
+
+// The requests or tasks to count.
+// Ref: #/components/schemas/RunCountRequest
+type RunCountRequest struct {
+	IDs []string `json:"ids"`
+}
+
+// GetIDs returns the value of IDs.
+func (s *RunCountRequest) GetIDs() []string {
+	return s.IDs
+}
+
+// SetIDs sets the value of IDs.
+func (s *RunCountRequest) SetIDs(val []string) {
+	s.IDs = val
+}
+
 // SetFaultNoContent is response for SetFault operation.
 type SetFaultNoContent struct{}
--- a/core/api/fault/oas_server_gen.go
+++ b/core/api/fault/oas_server_gen.go
@@ -26,6 +26,12 @@
 	//
 	// GET /v1/record/{id}
 	GetRunCount(ctx context.Context, params GetRunCountParams) (*RunCount, error)
+	// ListRunCounts implements listRunCounts operation.
+	//
+	// How often each of many requests or tasks ran.
+	//
+	// POST /v1/record-counts
+	ListRunCounts(ctx context.Context, req *RunCountRequest) (*RunCountList, error)
 	// SetFault implements setFault operation.
 	//
 	// Sets the fault in force, in place of the one before.
--- a/core/api/fault/oas_unimplemented_gen.go
+++ b/core/api/fault/oas_unimplemented_gen.go
@@ -40,6 +40,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// ListRunCounts implements listRunCounts operation.
+//
+// How often each of many requests or tasks ran.
+//
+// POST /v1/record-counts
+func (UnimplementedHandler) ListRunCounts(ctx context.Context, req *RunCountRequest) (r *RunCountList, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // SetFault implements setFault operation.
 //
 // Sets the fault in force, in place of the one before.
--- a/core/api/fault/oas_validators_gen.go
+++ b/core/api/fault/oas_validators_gen.go
@@ -173,3 +173,57 @@
 	}
 	return nil
 }
+
+func (s *RunCountList) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Counts == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "counts",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *RunCountRequest) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.IDs == nil {
+			return errors.New("nil is invalid value")
+		}
+		if err := (validate.Array{
+			MinLength:    0,
+			MinLengthSet: false,
+			MaxLength:    10000,
+			MaxLengthSet: true,
+		}).ValidateLength(len(s.IDs)); err != nil {
+			return errors.Wrap(err, "array")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "ids",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
--- /dev/null
+++ b/stand/cmds/platform.go
@@ -0,0 +1,103 @@
+package cmds
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"tanagerstack.org/stand/faults"
+	"tanagerstack.org/stand/flags"
+	"tanagerstack.org/stand/member"
+	"tanagerstack.org/stand/object"
+	"tanagerstack.org/stand/table"
+)
+
+// service is a stand-in with one API and a record.
+type service interface {
+	faults.Recorder
+	Handler() (http.Handler, error)
+}
+
+// addresses are the flags that each stand-in of one API has.
+type addresses struct {
+	listen  flags.Address
+	control flags.Address
+}
+
+func (a *addresses) bind(cmd *cobra.Command, listen string) {
+	a.listen.AddrPort = netip.MustParseAddrPort(listen)
+	cmd.Flags().Var(&a.listen, "address", "address of the API")
+	cmd.Flags().Var(&a.control, "control-address", "address of the control API for faults and records; none if empty")
+}
+
+// serveService serves one stand-in until the command's context ends.
+func serveService(cmd *cobra.Command, name string, a *addresses, s service) error {
+	st := newStage()
+	if err := st.add(name, a, s); err != nil {
+		return err
+	}
+	st.wait(cmd.Context())
+	return nil
+}
+
+func (s *stage) add(name string, a *addresses, served service) error {
+	handler, err := served.Handler()
+	if err != nil {
+		return err
+	}
+	address, err := s.serve(name, a.listen.AddrPort, handler)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	klog.InfoS("serving", "name", name, "address", address)
+	return s.control(name, a.control.AddrPort, served)
+}
+
+func newTables() *cobra.Command {
+	var a addresses
+	cmd := &cobra.Command{
+		Use:   "tables",
+		Short: "Run the table service",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return serveService(cmd, "tables", &a, table.NewService()) },
+	}
+	a.bind(cmd, "127.0.0.1:7001")
+	return cmd
+}
+
+func newObjects() *cobra.Command {
+	var a addresses
+	cmd := &cobra.Command{
+		Use:   "objects",
+		Short: "Run the object store",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serveService(cmd, "objects", &a, object.NewService())
+		},
+	}
+	a.bind(cmd, "127.0.0.1:7002")
+	return cmd
+}
+
+func newMembers() *cobra.Command {
+	var a addresses
+	var lag time.Duration
+	cmd := &cobra.Command{
+		Use:   "members",
+		Short: "Run the membership list",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if lag < 0 {
+				return fmt.Errorf("--lag is %s; it must not be negative", lag)
+			}
+			return serveService(cmd, "members", &a, member.NewService(lag))
+		},
+	}
+	a.bind(cmd, "127.0.0.1:7003")
+	cmd.Flags().DurationVar(&lag, "lag", time.Second, "how long a change takes to show in the list")
+	return cmd
+}
--- /dev/null
+++ b/stand/faults/control.go
@@ -0,0 +1,77 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	api "tanagerstack.org/core/api/fault"
+	"tanagerstack.org/stand/reply"
+)
+
+// Recorder is what a stand-in recorded of its own doings.
+type Recorder interface {
+	// Record returns the totals.
+	Record() api.Record
+	// Executions returns how often a request or task was run.
+	Executions(id string) int64
+}
+
+// Control serves the fault API over a Switch and a Recorder.
+type Control struct {
+	faults   *Switch
+	recorder Recorder
+}
+
+// NewControl returns the handler of the control address.
+func NewControl(faults *Switch, recorder Recorder) (http.Handler, error) {
+	server, err := api.NewServer(&Control{faults: faults, recorder: recorder})
+	if err != nil {
+		return nil, fmt.Errorf("control API: %w", err)
+	}
+	return server, nil
+}
+
+// GetFault returns the fault in force.
+func (c *Control) GetFault(context.Context) (*api.Fault, error) {
+	fault := c.faults.Fault()
+	return &fault, nil
+}
+
+// SetFault puts a fault in force.
+func (c *Control) SetFault(_ context.Context, req *api.Fault) error {
+	c.faults.Set(*req, time.Now())
+	return nil
+}
+
+// GetRecord returns the totals.
+func (c *Control) GetRecord(context.Context) (*api.Record, error) {
+	record := c.recorder.Record()
+	if record.DoubledIDs == nil {
+		record.DoubledIDs = []string{}
+	}
+	return &record, nil
+}
+
+// GetRunCount returns how often one request or task ran.
+func (c *Control) GetRunCount(_ context.Context, params api.GetRunCountParams) (*api.RunCount, error) {
+	return &api.RunCount{ID: params.ID, Executions: c.recorder.Executions(params.ID)}, nil
+}
+
+// ListRunCounts returns how often each of many requests or tasks ran.
+func (c *Control) ListRunCounts(_ context.Context, req *api.RunCountRequest) (*api.RunCountList, error) {
+	counts := make([]api.RunCount, 0, len(req.IDs))
+	for _, id := range req.IDs {
+		counts = append(counts, api.RunCount{ID: id, Executions: c.recorder.Executions(id)})
+	}
+	return &api.RunCountList{Counts: counts}, nil
+}
+
+// NewError turns an error into a problem document.
+func (c *Control) NewError(_ context.Context, err error) *api.ProblemStatusCode {
+	e := reply.From(err)
+	return &api.ProblemStatusCode{StatusCode: e.Status, Response: api.Problem{
+		Title: e.Title(), Status: e.Status, Detail: e.Detail, Reason: api.NewOptString(e.Reason),
+	}}
+}
--- /dev/null
+++ b/stand/member/service.go
@@ -0,0 +1,81 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	faultapi "tanagerstack.org/core/api/fault"
+	api "tanagerstack.org/core/api/member"
+	"tanagerstack.org/stand/reply"
+)
+
+// Service serves a List.
+type Service struct {
+	list   *List
+	writes atomic.Int64
+	reads  atomic.Int64
+}
+
+// NewService returns an empty membership list with a lag.
+func NewService(lag time.Duration) *Service {
+	return &Service{list: NewList(lag)}
+}
+
+// Handler returns the service's API.
+func (s *Service) Handler() (http.Handler, error) {
+	server, err := api.NewServer(s)
+	if err != nil {
+		return nil, fmt.Errorf("members API: %w", err)
+	}
+	return server, nil
+}
+
+// ListMembers returns the list as it was a lag ago.
+func (s *Service) ListMembers(context.Context) (*api.MemberList, error) {
+	s.reads.Add(1)
+	list := s.list.At(time.Now())
+	return &list, nil
+}
+
+// PutMember registers a VM or changes it.
+func (s *Service) PutMember(_ context.Context, req *api.Member, params api.PutMemberParams) error {
+	s.writes.Add(1)
+	if req.Name != params.Name {
+		return reply.New(http.StatusBadRequest, "wrong-name", "the body names %q, the path %q", req.Name, params.Name)
+	}
+	if _, err := netip.ParseAddrPort(req.Address); err != nil {
+		return reply.New(http.StatusBadRequest, "wrong-address", "address %q is not IP:PORT", req.Address)
+	}
+	s.list.Put(*req, time.Now())
+	return nil
+}
+
+// DeleteMember removes a VM; one that is not listed is no error.
+func (s *Service) DeleteMember(_ context.Context, params api.DeleteMemberParams) error {
+	s.writes.Add(1)
+	s.list.Remove(params.Name, time.Now())
+	return nil
+}
+
+// NewError turns an error into a problem document.
+func (s *Service) NewError(_ context.Context, err error) *api.ProblemStatusCode {
+	e := reply.From(err)
+	return &api.ProblemStatusCode{StatusCode: e.Status, Response: api.Problem{
+		Title: e.Title(), Status: e.Status, Detail: e.Detail, Reason: api.NewOptString(e.Reason),
+	}}
+}
+
+// Record returns the numbers of calls.
+func (s *Service) Record() faultapi.Record {
+	return faultapi.Record{
+		Writes: faultapi.NewOptInt64(s.writes.Load()),
+		Reads:  faultapi.NewOptInt64(s.reads.Load()),
+	}
+}
+
+// Executions is always zero: the list runs nothing.
+func (s *Service) Executions(string) int64 { return 0 }
--- /dev/null
+++ b/stand/table/service.go
@@ -0,0 +1,108 @@
+package table
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+
+	faultapi "tanagerstack.org/core/api/fault"
+	api "tanagerstack.org/core/api/tables"
+	"tanagerstack.org/stand/reply"
+)
+
+// scanLimit is the number of rows of a scan that names no limit.
+const scanLimit = 1000
+
+// Service is the table service with its records.
+type Service struct {
+	store  *Store
+	writes atomic.Int64
+	reads  atomic.Int64
+}
+
+// NewService returns a table service without rows.
+func NewService() *Service {
+	return &Service{store: NewStore()}
+}
+
+// Handler returns the service's API.
+func (s *Service) Handler() (http.Handler, error) {
+	server, err := api.NewServer(s)
+	if err != nil {
+		return nil, fmt.Errorf("table API: %w", err)
+	}
+	return server, nil
+}
+
+// Commit applies each transaction of one call; the call counts as one write.
+func (s *Service) Commit(_ context.Context, req *api.CommitRequest) (*api.CommitReply, error) {
+	s.writes.Add(1)
+	for i := range req.Transactions {
+		if err := checkTransaction(i, req.Transactions[i].Operations); err != nil {
+			return nil, err
+		}
+	}
+	results := make([]api.TransactionResult, 0, len(req.Transactions))
+	for i := range req.Transactions {
+		results = append(results, s.store.Apply(req.Transactions[i].Operations))
+	}
+	return &api.CommitReply{Results: results}, nil
+}
+
+// Read returns the rows that exist; the call counts as one read.
+func (s *Service) Read(_ context.Context, req *api.ReadRequest) (*api.RowList, error) {
+	s.reads.Add(1)
+	rows := []api.Row{}
+	for _, key := range req.Keys {
+		if found, exists := s.store.Get(key.Table, key.Key); exists {
+			rows = append(rows, found)
+		}
+	}
+	return &api.RowList{Rows: rows}, nil
+}
+
+// Scan lists rows in key order; the call counts as one read.
+func (s *Service) Scan(_ context.Context, params api.ScanParams) (*api.RowList, error) {
+	s.reads.Add(1)
+	rows, more := s.store.Scan(params.Table, params.Prefix.Or(""), params.After.Or(""), params.Limit.Or(scanLimit))
+	return &api.RowList{Rows: rows, More: more}, nil
+}
+
+// NewError turns an error into a problem document.
+func (s *Service) NewError(_ context.Context, err error) *api.ProblemStatusCode {
+	e := reply.From(err)
+	return &api.ProblemStatusCode{StatusCode: e.Status, Response: api.Problem{
+		Title: e.Title(), Status: e.Status, Detail: e.Detail, Reason: api.NewOptString(e.Reason),
+	}}
+}
+
+// Record returns the numbers of calls.
+func (s *Service) Record() faultapi.Record {
+	return faultapi.Record{
+		Writes: faultapi.NewOptInt64(s.writes.Load()),
+		Reads:  faultapi.NewOptInt64(s.reads.Load()),
+	}
+}
+
+// Executions is always zero: the table service runs nothing.
+func (s *Service) Executions(string) int64 { return 0 }
+
+// checkTransaction refuses what could not be applied whole.
+func checkTransaction(index int, operations []api.Operation) error {
+	written := make(map[api.RowKey]bool, len(operations))
+	for _, operation := range operations {
+		if operation.Table == "" || operation.Key == "" {
+			return reply.New(http.StatusBadRequest, "empty-key", "transaction %d names a row without table or key", index)
+		}
+		if operation.Kind == api.OperationKindCheck {
+			continue
+		}
+		key := api.RowKey{Table: operation.Table, Key: operation.Key}
+		if written[key] {
+			return reply.New(http.StatusBadRequest, "row-twice", "transaction %d writes row %s/%s twice", index, key.Table, key.Key)
+		}
+		written[key] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/stand/target/target.go
@@ -0,0 +1,111 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	faultapi "tanagerstack.org/core/api/fault"
+	api "tanagerstack.org/core/api/target"
+	"tanagerstack.org/stand/faults"
+	"tanagerstack.org/stand/reply"
+)
+
+// maxBodyBytes is the largest request body.
+const maxBodyBytes = 16 << 20
+
+// Target is one target.
+type Target struct {
+	name    string
+	service string
+	slots   int
+	work    time.Duration
+	record  *record
+	faults  *faults.Switch
+
+	mu   sync.Mutex
+	busy int
+}
+
+// Serve runs a request in a slot, or answers 503 without running it.
+func (t *Target) Serve(_ context.Context, req api.ServeReq, params api.ServeParams) (api.ServeRes, error) {
+	body, err := io.ReadAll(io.LimitReader(req, maxBodyBytes))
+	if err != nil {
+		return nil, reply.New(http.StatusBadRequest, "short-body", "reading the body of request %s: %v", params.XRequestID, err)
+	}
+	if refusal := t.admit(&params, time.Now()); refusal != nil {
+		return notRun(refusal), nil
+	}
+	answer := t.execute(params.XRequestID, body)
+	if _, failing := t.faults.Active(faultapi.FaultKindFailAll, t.name); failing {
+		return nil, reply.New(http.StatusInternalServerError, "failed", "target %s fails everything", t.name)
+	}
+	return &api.ServeOKHeaders{XRequestID: params.XRequestID, Response: api.ServeOK{Data: bytes.NewReader(answer)}}, nil
+}
+
+// GetState reports the slots.
+func (t *Target) GetState(context.Context) (*api.TargetState, error) {
+	_, leaving := t.faults.Active(faultapi.FaultKindLeaving, t.name)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &api.TargetState{Slots: t.slots, Busy: t.busy, Leaving: leaving}, nil
+}
+
+// NewError turns an error into a problem document.
+func (t *Target) NewError(_ context.Context, err error) *api.ProblemStatusCode {
+	e := reply.From(err)
+	return &api.ProblemStatusCode{StatusCode: e.Status, Response: problem(e)}
+}
+
+// admit takes a slot, or says why the request is not run.
+func (t *Target) admit(params *api.ServeParams, now time.Time) *reply.Error {
+	if since, leaving := t.faults.Active(faultapi.FaultKindLeaving, t.name); leaving {
+		t.record.arrivedLeaving(since, now)
+		return reply.New(http.StatusServiceUnavailable, "leaving", "target %s is leaving", t.name)
+	}
+	if t.service != "" && params.Service != t.service {
+		t.record.reject()
+		return reply.New(http.StatusServiceUnavailable, "unknown-service", "target %s runs %s, not %s", t.name, t.service, params.Service)
+	}
+	if now.After(params.XStartBefore) {
+		t.record.reject()
+		return reply.New(http.StatusServiceUnavailable, "start-before-passed",
+			"the request was void after %s", params.XStartBefore.Format(time.RFC3339Nano))
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.busy >= t.slots {
+		t.record.overload()
+		return reply.New(http.StatusServiceUnavailable, "no-slot", "all %d slots of %s are busy", t.slots, t.name)
+	}
+	t.busy++
+	return nil
+}
+
+// execute does the work and frees the slot before the answer is sent.
+func (t *Target) execute(id string, body []byte) []byte {
+	number := t.record.execution(id)
+	work := ParseWork(body).Time
+	if work == 0 {
+		work = t.work
+	}
+	time.Sleep(work)
+	t.mu.Lock()
+	t.busy--
+	t.mu.Unlock()
+	return Answer(id, body, fmt.Sprintf("%s/%d", t.name, number))
+}
+
+func notRun(e *reply.Error) *api.Problem {
+	p := problem(e)
+	p.Outcome = api.NewOptProblemOutcome(api.ProblemOutcomeRefused)
+	return &p
+}
+
+func problem(e *reply.Error) api.Problem {
+	return api.Problem{Title: e.Title(), Status: e.Status, Detail: e.Detail, Reason: api.NewOptString(e.Reason)}
+}
