Keep fractions of a second in the instants of all APIs

Cause: ogen writes date-time as RFC 3339 in whole seconds, so a start-before or X-Not-After 250 ms ahead arrived in the past, and lease deadlines lost up to 1 s. Seen at the members stand-in, whose as-of came in whole seconds. Ruled out: rounding up at each client, which lengthens leases. Change: x-ogen-time-format with nine optional digits on each date-time of all documents; instants without a fraction are still read.

--- a/core/api/caller/oas_client_gen.go
+++ b/core/api/caller/oas_client_gen.go
@@ -368,7 +368,7 @@
 		}
 		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
 			if val, ok := params.XNotAfter.Get(); ok {
-				return e.EncodeValue(conv.DateTimeToString(val))
+				return e.EncodeValue(val.Format("2006-01-02T15:04:05.999999999Z07:00"))
 			}
 			return nil
 		}); err != nil {
--- a/core/api/caller/oas_json_gen.go
+++ b/core/api/caller/oas_json_gen.go
@@ -46,12 +46,12 @@
 	}
 	{
 		e.FieldStart("accepted-at")
-		json.EncodeDateTime(e, s.AcceptedAt)
+		json.EncodeTimeFormat(e, s.AcceptedAt, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		if s.EndedAt.Set {
 			e.FieldStart("ended-at")
-			s.EndedAt.Encode(e, json.EncodeDateTime)
+			s.EndedAt.Encode(e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 		}
 	}
 	{
@@ -148,7 +148,7 @@
 		case "accepted-at":
 			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.AcceptedAt = v
 				if err != nil {
 					return err
@@ -160,7 +160,7 @@
 		case "ended-at":
 			if err := func() error {
 				s.EndedAt.Reset()
-				if err := s.EndedAt.Decode(d, json.DecodeDateTime); err != nil {
+				if err := s.EndedAt.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00")); err != nil {
 					return err
 				}
 				return nil
@@ -299,7 +299,7 @@
 	}
 	{
 		e.FieldStart("not-after")
-		json.EncodeDateTime(e, s.NotAfter)
+		json.EncodeTimeFormat(e, s.NotAfter, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("command")
@@ -424,7 +424,7 @@
 		case "not-after":
 			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.NotAfter = v
 				if err != nil {
 					return err
@@ -660,14 +660,14 @@
 // MarshalJSON implements stdjson.Marshaler.
 func (s OptDateTime) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
-	s.Encode(&e, json.EncodeDateTime)
+	s.Encode(&e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
 func (s *OptDateTime) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
-	return s.Decode(d, json.DecodeDateTime)
+	return s.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00"))
 }
 
 // Encode encodes ProblemOutcome as json.
@@ -798,7 +798,7 @@
 	{
 		if s.RetryAt.Set {
 			e.FieldStart("retry-at")
-			s.RetryAt.Encode(e, json.EncodeDateTime)
+			s.RetryAt.Encode(e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 		}
 	}
 }
@@ -924,7 +924,7 @@
 		case "retry-at":
 			if err := func() error {
 				s.RetryAt.Reset()
-				if err := s.RetryAt.Decode(d, json.DecodeDateTime); err != nil {
+				if err := s.RetryAt.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00")); err != nil {
 					return err
 				}
 				return nil
--- a/core/api/member/oas_json_gen.go
+++ b/core/api/member/oas_json_gen.go
@@ -329,7 +329,7 @@
 func (s *MemberList) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("as-of")
-		json.EncodeDateTime(e, s.AsOf)
+		json.EncodeTimeFormat(e, s.AsOf, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("members")
@@ -358,7 +358,7 @@
 		case "as-of":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.AsOf = v
 				if err != nil {
 					return err
@@ -508,14 +508,14 @@
 // MarshalJSON implements stdjson.Marshaler.
 func (s OptDateTime) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
-	s.Encode(&e, json.EncodeDateTime)
+	s.Encode(&e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
 func (s *OptDateTime) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
-	return s.Decode(d, json.DecodeDateTime)
+	return s.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00"))
 }
 
 // Encode encodes int as json.
@@ -714,7 +714,7 @@
 	{
 		if s.RetryAt.Set {
 			e.FieldStart("retry-at")
-			s.RetryAt.Encode(e, json.EncodeDateTime)
+			s.RetryAt.Encode(e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 		}
 	}
 }
@@ -840,7 +840,7 @@
 		case "retry-at":
 			if err := func() error {
 				s.RetryAt.Reset()
-				if err := s.RetryAt.Decode(d, json.DecodeDateTime); err != nil {
+				if err := s.RetryAt.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00")); err != nil {
 					return err
 				}
 				return nil
--- a/core/api/oper/oas_json_gen.go
+++ b/core/api/oper/oas_json_gen.go
@@ -24,7 +24,7 @@
 func (s *Burn) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("as-of")
-		json.EncodeDateTime(e, s.AsOf)
+		json.EncodeTimeFormat(e, s.AsOf, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("rows")
@@ -80,7 +80,7 @@
 		case "as-of":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.AsOf = v
 				if err != nil {
 					return err
@@ -645,7 +645,7 @@
 func (s *Decision) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("at")
-		json.EncodeDateTime(e, s.At)
+		json.EncodeTimeFormat(e, s.At, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("vm")
@@ -701,7 +701,7 @@
 		case "at":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.At = v
 				if err != nil {
 					return err
@@ -1175,14 +1175,14 @@
 // MarshalJSON implements stdjson.Marshaler.
 func (s OptDateTime) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
-	s.Encode(&e, json.EncodeDateTime)
+	s.Encode(&e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
 func (s *OptDateTime) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
-	return s.Decode(d, json.DecodeDateTime)
+	return s.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00"))
 }
 
 // Encode encodes time.Duration as json.
@@ -1810,7 +1810,7 @@
 	}
 	{
 		e.FieldStart("applied-at")
-		json.EncodeDateTime(e, s.AppliedAt)
+		json.EncodeTimeFormat(e, s.AppliedAt, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("document")
@@ -1874,7 +1874,7 @@
 		case "applied-at":
 			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.AppliedAt = v
 				if err != nil {
 					return err
@@ -2011,7 +2011,7 @@
 	{
 		if s.RetryAt.Set {
 			e.FieldStart("retry-at")
-			s.RetryAt.Encode(e, json.EncodeDateTime)
+			s.RetryAt.Encode(e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 		}
 	}
 }
@@ -2137,7 +2137,7 @@
 		case "retry-at":
 			if err := func() error {
 				s.RetryAt.Reset()
-				if err := s.RetryAt.Decode(d, json.DecodeDateTime); err != nil {
+				if err := s.RetryAt.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00")); err != nil {
 					return err
 				}
 				return nil
@@ -2403,7 +2403,7 @@
 	}
 	{
 		e.FieldStart("as-of")
-		json.EncodeDateTime(e, s.AsOf)
+		json.EncodeTimeFormat(e, s.AsOf, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		if s.StoreReachable.Set {
@@ -2461,7 +2461,7 @@
 		case "as-of":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.AsOf = v
 				if err != nil {
 					return err
@@ -2613,7 +2613,7 @@
 	}
 	{
 		e.FieldStart("heard-at")
-		json.EncodeDateTime(e, s.HeardAt)
+		json.EncodeTimeFormat(e, s.HeardAt, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("roles")
@@ -2714,7 +2714,7 @@
 		case "heard-at":
 			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.HeardAt = v
 				if err != nil {
 					return err
--- a/core/api/target/oas_client_gen.go
+++ b/core/api/target/oas_client_gen.go
@@ -178,7 +178,7 @@
 			Explode: false,
 		}
 		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
-			return e.EncodeValue(conv.DateTimeToString(params.XStartBefore))
+			return e.EncodeValue(params.XStartBefore.Format("2006-01-02T15:04:05.999999999Z07:00"))
 		}); err != nil {
 			return res, errors.Wrap(err, "encode header")
 		}
--- a/core/api/target/oas_parameters_gen.go
+++ b/core/api/target/oas_parameters_gen.go
@@ -144,7 +144,7 @@
 					return err
 				}
 
-				c, err := conv.ToDateTime(val)
+				c, err := time.Parse("2006-01-02T15:04:05.999999999Z07:00", val)
 				if err != nil {
 					return err
 				}
--- a/core/api/worker/oas_json_gen.go
+++ b/core/api/worker/oas_json_gen.go
@@ -38,14 +38,14 @@
 // MarshalJSON implements stdjson.Marshaler.
 func (s OptDateTime) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
-	s.Encode(&e, json.EncodeDateTime)
+	s.Encode(&e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
 func (s *OptDateTime) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
-	return s.Decode(d, json.DecodeDateTime)
+	return s.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00"))
 }
 
 // Encode encodes ProblemOutcome as json.
@@ -176,7 +176,7 @@
 	{
 		if s.RetryAt.Set {
 			e.FieldStart("retry-at")
-			s.RetryAt.Encode(e, json.EncodeDateTime)
+			s.RetryAt.Encode(e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 		}
 	}
 }
@@ -302,7 +302,7 @@
 		case "retry-at":
 			if err := func() error {
 				s.RetryAt.Reset()
-				if err := s.RetryAt.Decode(d, json.DecodeDateTime); err != nil {
+				if err := s.RetryAt.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00")); err != nil {
 					return err
 				}
 				return nil
@@ -425,7 +425,7 @@
 	}
 	{
 		e.FieldStart("lease-deadline")
-		json.EncodeDateTime(e, s.LeaseDeadline)
+		json.EncodeTimeFormat(e, s.LeaseDeadline, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("task-ids")
@@ -480,7 +480,7 @@
 		case "lease-deadline":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.LeaseDeadline = v
 				if err != nil {
 					return err
@@ -820,7 +820,7 @@
 	}
 	{
 		e.FieldStart("start-before")
-		json.EncodeDateTime(e, s.StartBefore)
+		json.EncodeTimeFormat(e, s.StartBefore, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("tasks")
@@ -875,7 +875,7 @@
 		case "start-before":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.StartBefore = v
 				if err != nil {
 					return err
@@ -1393,7 +1393,7 @@
 	}
 	{
 		e.FieldStart("lease-deadline")
-		json.EncodeDateTime(e, s.LeaseDeadline)
+		json.EncodeTimeFormat(e, s.LeaseDeadline, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("command")
@@ -1466,7 +1466,7 @@
 		case "lease-deadline":
 			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.LeaseDeadline = v
 				if err != nil {
 					return err
@@ -1588,16 +1588,16 @@
 	}
 	{
 		e.FieldStart("lease-deadline")
-		json.EncodeDateTime(e, s.LeaseDeadline)
+		json.EncodeTimeFormat(e, s.LeaseDeadline, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("started-at")
-		json.EncodeDateTime(e, s.StartedAt)
+		json.EncodeTimeFormat(e, s.StartedAt, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		if s.EndedAt.Set {
 			e.FieldStart("ended-at")
-			s.EndedAt.Encode(e, json.EncodeDateTime)
+			s.EndedAt.Encode(e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 		}
 	}
 	{
@@ -1682,7 +1682,7 @@
 		case "lease-deadline":
 			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.LeaseDeadline = v
 				if err != nil {
 					return err
@@ -1694,7 +1694,7 @@
 		case "started-at":
 			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.StartedAt = v
 				if err != nil {
 					return err
@@ -1706,7 +1706,7 @@
 		case "ended-at":
 			if err := func() error {
 				s.EndedAt.Reset()
-				if err := s.EndedAt.Decode(d, json.DecodeDateTime); err != nil {
+				if err := s.EndedAt.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00")); err != nil {
 					return err
 				}
 				return nil
@@ -2136,7 +2136,7 @@
 func (s *Usage) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("as-of")
-		json.EncodeDateTime(e, s.AsOf)
+		json.EncodeTimeFormat(e, s.AsOf, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("capacity")
@@ -2175,7 +2175,7 @@
 		case "as-of":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.AsOf = v
 				if err != nil {
 					return err
