Decode, check and evaluate policy documents

Decode reports every fault at once with its field path and accepted range: the standard decoder stops at the first unknown field and takes names in any case, so the shape is compared by reflection before decoding. The first matching exception that has not ended wins; chosen over most specific wins because one rule, read from top to bottom, is easier to explain, and Lint names exceptions that can therefore never apply.

--- /dev/null
+++ b/core/policy/limits.go
@@ -0,0 +1,69 @@
+package policy
+
+import "time"
+
+// Limits returns the limits of a request of caller, class and service at now,
+// and the name of the exception that applied, or "".
+//
+// The first exception in the order of the document that matches and has not
+// ended applies; the limits that it sets replace the defaults.
+func (d *Document) Limits(caller, class, service string, now time.Time) (Limits, string) {
+	for i := range d.Exceptions {
+		e := &d.Exceptions[i]
+		if e.Matches(caller, class, service) && !e.Ended(now) {
+			return d.Defaults.overlay(e.Limits), e.Name
+		}
+	}
+	return d.Defaults, ""
+}
+
+// LongestWindow returns the longest window that any request may have. Windows
+// of ended exceptions count too, since requests admitted under them may still run.
+func (d *Document) LongestWindow() time.Duration {
+	longest := d.Defaults.Window
+	for i := range d.Exceptions {
+		longest = max(longest, d.Exceptions[i].Limits.Window)
+	}
+	return time.Duration(longest)
+}
+
+// Matches reports whether the exception is about such requests.
+func (e *Exception) Matches(caller, class, service string) bool {
+	return matches(e.Caller, caller) && matches(e.Class, class) && matches(e.Service, service)
+}
+
+// Ended reports whether the exception has an end that is not after now.
+func (e *Exception) Ended(now time.Time) bool {
+	return !e.Until.IsZero() && !now.Before(e.Until)
+}
+
+// covers reports whether e matches everything that other matches.
+func (e *Exception) covers(other *Exception) bool {
+	return matches(e.Caller, other.Caller) && matches(e.Class, other.Class) && matches(e.Service, other.Service)
+}
+
+func matches(pattern, name string) bool {
+	return pattern == "" || pattern == name
+}
+
+// overlay returns l with the fields that other sets.
+func (l Limits) overlay(other Limits) Limits {
+	return Limits{
+		RequestsPerSecond: override(l.RequestsPerSecond, other.RequestsPerSecond),
+		Burst:             override(l.Burst, other.Burst),
+		Concurrent:        override(l.Concurrent, other.Concurrent),
+		BodyBytes:         override(l.BodyBytes, other.BodyBytes),
+		Window:            override(l.Window, other.Window),
+		JobTasks:          override(l.JobTasks, other.JobTasks),
+		PendingJobs:       override(l.PendingJobs, other.PendingJobs),
+	}
+}
+
+// override returns value unless it is zero.
+func override[T comparable](fallback, value T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/core/policy/lint.go
@@ -0,0 +1,47 @@
+package policy
+
+import (
+	"fmt"
+	"time"
+)
+
+// MaxExceptions is the number of exceptions from which a document is reported:
+// a longer list means that a default is wrong.
+const MaxExceptions = 20
+
+// Lint reports, in words, exceptions that the document would be better without.
+// A document with such exceptions is accepted all the same.
+func (d *Document) Lint(now time.Time) []string {
+	var warnings []string
+	if count := len(d.Exceptions); count > MaxExceptions {
+		warnings = append(warnings, fmt.Sprintf("there are %d exceptions, more than %d: consider a change of the defaults", count, MaxExceptions))
+	}
+	for i := range d.Exceptions {
+		if warning := d.lintException(i, now); warning != "" {
+			warnings = append(warnings, warning)
+		}
+	}
+	return warnings
+}
+
+func (d *Document) lintException(i int, now time.Time) string {
+	e := &d.Exceptions[i]
+	if e.Ended(now) {
+		return fmt.Sprintf("exception %s ended at %s: remove it", e.Name, e.Until.Format(time.RFC3339))
+	}
+	if d.Defaults.overlay(e.Limits) == d.Defaults {
+		return fmt.Sprintf("exception %s has no effect: its limits are the defaults", e.Name)
+	}
+	for j := range d.Exceptions[:i] {
+		earlier := &d.Exceptions[j]
+		if !earlier.Ended(now) && earlier.covers(e) && !endsBefore(earlier, e) {
+			return fmt.Sprintf("exception %s never applies: %s comes first and matches all that it matches", e.Name, earlier.Name)
+		}
+	}
+	return ""
+}
+
+// endsBefore reports whether a ends while b still applies.
+func endsBefore(a, b *Exception) bool {
+	return !a.Until.IsZero() && (b.Until.IsZero() || a.Until.Before(b.Until))
+}
--- /dev/null
+++ b/core/policy/reason.go
@@ -0,0 +1,53 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"unicode"
+)
+
+// AcceptedReason says what a written reason has to be.
+const AcceptedReason = "a sentence of at least three words and 12 to 500 characters, no placeholder"
+
+const (
+	minReasonBytes = 12
+	maxReasonBytes = 500
+	minReasonWords = 3
+)
+
+// CheckReason reports why a text is not a written reason: it is empty, too
+// short or long, or a placeholder.
+func CheckReason(reason string) error {
+	reason = strings.TrimSpace(reason)
+	if reason == "" {
+		return fmt.Errorf("the reason is empty")
+	}
+	if len(reason) < minReasonBytes || len(reason) > maxReasonBytes {
+		return fmt.Errorf("the reason has %d characters", len(reason))
+	}
+	words := strings.FieldsFunc(strings.ToLower(reason), func(r rune) bool { return !unicode.IsLetter(r) })
+	if placeholder := firstPlaceholder(words); placeholder != "" {
+		return fmt.Errorf("the reason holds the placeholder %q", placeholder)
+	}
+	if distinct(words) < minReasonWords {
+		return fmt.Errorf("the reason has too few words")
+	}
+	return nil
+}
+
+func firstPlaceholder(words []string) string {
+	for _, word := range words {
+		switch word {
+		case "tbd", "todo", "fixme", "xxx", "placeholder", "asdf", "lorem", "foo", "bar":
+			return word
+		}
+	}
+	return ""
+}
+
+func distinct(words []string) int {
+	sorted := slices.Clone(words)
+	slices.Sort(sorted)
+	return len(slices.Compact(sorted))
+}
--- /dev/null
+++ b/core/policy/shape.go
@@ -0,0 +1,206 @@
+package policy
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// checkShape compares a JSON document with the type Document and reports every
+// unknown field and every value of the wrong kind. The decoder of the standard
+// library stops at the first and takes field names in any case.
+func checkShape(data []byte) []Fault {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	var value any
+	if err := decoder.Decode(&value); err != nil {
+		return []Fault{{Detail: err.Error()}}
+	}
+	var shape shapeChecker
+	shape.check("", value, reflect.TypeFor[Document]())
+	return shape.faults
+}
+
+type shapeChecker struct {
+	faults []Fault
+}
+
+func (s *shapeChecker) add(path, accepted string, value any) {
+	s.faults = append(s.faults, Fault{Field: path, Detail: "found " + describe(value), Accepted: accepted})
+}
+
+// check compares a value with the type that it will be decoded into. A null
+// value stands for an absent field.
+func (s *shapeChecker) check(path string, value any, t reflect.Type) {
+	if value == nil {
+		return
+	}
+	switch t {
+	case reflect.TypeFor[Duration]():
+		s.checkDuration(path, value)
+		return
+	case reflect.TypeFor[time.Time]():
+		s.checkTime(path, value)
+		return
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		s.checkStruct(path, value, t)
+	case reflect.Map:
+		s.checkMap(path, value, t)
+	case reflect.Slice:
+		s.checkSlice(path, value, t)
+	default:
+		s.checkScalar(path, value, t)
+	}
+}
+
+func (s *shapeChecker) checkStruct(path string, value any, t reflect.Type) {
+	object, ok := value.(map[string]any)
+	if !ok {
+		s.add(path, "a mapping of fields", value)
+		return
+	}
+	fields := fieldTypes(t)
+	for _, name := range sortedKeys(object) {
+		fieldType, known := fields[name]
+		if !known {
+			s.faults = append(s.faults, Fault{
+				Field:    join(path, name),
+				Detail:   "unknown field",
+				Accepted: strings.Join(sortedKeys(fields), ", "),
+			})
+			continue
+		}
+		s.check(join(path, name), object[name], fieldType)
+	}
+}
+
+func (s *shapeChecker) checkMap(path string, value any, t reflect.Type) {
+	object, ok := value.(map[string]any)
+	if !ok {
+		s.add(path, "a mapping by name", value)
+		return
+	}
+	for _, name := range sortedKeys(object) {
+		s.check(join(path, name), object[name], t.Elem())
+	}
+}
+
+func (s *shapeChecker) checkSlice(path string, value any, t reflect.Type) {
+	list, ok := value.([]any)
+	if !ok {
+		s.add(path, "a list", value)
+		return
+	}
+	for i, item := range list {
+		s.check(fmt.Sprintf("%s[%d]", path, i), item, t.Elem())
+	}
+}
+
+func (s *shapeChecker) checkScalar(path string, value any, t reflect.Type) {
+	switch t.Kind() {
+	case reflect.String:
+		if _, ok := value.(string); !ok {
+			s.add(path, "a text", value)
+		}
+	case reflect.Bool:
+		if _, ok := value.(bool); !ok {
+			s.add(path, "true or false", value)
+		}
+	case reflect.Float64:
+		if number, ok := value.(json.Number); !ok || !isFloat(number) {
+			s.add(path, "a number", value)
+		}
+	default:
+		if number, ok := value.(json.Number); !ok || !isInteger(number) {
+			s.add(path, "a whole number", value)
+		}
+	}
+}
+
+func (s *shapeChecker) checkDuration(path string, value any) {
+	text, ok := value.(string)
+	if ok {
+		_, err := time.ParseDuration(text)
+		ok = err == nil
+	}
+	if !ok {
+		s.add(path, `a duration such as "250ms" or "1.5s"`, value)
+	}
+}
+
+func (s *shapeChecker) checkTime(path string, value any) {
+	text, ok := value.(string)
+	if ok {
+		_, err := time.Parse(time.RFC3339, text)
+		ok = err == nil
+	}
+	if !ok {
+		s.add(path, "an instant such as 2026-12-31T18:00:00Z", value)
+	}
+}
+
+// fieldTypes maps the names of a struct's fields in documents to their types.
+func fieldTypes(t reflect.Type) map[string]reflect.Type {
+	types := make(map[string]reflect.Type, t.NumField())
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		types[name] = field.Type
+	}
+	return types
+}
+
+func isInteger(n json.Number) bool {
+	_, err := n.Int64()
+	return err == nil
+}
+
+func isFloat(n json.Number) bool {
+	_, err := n.Float64()
+	return err == nil
+}
+
+// describe names a value for people. Long values are cut short.
+func describe(value any) string {
+	const longest = 60
+	switch v := value.(type) {
+	case map[string]any:
+		return "a mapping"
+	case []any:
+		return "a list"
+	case string:
+		return cut(strconv.Quote(v), longest)
+	default:
+		return cut(fmt.Sprint(v), longest)
+	}
+}
+
+func cut(text string, longest int) string {
+	if len(text) <= longest {
+		return text
+	}
+	return text[:longest] + "..."
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
