--- /dev/null
+++ b/core/burn/counts.go
@@ -0,0 +1,40 @@
+package burn
+
+// Counts are numbers of requests in a stretch of time.
+type Counts struct {
+	// Total is all requests.
+	Total int64 `cbor:"1,keyasint,omitempty"`
+	// Refused were not run.
+	Refused int64 `cbor:"2,keyasint,omitempty"`
+	// Ambiguous may have run.
+	Ambiguous int64 `cbor:"3,keyasint,omitempty"`
+	// Accepted were sent to a target, or may have been.
+	Accepted int64 `cbor:"4,keyasint,omitempty"`
+	// InWindow are accepted requests that completed inside their window.
+	InWindow int64 `cbor:"5,keyasint,omitempty"`
+}
+
+func (c *Counts) add(other Counts) {
+	c.Total += other.Total
+	c.Refused += other.Refused
+	c.Ambiguous += other.Ambiguous
+	c.Accepted += other.Accepted
+	c.InWindow += other.InWindow
+}
+
+func (c *Counts) observe(s *Sample) {
+	c.Total++
+	switch s.Outcome {
+	case Refused:
+		c.Refused++
+	case Ambiguous:
+		c.Ambiguous++
+	case Completed:
+		if !s.EndedAt.After(s.NotAfter) {
+			c.InWindow++
+		}
+	}
+	if s.Outcome != Refused || !s.StartedAt.IsZero() {
+		c.Accepted++
+	}
+}
--- a/core/burn/sample.go
+++ b/core/burn/sample.go
@@ -24,4 +24,6 @@
 	EndedAt   time.Time
 	// NotAfter is the end of the request's window.
 	NotAfter time.Time
+	// BodyBytes is the size of the request's body; zero if it is not known.
+	BodyBytes int64
 }
--- /dev/null
+++ b/core/burn/snapshot.go
@@ -0,0 +1,170 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// The windows of burn rates, shortest first. A short window shows that the
+// budget burns now, a long one that it matters.
+const (
+	ShortWindow   = 5 * time.Minute
+	MiddleWindow  = time.Hour
+	LongestWindow = 6 * time.Hour
+)
+
+// windowCount is the number of windows.
+const windowCount = 3
+
+// Windows returns the windows of burn rates, shortest first.
+func Windows() [windowCount]time.Duration {
+	return [windowCount]time.Duration{ShortWindow, MiddleWindow, LongestWindow}
+}
+
+// Snapshot is what one or several Recorders counted in the windows before an instant.
+type Snapshot struct {
+	Series []Series `cbor:"1,keyasint,omitempty"`
+	Hits   []Hits   `cbor:"2,keyasint,omitempty"`
+}
+
+// Series is the recent past of one caller and class.
+type Series struct {
+	Caller string `cbor:"1,keyasint"`
+	Class  string `cbor:"2,keyasint"`
+	// Windows has an entry for each of the function Windows, in its order.
+	Windows [windowCount]Window `cbor:"3,keyasint"`
+	// Minutes are the minutes of the last hour that had samples, oldest first.
+	Minutes []Minute `cbor:"4,keyasint,omitempty"`
+	// Load is set if the snapshot was taken with load.
+	Load *Load `cbor:"5,keyasint,omitempty"`
+}
+
+// Window counts the samples of a window.
+type Window struct {
+	Counts Counts `cbor:"1,keyasint"`
+	// Waits are the waiting times of requests that were sent to a target.
+	Waits Waits `cbor:"2,keyasint"`
+}
+
+// Minute counts the samples of a minute.
+type Minute struct {
+	// Number is the minute since the Unix epoch.
+	Number int64  `cbor:"1,keyasint"`
+	Counts Counts `cbor:"2,keyasint"`
+	// WaitP99 is the 99th percentile of the waiting time, of the slowest entry
+	// VM where several were merged.
+	WaitP99 time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// Load is what was asked for in the last hour, whether it was refused or not.
+type Load struct {
+	Arrivals []Arrivals `cbor:"1,keyasint,omitempty"`
+	Demands  Demands    `cbor:"2,keyasint"`
+}
+
+// Arrivals counts the requests that arrived in each second of a minute.
+type Arrivals struct {
+	// Minute is counted from the Unix epoch.
+	Minute  int64      `cbor:"1,keyasint"`
+	Seconds [60]uint32 `cbor:"2,keyasint"`
+}
+
+// Hits counts the requests of a caller that met a limit.
+type Hits struct {
+	Caller string `cbor:"1,keyasint"`
+	Limit  string `cbor:"2,keyasint"`
+	Count  int64  `cbor:"3,keyasint"`
+}
+
+// Snapshot returns what was counted in the windows before now, with the load of
+// the last hour if withLoad is set.
+func (r *Recorder) Snapshot(now time.Time, withLoad bool) Snapshot {
+	snapshot := Snapshot{Hits: r.hits.snapshot(now)}
+	for i := range r.shards {
+		snapshot.Series = append(snapshot.Series, r.shards[i].snapshot(now, withLoad)...)
+	}
+	snapshot.sort()
+	return snapshot
+}
+
+func (s *shard) snapshot(now time.Time, withLoad bool) []Series {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]Series, 0, len(s.series))
+	for key, series := range s.series {
+		series.advance(unixMinute(now))
+		entry := series.snapshot(unixMinute(now))
+		entry.Caller, entry.Class = key.caller, key.class
+		if withLoad {
+			entry.Load = series.load(unixMinute(now))
+		}
+		all = append(all, entry)
+	}
+	return all
+}
+
+// snapshot adds up the slots of each window. The caller has closed all minutes
+// before minute.
+func (s *series) snapshot(minute int64) Series {
+	var out Series
+	short, middle, longest := &out.Windows[0], &out.Windows[1], &out.Windows[2]
+	for i := range minutesKept {
+		slot := &s.fine[(minute+1+int64(i))%minutesKept]
+		if slot.counts.Total == 0 || slot.number <= minute-minutesKept {
+			continue
+		}
+		middle.add(slot)
+		if slot.number > minute-int64(ShortWindow/time.Minute) {
+			short.add(slot)
+		}
+		out.Minutes = append(out.Minutes, slot.minute())
+	}
+	for i := range s.coarse {
+		if s.coarse[i].number > minute/coarseMinutes-coarseKept {
+			longest.add(&s.coarse[i])
+		}
+	}
+	if s.counts.Total > 0 {
+		live := slot{number: s.minute, counts: s.counts, waits: compact(s.live)}
+		short.add(&live)
+		middle.add(&live)
+		longest.add(&live)
+		out.Minutes = append(out.Minutes, live.minute())
+	}
+	return out
+}
+
+func (s *series) load(minute int64) *Load {
+	load := &Load{Demands: s.demands.current}
+	load.Demands.add(&s.demands.previous)
+	for _, entry := range s.arrivals {
+		if entry != nil && entry.minute > minute-minutesKept {
+			load.Arrivals = append(load.Arrivals, Arrivals{Minute: entry.minute, Seconds: entry.seconds})
+		}
+	}
+	slices.SortFunc(load.Arrivals, func(a, b Arrivals) int { return cmp.Compare(a.Minute, b.Minute) })
+	return load
+}
+
+func (w *Window) add(s *slot) {
+	w.Counts.add(s.counts)
+	w.Waits.add(s.waits)
+}
+
+func (s *slot) minute() Minute {
+	m := Minute{Number: s.number, Counts: s.counts}
+	if len(s.waits.Indexes) > 0 {
+		m.WaitP99 = quantile(s.waits.histogram(), 99)
+	}
+	return m
+}
+
+func (s *Snapshot) sort() {
+	slices.SortFunc(s.Series, func(a, b Series) int {
+		return cmp.Or(cmp.Compare(a.Caller, b.Caller), cmp.Compare(a.Class, b.Class))
+	})
+	slices.SortFunc(s.Hits, func(a, b Hits) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Caller, b.Caller), cmp.Compare(a.Limit, b.Limit))
+	})
+}
