--- a/core/api/oper/oas_json_gen.go
+++ b/core/api/oper/oas_json_gen.go
@@ -42,6 +42,16 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		if s.Series != nil {
+			e.FieldStart("series")
+			e.ArrStart()
+			for _, elem := range s.Series {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 	{
 		e.FieldStart("vms")
 		e.ArrStart()
@@ -60,12 +70,13 @@
 	}
 }
 
-var jsonFieldsNameOfBurn = [5]string{
+var jsonFieldsNameOfBurn = [6]string{
 	0: "as-of",
 	1: "rows",
 	2: "limits",
-	3: "vms",
-	4: "missing",
+	3: "series",
+	4: "vms",
+	5: "missing",
 }
 
 // Decode decodes Burn from json.
@@ -125,8 +136,25 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"limits\"")
 			}
+		case "series":
+			if err := func() error {
+				s.Series = make([]BurnSeries, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem BurnSeries
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Series = append(s.Series, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"series\"")
+			}
 		case "vms":
-			requiredBitSet[0] |= 1 << 3
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				s.Vms = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -146,7 +174,7 @@
 				return errors.Wrap(err, "decode field \"vms\"")
 			}
 		case "missing":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				s.Missing = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -175,7 +203,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00011111,
+		0b00110111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -221,6 +249,187 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *BurnMinute) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *BurnMinute) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("at")
+		json.EncodeDateTime(e, s.At)
+	}
+	{
+		e.FieldStart("total")
+		e.Int64(s.Total)
+	}
+	{
+		e.FieldStart("refused")
+		e.Int64(s.Refused)
+	}
+	{
+		e.FieldStart("unknown")
+		e.Int64(s.Unknown)
+	}
+	{
+		e.FieldStart("late")
+		e.Int64(s.Late)
+	}
+	{
+		if s.WaitP99.Set {
+			e.FieldStart("wait-p99")
+			s.WaitP99.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfBurnMinute = [6]string{
+	0: "at",
+	1: "total",
+	2: "refused",
+	3: "unknown",
+	4: "late",
+	5: "wait-p99",
+}
+
+// Decode decodes BurnMinute from json.
+func (s *BurnMinute) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BurnMinute to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "at":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.At = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"at\"")
+			}
+		case "total":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int64()
+				s.Total = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"total\"")
+			}
+		case "refused":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int64()
+				s.Refused = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"refused\"")
+			}
+		case "unknown":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int64()
+				s.Unknown = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"unknown\"")
+			}
+		case "late":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int64()
+				s.Late = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"late\"")
+			}
+		case "wait-p99":
+			if err := func() error {
+				s.WaitP99.Reset()
+				if err := s.WaitP99.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"wait-p99\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode BurnMinute")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfBurnMinute) {
+					name = jsonFieldsNameOfBurnMinute[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *BurnMinute) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BurnMinute) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *BurnRate) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -634,6 +843,173 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *BurnSeries) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *BurnSeries) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("caller")
+		e.Str(s.Caller)
+	}
+	{
+		e.FieldStart("class")
+		e.Str(s.Class)
+	}
+	{
+		e.FieldStart("minutes")
+		e.ArrStart()
+		for _, elem := range s.Minutes {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("waits")
+		e.ArrStart()
+		for _, elem := range s.Waits {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfBurnSeries = [4]string{
+	0: "caller",
+	1: "class",
+	2: "minutes",
+	3: "waits",
+}
+
+// Decode decodes BurnSeries from json.
+func (s *BurnSeries) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BurnSeries to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "caller":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Caller = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"caller\"")
+			}
+		case "class":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Class = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"class\"")
+			}
+		case "minutes":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				s.Minutes = make([]BurnMinute, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem BurnMinute
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Minutes = append(s.Minutes, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"minutes\"")
+			}
+		case "waits":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				s.Waits = make([]WaitQuantile, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem WaitQuantile
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Waits = append(s.Waits, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"waits\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode BurnSeries")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfBurnSeries) {
+					name = jsonFieldsNameOfBurnSeries[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *BurnSeries) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BurnSeries) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Decision) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -973,14 +1349,144 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *Explanation) MarshalJSON() ([]byte, error) {
+func (s *Explanation) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Explanation) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Fault) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Fault) encodeFields(e *jx.Encoder) {
+	{
+		if s.Field.Set {
+			e.FieldStart("field")
+			s.Field.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("detail")
+		e.Str(s.Detail)
+	}
+	{
+		if s.Accepted.Set {
+			e.FieldStart("accepted")
+			s.Accepted.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfFault = [3]string{
+	0: "field",
+	1: "detail",
+	2: "accepted",
+}
+
+// Decode decodes Fault from json.
+func (s *Fault) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Fault to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "field":
+			if err := func() error {
+				s.Field.Reset()
+				if err := s.Field.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"field\"")
+			}
+		case "detail":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Detail = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"detail\"")
+			}
+		case "accepted":
+			if err := func() error {
+				s.Accepted.Reset()
+				if err := s.Accepted.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"accepted\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Fault")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000010,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfFault) {
+					name = jsonFieldsNameOfFault[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Fault) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Explanation) UnmarshalJSON(data []byte) error {
+func (s *Fault) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
@@ -1220,6 +1726,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes int64 as json.
+func (o OptInt64) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int64(int64(o.Value))
+}
+
+// Decode decodes int64 from json.
+func (o *OptInt64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt64 to nil")
+	}
+	o.Set = true
+	v, err := d.Int64()
+	if err != nil {
+		return err
+	}
+	o.Value = int64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes ProblemOutcome as json.
 func (o OptProblemOutcome) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1444,6 +1985,28 @@
 
 // encodeFields encodes fields.
 func (s *PolicyCheck) encodeFields(e *jx.Encoder) {
+	{
+		if s.CurrentVersion.Set {
+			e.FieldStart("current-version")
+			s.CurrentVersion.Encode(e)
+		}
+	}
+	{
+		if s.Difference.Set {
+			e.FieldStart("difference")
+			s.Difference.Encode(e)
+		}
+	}
+	{
+		if s.Missing != nil {
+			e.FieldStart("missing")
+			e.ArrStart()
+			for _, elem := range s.Missing {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
 	{
 		e.FieldStart("warnings")
 		e.ArrStart()
@@ -1462,9 +2025,12 @@
 	}
 }
 
-var jsonFieldsNameOfPolicyCheck = [2]string{
-	0: "warnings",
-	1: "refusals",
+var jsonFieldsNameOfPolicyCheck = [5]string{
+	0: "current-version",
+	1: "difference",
+	2: "missing",
+	3: "warnings",
+	4: "refusals",
 }
 
 // Decode decodes PolicyCheck from json.
@@ -1476,8 +2042,47 @@
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
+		case "current-version":
+			if err := func() error {
+				s.CurrentVersion.Reset()
+				if err := s.CurrentVersion.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"current-version\"")
+			}
+		case "difference":
+			if err := func() error {
+				s.Difference.Reset()
+				if err := s.Difference.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"difference\"")
+			}
+		case "missing":
+			if err := func() error {
+				s.Missing = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Missing = append(s.Missing, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"missing\"")
+			}
 		case "warnings":
-			requiredBitSet[0] |= 1 << 0
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				s.Warnings = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1497,7 +2102,7 @@
 				return errors.Wrap(err, "decode field \"warnings\"")
 			}
 		case "refusals":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				s.Refusals = make([]RefusalForecast, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1524,7 +2129,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b00011000,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -2014,19 +2619,30 @@
 			s.RetryAt.Encode(e, json.EncodeDateTime)
 		}
 	}
+	{
+		if s.Faults != nil {
+			e.FieldStart("faults")
+			e.ArrStart()
+			for _, elem := range s.Faults {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfProblem = [10]string{
-	0: "type",
-	1: "title",
-	2: "status",
-	3: "detail",
-	4: "reason",
-	5: "field",
-	6: "accepted",
-	7: "outcome",
-	8: "request-id",
-	9: "retry-at",
+var jsonFieldsNameOfProblem = [11]string{
+	0:  "type",
+	1:  "title",
+	2:  "status",
+	3:  "detail",
+	4:  "reason",
+	5:  "field",
+	6:  "accepted",
+	7:  "outcome",
+	8:  "request-id",
+	9:  "retry-at",
+	10: "faults",
 }
 
 // Decode decodes Problem from json.
@@ -2144,6 +2760,23 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"retry-at\"")
 			}
+		case "faults":
+			if err := func() error {
+				s.Faults = make([]Fault, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Fault
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Faults = append(s.Faults, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"faults\"")
+			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
 		}
@@ -2266,13 +2899,31 @@
 		e.FieldStart("refused")
 		e.Int64(s.Refused)
 	}
+	{
+		if s.RefusedBefore.Set {
+			e.FieldStart("refused-before")
+			s.RefusedBefore.Encode(e)
+		}
+	}
+	{
+		if s.Limits != nil {
+			e.FieldStart("limits")
+			e.ArrStart()
+			for _, elem := range s.Limits {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfRefusalForecast = [4]string{
+var jsonFieldsNameOfRefusalForecast = [6]string{
 	0: "caller",
 	1: "class",
 	2: "requests",
 	3: "refused",
+	4: "refused-before",
+	5: "limits",
 }
 
 // Decode decodes RefusalForecast from json.
@@ -2332,6 +2983,35 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"refused\"")
 			}
+		case "refused-before":
+			if err := func() error {
+				s.RefusedBefore.Reset()
+				if err := s.RefusedBefore.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"refused-before\"")
+			}
+		case "limits":
+			if err := func() error {
+				s.Limits = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Limits = append(s.Limits, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"limits\"")
+			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
 		}
@@ -2623,9 +3303,21 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		if s.StoreReachable.Set {
+			e.FieldStart("store-reachable")
+			s.StoreReachable.Encode(e)
+		}
+	}
+	{
+		if s.KnowsAsOf.Set {
+			e.FieldStart("knows-as-of")
+			s.KnowsAsOf.Encode(e, json.EncodeDateTime)
+		}
+	}
 }
 
-var jsonFieldsNameOfVMStatus = [8]string{
+var jsonFieldsNameOfVMStatus = [10]string{
 	0: "name",
 	1: "domain",
 	2: "region",
@@ -2634,6 +3326,8 @@
 	5: "policy-version",
 	6: "heard-at",
 	7: "roles",
+	8: "store-reachable",
+	9: "knows-as-of",
 }
 
 // Decode decodes VMStatus from json.
@@ -2641,7 +3335,7 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode VMStatus to nil")
 	}
-	var requiredBitSet [1]uint8
+	var requiredBitSet [2]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -2743,6 +3437,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"roles\"")
 			}
+		case "store-reachable":
+			if err := func() error {
+				s.StoreReachable.Reset()
+				if err := s.StoreReachable.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"store-reachable\"")
+			}
+		case "knows-as-of":
+			if err := func() error {
+				s.KnowsAsOf.Reset()
+				if err := s.KnowsAsOf.Decode(d, json.DecodeDateTime); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"knows-as-of\"")
+			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
 		}
@@ -2752,8 +3466,9 @@
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
+	for i, mask := range [2]uint8{
 		0b11110011,
+		0b00000000,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -2840,3 +3555,116 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *WaitQuantile) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *WaitQuantile) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("percent")
+		e.Float64(s.Percent)
+	}
+	{
+		e.FieldStart("wait")
+		json.EncodeDuration(e, s.Wait)
+	}
+}
+
+var jsonFieldsNameOfWaitQuantile = [2]string{
+	0: "percent",
+	1: "wait",
+}
+
+// Decode decodes WaitQuantile from json.
+func (s *WaitQuantile) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WaitQuantile to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "percent":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Float64()
+				s.Percent = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"percent\"")
+			}
+		case "wait":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := json.DecodeDuration(d)
+				s.Wait = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"wait\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode WaitQuantile")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWaitQuantile) {
+					name = jsonFieldsNameOfWaitQuantile[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *WaitQuantile) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WaitQuantile) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/core/api/oper/oas_schemas_gen.go
+++ b/core/api/oper/oas_schemas_gen.go
@@ -16,9 +16,10 @@
 // The burn report.
 // Ref: #/components/schemas/Burn
 type Burn struct {
-	AsOf   time.Time   `json:"as-of"`
-	Rows   []BurnRow   `json:"rows"`
-	Limits []LimitHits `json:"limits"`
+	AsOf   time.Time    `json:"as-of"`
+	Rows   []BurnRow    `json:"rows"`
+	Limits []LimitHits  `json:"limits"`
+	Series []BurnSeries `json:"series"`
 	// VMs merged here.
 	Vms []string `json:"vms"`
 	// VMs that did not answer.
@@ -40,6 +41,11 @@
 	return s.Limits
 }
 
+// GetSeries returns the value of Series.
+func (s *Burn) GetSeries() []BurnSeries {
+	return s.Series
+}
+
 // GetVms returns the value of Vms.
 func (s *Burn) GetVms() []string {
 	return s.Vms
@@ -65,6 +71,11 @@
 	s.Limits = val
 }
 
+// SetSeries sets the value of Series.
+func (s *Burn) SetSeries(val []BurnSeries) {
+	s.Series = val
+}
+
 // SetVms sets the value of Vms.
 func (s *Burn) SetVms(val []string) {
 	s.Vms = val
@@ -75,6 +86,78 @@
 	s.Missing = val
 }
 
+// The requests that ended in a minute.
+// Ref: #/components/schemas/BurnMinute
+type BurnMinute struct {
+	At      time.Time `json:"at"`
+	Total   int64     `json:"total"`
+	Refused int64     `json:"refused"`
+	Unknown int64     `json:"unknown"`
+	// Accepted requests that did not complete inside their window.
+	Late    int64       `json:"late"`
+	WaitP99 OptDuration `json:"wait-p99"`
+}
+
+// GetAt returns the value of At.
+func (s *BurnMinute) GetAt() time.Time {
+	return s.At
+}
+
+// GetTotal returns the value of Total.
+func (s *BurnMinute) GetTotal() int64 {
+	return s.Total
+}
+
+// GetRefused returns the value of Refused.
+func (s *BurnMinute) GetRefused() int64 {
+	return s.Refused
+}
+
+// GetUnknown returns the value of Unknown.
+func (s *BurnMinute) GetUnknown() int64 {
+	return s.Unknown
+}
+
+// GetLate returns the value of Late.
+func (s *BurnMinute) GetLate() int64 {
+	return s.Late
+}
+
+// GetWaitP99 returns the value of WaitP99.
+func (s *BurnMinute) GetWaitP99() OptDuration {
+	return s.WaitP99
+}
+
+// SetAt sets the value of At.
+func (s *BurnMinute) SetAt(val time.Time) {
+	s.At = val
+}
+
+// SetTotal sets the value of Total.
+func (s *BurnMinute) SetTotal(val int64) {
+	s.Total = val
+}
+
+// SetRefused sets the value of Refused.
+func (s *BurnMinute) SetRefused(val int64) {
+	s.Refused = val
+}
+
+// SetUnknown sets the value of Unknown.
+func (s *BurnMinute) SetUnknown(val int64) {
+	s.Unknown = val
+}
+
+// SetLate sets the value of Late.
+func (s *BurnMinute) SetLate(val int64) {
+	s.Late = val
+}
+
+// SetWaitP99 sets the value of WaitP99.
+func (s *BurnMinute) SetWaitP99(val OptDuration) {
+	s.WaitP99 = val
+}
+
 // A burn rate over a window ending now.
 // Ref: #/components/schemas/BurnRate
 type BurnRate struct {
@@ -265,6 +348,56 @@
 	}
 }
 
+// The last hour of one caller and class.
+// Ref: #/components/schemas/BurnSeries
+type BurnSeries struct {
+	Caller  string       `json:"caller"`
+	Class   string       `json:"class"`
+	Minutes []BurnMinute `json:"minutes"`
+	// Quantiles of the waiting time in the longest window.
+	Waits []WaitQuantile `json:"waits"`
+}
+
+// GetCaller returns the value of Caller.
+func (s *BurnSeries) GetCaller() string {
+	return s.Caller
+}
+
+// GetClass returns the value of Class.
+func (s *BurnSeries) GetClass() string {
+	return s.Class
+}
+
+// GetMinutes returns the value of Minutes.
+func (s *BurnSeries) GetMinutes() []BurnMinute {
+	return s.Minutes
+}
+
+// GetWaits returns the value of Waits.
+func (s *BurnSeries) GetWaits() []WaitQuantile {
+	return s.Waits
+}
+
+// SetCaller sets the value of Caller.
+func (s *BurnSeries) SetCaller(val string) {
+	s.Caller = val
+}
+
+// SetClass sets the value of Class.
+func (s *BurnSeries) SetClass(val string) {
+	s.Class = val
+}
+
+// SetMinutes sets the value of Minutes.
+func (s *BurnSeries) SetMinutes(val []BurnMinute) {
+	s.Minutes = val
+}
+
+// SetWaits sets the value of Waits.
+func (s *BurnSeries) SetWaits(val []WaitQuantile) {
+	s.Waits = val
+}
+
 // One decision about a request or task.
 // Ref: #/components/schemas/Decision
 type Decision struct {
@@ -388,6 +521,44 @@
 	s.Missing = val
 }
 
+// One thing wrong with a document.
+// Ref: #/components/schemas/Fault
+type Fault struct {
+	Field    OptString `json:"field"`
+	Detail   string    `json:"detail"`
+	Accepted OptString `json:"accepted"`
+}
+
+// GetField returns the value of Field.
+func (s *Fault) GetField() OptString {
+	return s.Field
+}
+
+// GetDetail returns the value of Detail.
+func (s *Fault) GetDetail() string {
+	return s.Detail
+}
+
+// GetAccepted returns the value of Accepted.
+func (s *Fault) GetAccepted() OptString {
+	return s.Accepted
+}
+
+// SetField sets the value of Field.
+func (s *Fault) SetField(val OptString) {
+	s.Field = val
+}
+
+// SetDetail sets the value of Detail.
+func (s *Fault) SetDetail(val string) {
+	s.Detail = val
+}
+
+// SetAccepted sets the value of Accepted.
+func (s *Fault) SetAccepted(val OptString) {
+	s.Accepted = val
+}
+
 // How often a caller hit a limit.
 // Ref: #/components/schemas/LimitHits
 type LimitHits struct {
@@ -610,6 +781,52 @@
 	return d
 }
 
+// NewOptInt64 returns new OptInt64 with value set to v.
+func NewOptInt64(v int64) OptInt64 {
+	return OptInt64{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt64 is optional int64.
+type OptInt64 struct {
+	Value int64
+	Set   bool
+}
+
+// IsSet returns true if OptInt64 was set.
+func (o OptInt64) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt64) Reset() {
+	var v int64
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt64) SetTo(v int64) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt64) Get() (v int64, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt64) Or(d int64) int64 {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptProblemOutcome returns new OptProblemOutcome with value set to v.
 func NewOptProblemOutcome(v ProblemOutcome) OptProblemOutcome {
 	return OptProblemOutcome{
@@ -754,11 +971,32 @@
 // The result of a dry run.
 // Ref: #/components/schemas/PolicyCheck
 type PolicyCheck struct {
+	// The version in force that the document was compared with.
+	CurrentVersion OptInt64 `json:"current-version"`
+	// A line difference between the version in force and the document.
+	Difference OptString `json:"difference"`
+	// VMs whose load is not counted, since they did not answer.
+	Missing  []string `json:"missing"`
 	Warnings []string `json:"warnings"`
 	// What the last hour's load would have been refused.
 	Refusals []RefusalForecast `json:"refusals"`
 }
 
+// GetCurrentVersion returns the value of CurrentVersion.
+func (s *PolicyCheck) GetCurrentVersion() OptInt64 {
+	return s.CurrentVersion
+}
+
+// GetDifference returns the value of Difference.
+func (s *PolicyCheck) GetDifference() OptString {
+	return s.Difference
+}
+
+// GetMissing returns the value of Missing.
+func (s *PolicyCheck) GetMissing() []string {
+	return s.Missing
+}
+
 // GetWarnings returns the value of Warnings.
 func (s *PolicyCheck) GetWarnings() []string {
 	return s.Warnings
@@ -769,6 +1007,21 @@
 	return s.Refusals
 }
 
+// SetCurrentVersion sets the value of CurrentVersion.
+func (s *PolicyCheck) SetCurrentVersion(val OptInt64) {
+	s.CurrentVersion = val
+}
+
+// SetDifference sets the value of Difference.
+func (s *PolicyCheck) SetDifference(val OptString) {
+	s.Difference = val
+}
+
+// SetMissing sets the value of Missing.
+func (s *PolicyCheck) SetMissing(val []string) {
+	s.Missing = val
+}
+
 // SetWarnings sets the value of Warnings.
 func (s *PolicyCheck) SetWarnings(val []string) {
 	s.Warnings = val
@@ -908,6 +1161,8 @@
 	RequestID OptString         `json:"request-id"`
 	// The earliest instant at which another try makes sense.
 	RetryAt OptDateTime `json:"retry-at"`
+	// All faults of a document, if it has several.
+	Faults []Fault `json:"faults"`
 }
 
 // GetType returns the value of Type.
@@ -960,6 +1215,11 @@
 	return s.RetryAt
 }
 
+// GetFaults returns the value of Faults.
+func (s *Problem) GetFaults() []Fault {
+	return s.Faults
+}
+
 // SetType sets the value of Type.
 func (s *Problem) SetType(val OptString) {
 	s.Type = val
@@ -1010,6 +1270,11 @@
 	s.RetryAt = val
 }
 
+// SetFaults sets the value of Faults.
+func (s *Problem) SetFaults(val []Fault) {
+	s.Faults = val
+}
+
 // For requests: refused means not run; unknown means it may have run.
 type ProblemOutcome string
 
@@ -1085,6 +1350,10 @@
 	Class    string `json:"class"`
 	Requests int64  `json:"requests"`
 	Refused  int64  `json:"refused"`
+	// What the version in force would have refused of the same load.
+	RefusedBefore OptInt64 `json:"refused-before"`
+	// The limits that refuse.
+	Limits []string `json:"limits"`
 }
 
 // GetCaller returns the value of Caller.
@@ -1107,6 +1376,16 @@
 	return s.Refused
 }
 
+// GetRefusedBefore returns the value of RefusedBefore.
+func (s *RefusalForecast) GetRefusedBefore() OptInt64 {
+	return s.RefusedBefore
+}
+
+// GetLimits returns the value of Limits.
+func (s *RefusalForecast) GetLimits() []string {
+	return s.Limits
+}
+
 // SetCaller sets the value of Caller.
 func (s *RefusalForecast) SetCaller(val string) {
 	s.Caller = val
@@ -1127,6 +1406,16 @@
 	s.Refused = val
 }
 
+// SetRefusedBefore sets the value of RefusedBefore.
+func (s *RefusalForecast) SetRefusedBefore(val OptInt64) {
+	s.RefusedBefore = val
+}
+
+// SetLimits sets the value of Limits.
+func (s *RefusalForecast) SetLimits(val []string) {
+	s.Limits = val
+}
+
 // All VMs as seen from one.
 // Ref: #/components/schemas/Status
 type Status struct {
@@ -1223,6 +1512,10 @@
 	PolicyVersion int64         `json:"policy-version"`
 	HeardAt       time.Time     `json:"heard-at"`
 	Roles         []string      `json:"roles"`
+	// Whether the VM reaches the platform's tables; absent if it did not answer.
+	StoreReachable OptBool `json:"store-reachable"`
+	// The instant of the membership list that the VM knows.
+	KnowsAsOf OptDateTime `json:"knows-as-of"`
 }
 
 // GetName returns the value of Name.
@@ -1265,6 +1558,16 @@
 	return s.Roles
 }
 
+// GetStoreReachable returns the value of StoreReachable.
+func (s *VMStatus) GetStoreReachable() OptBool {
+	return s.StoreReachable
+}
+
+// GetKnowsAsOf returns the value of KnowsAsOf.
+func (s *VMStatus) GetKnowsAsOf() OptDateTime {
+	return s.KnowsAsOf
+}
+
 // SetName sets the value of Name.
 func (s *VMStatus) SetName(val string) {
 	s.Name = val
@@ -1305,6 +1608,16 @@
 	s.Roles = val
 }
 
+// SetStoreReachable sets the value of StoreReachable.
+func (s *VMStatus) SetStoreReachable(val OptBool) {
+	s.StoreReachable = val
+}
+
+// SetKnowsAsOf sets the value of KnowsAsOf.
+func (s *VMStatus) SetKnowsAsOf(val OptDateTime) {
+	s.KnowsAsOf = val
+}
+
 type VMStatusState string
 
 const (
@@ -1352,3 +1665,30 @@
 		return errors.Errorf("invalid value: %q", data)
 	}
 }
+
+// A quantile of the waiting time.
+// Ref: #/components/schemas/WaitQuantile
+type WaitQuantile struct {
+	Percent float64       `json:"percent"`
+	Wait    time.Duration `json:"wait"`
+}
+
+// GetPercent returns the value of Percent.
+func (s *WaitQuantile) GetPercent() float64 {
+	return s.Percent
+}
+
+// GetWait returns the value of Wait.
+func (s *WaitQuantile) GetWait() time.Duration {
+	return s.Wait
+}
+
+// SetPercent sets the value of Percent.
+func (s *WaitQuantile) SetPercent(val float64) {
+	s.Percent = val
+}
+
+// SetWait sets the value of Wait.
+func (s *WaitQuantile) SetWait(val time.Duration) {
+	s.Wait = val
+}
--- a/core/api/oper/oas_validators_gen.go
+++ b/core/api/oper/oas_validators_gen.go
@@ -54,6 +54,31 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		var failures []validate.FieldError
+		for i, elem := range s.Series {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "series",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if s.Vms == nil {
 			return errors.New("nil is invalid value")
@@ -191,6 +216,57 @@
 	}
 }
 
+func (s *BurnSeries) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Minutes == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "minutes",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Waits == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Waits {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "waits",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Explanation) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -432,3 +508,26 @@
 		return errors.Errorf("invalid value: %v", s)
 	}
 }
+
+func (s *WaitQuantile) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Percent)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "percent",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
