--- a/core/api/oper/oas_client_gen.go
+++ b/core/api/oper/oas_client_gen.go
@@ -628,6 +628,23 @@
 			return res, errors.Wrap(err, "encode query")
 		}
 	}
+	{
+		// Encode "version" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "version",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Version.Get(); ok {
+				return e.EncodeValue(conv.Int64ToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
 	u.RawQuery = q.Values().Encode()
 
 	r, err := ht.NewRequest(ctx, "GET", u)
--- a/core/api/oper/oas_handlers_gen.go
+++ b/core/api/oper/oas_handlers_gen.go
@@ -919,6 +919,10 @@
 					Name: "limit",
 					In:   "query",
 				}: params.Limit,
+				{
+					Name: "version",
+					In:   "query",
+				}: params.Version,
 			},
 			Raw: r,
 		}
--- a/core/api/oper/oas_parameters_gen.go
+++ b/core/api/oper/oas_parameters_gen.go
@@ -84,6 +84,8 @@
 type GetPolicyHistoryParams struct {
 	// At most this many.
 	Limit OptInt `json:",omitempty,omitzero"`
+	// Only this version.
+	Version OptInt64 `json:",omitempty,omitzero"`
 }
 
 func unpackGetPolicyHistoryParams(packed middleware.Parameters) (params GetPolicyHistoryParams) {
@@ -96,6 +98,15 @@
 			params.Limit = v.(OptInt)
 		}
 	}
+	{
+		key := middleware.ParameterKey{
+			Name: "version",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.Version = v.(OptInt64)
+		}
+	}
 	return params
 }
 
@@ -167,5 +178,71 @@
 			Err:  err,
 		}
 	}
+	// Decode query: version.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "version",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotVersionVal int64
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToInt64(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotVersionVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Version.SetTo(paramsDotVersionVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.Version.Get(); ok {
+					if err := func() error {
+						if err := (validate.Int{
+							MinSet:        true,
+							Min:           1,
+							MaxSet:        false,
+							Max:           0,
+							MinExclusive:  false,
+							MaxExclusive:  false,
+							MultipleOfSet: false,
+							MultipleOf:    0,
+							Pattern:       nil,
+						}).Validate(int64(value)); err != nil {
+							return errors.Wrap(err, "int")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "version",
+			In:   "query",
+			Err:  err,
+		}
+	}
 	return params, nil
 }
--- a/core/burn/report.go
+++ b/core/burn/report.go
@@ -85,3 +85,24 @@
 	}
 	return float64(bad) / float64(total) / (1 - target)
 }
+
+// WaitQuantile is a quantile of the waiting time.
+type WaitQuantile struct {
+	Percent float64
+	Wait    time.Duration
+}
+
+// WaitQuantiles returns quantiles of the waiting time in the longest window,
+// or none if no request was sent to a target.
+func (s *Series) WaitQuantiles() []WaitQuantile {
+	waits := s.Windows[windowCount-1].Waits
+	if len(waits.Indexes) == 0 {
+		return nil
+	}
+	h := waits.histogram()
+	var quantiles []WaitQuantile
+	for _, percent := range []float64{10, 25, 50, 75, 90, 95, 99, 99.9} {
+		quantiles = append(quantiles, WaitQuantile{Percent: percent, Wait: quantile(h, percent)})
+	}
+	return quantiles
+}
--- a/core/policy/version.go
+++ b/core/policy/version.go
@@ -9,7 +9,9 @@
 // Version is an accepted document with its history.
 type Version struct {
 	// Number is 1 for the first version and grows by 1.
-	Number    int64
+	Number int64
+	// ID tells apart versions of racing operators that would have one number.
+	ID        string
 	Author    string
 	Reason    string
 	AppliedAt time.Time
--- /dev/null
+++ b/entry/oper/check.go
@@ -0,0 +1,69 @@
+package oper
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+
+	api "tanagerstack.org/core/api/oper"
+	"tanagerstack.org/core/burn"
+	"tanagerstack.org/core/policy"
+)
+
+// CheckPolicy says what a document would change, and changes nothing.
+func (h *handler) CheckPolicy(ctx context.Context, req *api.PolicyApply) (*api.PolicyCheck, error) {
+	doc, err := policy.Decode(req.Document)
+	if err != nil {
+		return nil, err
+	}
+	o := h.operators
+	now := o.opts.Now()
+	merged := o.mergeBurn(ctx, true)
+	out := &api.PolicyCheck{Warnings: doc.Lint(now), Refusals: []api.RefusalForecast{}, Missing: merged.missing}
+	out.Warnings = append(out.Warnings, o.domainWarnings(doc)...)
+	before := make(map[[2]string]int64)
+	if v := o.opts.Policy.Current(); v != nil {
+		out.CurrentVersion = api.NewOptInt64(v.Number)
+		out.Difference = optional(policy.Difference(v.Text, req.Document))
+		for _, f := range burn.Predict(merged.snapshot, v.Document, now) {
+			before[[2]string{f.Caller, f.Class}] = f.Refused()
+		}
+	}
+	for _, f := range burn.Predict(merged.snapshot, doc, now) {
+		out.Refusals = append(out.Refusals, refusalForecast(f, before[[2]string{f.Caller, f.Class}]))
+	}
+	if out.Warnings == nil {
+		out.Warnings = []string{}
+	}
+	return out, nil
+}
+
+func refusalForecast(f burn.Forecast, before int64) api.RefusalForecast {
+	out := api.RefusalForecast{Caller: f.Caller, Class: f.Class, Requests: f.Requests, Refused: f.Refused(), RefusedBefore: api.NewOptInt64(before)}
+	if f.Rate > 0 {
+		out.Limits = append(out.Limits, "requests-per-second")
+	}
+	if f.Body > 0 {
+		out.Limits = append(out.Limits, "body-bytes")
+	}
+	if f.Window > 0 {
+		out.Limits = append(out.Limits, "window")
+	}
+	return out
+}
+
+// domainWarnings reports callers whose home failure domain has no entry VM.
+func (o *Operators) domainWarnings(doc *policy.Document) []string {
+	domains := make(map[string]bool)
+	for _, vm := range o.fleet() {
+		domains[vm.Domain] = true
+	}
+	var warnings []string
+	for _, name := range slices.Sorted(maps.Keys(doc.Callers)) {
+		if caller := doc.Callers[name]; !domains[caller.Domain] {
+			warnings = append(warnings, fmt.Sprintf("caller %s has its home in %s, where no entry VM is known", name, caller.Domain))
+		}
+	}
+	return warnings
+}
