--- a/entry/oper/burn.go
+++ b/entry/oper/burn.go
@@ -32,8 +32,10 @@
 
 func (o *Operators) mergeBurn(ctx context.Context, load bool) mergedBurn {
 	said := askAll[burn.Snapshot](ctx, &o.opts, burnQuestion{Load: load})
-	snapshots := []burn.Snapshot{o.opts.Burn.Snapshot(o.opts.Now(), load)}
-	vms := []string{o.opts.Name}
+	snapshots := make([]burn.Snapshot, 0, 1+len(said.by))
+	snapshots = append(snapshots, o.opts.Burn.Snapshot(o.opts.Now(), load))
+	vms := make([]string, 0, 1+len(said.by))
+	vms = append(vms, o.opts.Name)
 	for name, snapshot := range said.by {
 		snapshots = append(snapshots, snapshot)
 		vms = append(vms, name)
@@ -54,7 +56,7 @@
 		Rows:    []api.BurnRow{},
 		Limits:  []api.LimitHits{},
 		Series:  []api.BurnSeries{},
-		VMs:     merged.vms,
+		Vms:     merged.vms,
 		Missing: merged.missing,
 	}
 	rows := burn.Report(merged.snapshot, v.Document)
--- a/entry/oper/status.go
+++ b/entry/oper/status.go
@@ -61,15 +61,15 @@
 		VM:             o.opts.Name,
 		AsOf:           o.opts.Now(),
 		StoreReachable: api.NewOptBool(o.opts.Tables.Reachable()),
-		VMs:            []api.VMStatus{},
+		Vms:            []api.VMStatus{},
 		Notes:          []string{},
 	}
 	for _, vm := range o.fleet() {
 		answer, answered := said.by[vm.Name]
-		status.VMs = append(status.VMs, vmStatus(vm, answer, answered, o.opts.Now()))
+		status.Vms = append(status.Vms, vmStatus(vm, answer, answered, o.opts.Now()))
 		status.Notes = append(status.Notes, vmNotes(vm.Name, answer, answered)...)
 	}
-	status.Notes = append(status.Notes, versionNotes(status.VMs)...)
+	status.Notes = append(status.Notes, versionNotes(status.Vms)...)
 	if v := o.opts.Policy.Current(); v != nil {
 		status.Notes = append(status.Notes, v.Document.Lint(o.opts.Now())...)
 	}
@@ -156,4 +156,3 @@
 	}
 	return []string{fmt.Sprintf("policy version %d is not yet in force on %s", newest, strings.Join(behind, ", "))}
 }
-
