Extend the lease of a holder that is cut off, and prove the end of earlier holders

Cause: a store outage of hours must neither end running tasks nor stop placing, yet a paused or cut off holder must not act beside its successor. Weighed: (a) only renew while cut off; (b) go on with the promise of every voter of the stored roster for one term at a time. Chosen (b), with (a) where a promise is missing. A holder that renews without promises could keep a task alive on a worker that its successor can't reach, so the row lists earlier holders whose end is not proved; until one answers a fence, was restarted, or its VM was dropped by the platform, silent workers are waited for. A restarted VM waits out what its earlier process may have promised. Tests: go test -race ./entry/sched (the promise path itself: process tests to come).

--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -39,6 +39,11 @@
 	// TaskLease returns the longest lease that this VM gives to a task; it may be
 	// nil if the VM gives none.
 	TaskLease func() time.Duration
+	// MaxTaskLease is the longest lease that any VM may give to a task.
+	MaxTaskLease time.Duration
+	// Voters returns the entry VMs of the domain's stored roster, this one
+	// included; it may be nil where nothing is ever extended.
+	Voters func() []string
 	// Eligible reports whether this VM may take the lease; nil means always.
 	Eligible func() bool
 	// Now is the clock; time.Now if nil.
@@ -48,8 +53,9 @@
 // Keeper takes and renews the lease of a failure domain for one entry VM. It is
 // safe for concurrent use.
 type Keeper struct {
-	opts     Options
-	instance string
+	opts      Options
+	instance  string
+	startedAt time.Time
 
 	// step serializes calls to the platform, so that versions stay in order.
 	step sync.Mutex
@@ -62,9 +68,13 @@
 	known    row
 	held     bool
 	released bool
-	// inherited is the bound recorded by earlier holders.
+	// inherited is the bound that this VM must wait out, as of its taking.
 	inherited time.Time
-	changed   chan struct{}
+	// extension is the time past the row's deadline that the voters granted.
+	extension Extension
+	// promised is what this VM promised to a holder that is cut off.
+	promised Extension
+	changed  chan struct{}
 }
 
 // NewKeeper returns a Keeper that holds nothing yet.
@@ -78,7 +88,12 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
-	return &Keeper{opts: opts, instance: rand.Text(), changed: make(chan struct{}, 1)}
+	return &Keeper{
+		opts:      opts,
+		instance:  rand.Text(),
+		startedAt: opts.Now(),
+		changed:   make(chan struct{}, 1),
+	}
 }
 
 // Start keeps the lease until ctx ends. It does not release it.
@@ -122,7 +137,7 @@
 func (k *Keeper) TaskBound() time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.known.TasksUntil
+	return latest(k.known.TasksUntil, k.extension.TasksUntil)
 }
 
 // ConfirmEnded drops an earlier holder whose end was proved. The row says so
@@ -188,10 +203,14 @@
 	if k.opts.Eligible != nil && !k.opts.Eligible() {
 		return nil
 	}
-	if !now.After(current.freeAt(k.opts.ClockSkew)) {
+	if !k.mayTake(current, now) {
 		return nil
 	}
 	next := current.successor(k.opts.Name, k.instance)
+	next.TasksUntil = k.boundAtTake(current)
+	k.mu.Lock()
+	k.inherited = next.TasksUntil
+	k.mu.Unlock()
 	return k.extend(ctx, now, next)
 }
 
@@ -201,6 +220,9 @@
 	if bound := now.Add(k.taskLease() + taskMargin); bound.After(r.TasksUntil) {
 		r.TasksUntil = bound
 	}
+	if k.opts.Voters != nil {
+		r.Voters = k.opts.Voters()
+	}
 	k.renewAt = now.Add(k.opts.RenewEvery)
 	return k.write(ctx, r)
 }
@@ -253,11 +275,13 @@
 	defer k.mu.Unlock()
 	before := k.known
 	k.known = r
+	if before.Epoch != r.Epoch {
+		k.extension = Extension{}
+	}
 	k.held = r.Instance == k.instance && !r.Released && !k.released
 	if before.Epoch == r.Epoch && before.Released == r.Released {
 		return
 	}
-	k.inherited = before.TasksUntil
 	select {
 	case k.changed <- struct{}{}:
 	default:
@@ -271,7 +295,7 @@
 	return Grant{
 		Domain:     k.opts.Domain,
 		Epoch:      k.known.Epoch,
-		Deadline:   k.known.Deadline,
+		Deadline:   latest(k.known.Deadline, k.extension.Until),
 		TasksUntil: k.inherited,
 		Former:     append([]Former(nil), k.known.Former...),
 	}
--- a/core/lease/row.go
+++ b/core/lease/row.go
@@ -20,6 +20,10 @@
 	TasksUntil time.Time `json:"tasks-until"`
 	// Released says that the holder gave the lease up and sends nothing more.
 	Released bool `json:"released,omitempty"`
+	// Voters are the entry VMs of the domain's stored roster, as the holder saw it.
+	// The holder may go on past its deadline only with a promise of each, so a VM
+	// that is not among them must not take the lease while one of them is listed.
+	Voters []string `json:"voters,omitempty"`
 	// Former are earlier holders that never released the lease and may still
 	// renew tasks while they are cut off from the platform.
 	Former []Former `json:"former,omitempty"`
@@ -58,6 +62,7 @@
 		Instance:   instance,
 		Epoch:      r.Epoch + 1,
 		TasksUntil: r.TasksUntil,
+		Voters:     r.Voters,
 		Former:     r.Former,
 	}
 	if r.Epoch > 0 && !r.Released {
--- a/entry/sched/commands.go
+++ b/entry/sched/commands.go
@@ -24,6 +24,7 @@
 		StartBefore: earliest(now.Add(startLimit), grant.Deadline),
 	}
 	deadline := earliest(now.Add(h.s.taskLease()), h.s.lease.TaskBound())
+	h.s.noteGiven(deadline)
 	for len(l.starts) > 0 && len(request.Tasks) < startBatch {
 		key := l.starts[0]
 		l.starts = l.starts[1:]
@@ -94,10 +95,12 @@
 		return nil
 	}
 	l.renewAt = now.Add(renewEvery)
+	// A holder that is cut off goes on renewing: a new holder counts on that until
+	// it has listed the worker, or knows that this holder has ended.
 	request := &worker.RenewRequest{
 		Domain:        h.s.opts.Domain,
 		Epoch:         h.grant.Epoch,
-		LeaseDeadline: earliest(now.Add(h.s.taskLease()), h.s.lease.TaskBound()),
+		LeaseDeadline: now.Add(h.s.taskLease()),
 		TaskIDs:       []string{},
 	}
 	for _, c := range h.ledger.ChargesOf(l.name) {
@@ -108,6 +111,7 @@
 		h.ledger.Charge(l.name, c)
 		request.TaskIDs = append(request.TaskIDs, c.Task.String())
 	}
+	h.s.noteGiven(request.LeaseDeadline)
 	return request
 }
 
--- a/entry/sched/holder.go
+++ b/entry/sched/holder.go
@@ -33,29 +33,36 @@
 	// older jobs was listed or waited out.
 	loaded  bool
 	settled bool
-	dirty   map[string]*job
+	// formers counts earlier holders that may still renew tasks; renewedUntil is
+	// the latest deadline that those whose end was proved may have given.
+	formers      int
+	renewedUntil time.Time
+	dirty        map[string]*job
 	// wrote is closed and replaced after each successful write of the recorder.
 	wrote chan struct{}
 }
 
 func newHolder(s *Scheduler, grant lease.Grant) *holder {
 	return &holder{
-		s:     s,
-		grant: grant,
-		wake:  make(chan struct{}, 1),
-		write: make(chan struct{}, 1),
-		jobs:  make(map[string]*job),
-		teams: make(map[string]*queue.Team),
-		links: make(map[string]*link),
-		dirty: make(map[string]*job),
-		wrote: make(chan struct{}),
+		s:       s,
+		grant:   grant,
+		formers: len(grant.Former),
+		wake:    make(chan struct{}, 1),
+		write:   make(chan struct{}, 1),
+		jobs:    make(map[string]*job),
+		teams:   make(map[string]*queue.Team),
+		links:   make(map[string]*link),
+		dirty:   make(map[string]*job),
+		wrote:   make(chan struct{}),
 	}
 }
 
 // start starts the controllers. The function that it returns ends them.
 func (h *holder) start(ctx context.Context, cancel context.CancelFunc) func() {
-	h.loops.Add(1)
+	h.loops.Add(3)
 	go (&loader{h: h}).run(ctx)
+	go (&extender{h: h}).run(ctx)
+	go (&confirmer{h: h}).run(ctx)
 	return func() {
 		cancel()
 		h.loops.Wait()
--- a/entry/sched/messages.go
+++ b/entry/sched/messages.go
@@ -66,6 +66,8 @@
 	peer.Handle(mux, s.handleNudge)
 	peer.Handle(mux, s.handleLookup)
 	peer.Handle(mux, s.handleCancel)
+	peer.Handle(mux, s.handlePromise)
+	peer.Handle(mux, s.handleFence)
 }
 
 func (s *Scheduler) handleNudge(ctx context.Context, _ peer.Identity, m NudgeMessage) (JobAnswer, error) {
--- a/entry/sched/options.go
+++ b/entry/sched/options.go
@@ -34,7 +34,7 @@
 	// defaultTaskLease is used where the policy names none.
 	defaultTaskLease = 10 * time.Second
 	// maxTaskLease bounds what a policy may ask for.
-	maxTaskLease = time.Minute
+	maxTaskLease = 30 * time.Second
 	minTaskLease = 3 * time.Second
 )
 
--- a/entry/sched/scheduler.go
+++ b/entry/sched/scheduler.go
@@ -18,6 +18,9 @@
 	lease *lease.Keeper
 	// held is the holder while this VM has the lease, else nil.
 	held atomic.Pointer[holder]
+	// given is the latest deadline that this process gave to any task, in
+	// nanoseconds of Unix time.
+	given atomic.Int64
 
 	stop    context.CancelFunc
 	loops   sync.WaitGroup
@@ -35,13 +38,15 @@
 	}
 	s := &Scheduler{opts: opts}
 	s.lease = lease.NewKeeper(lease.Options{
-		Tables:    opts.Tables,
-		Domain:    opts.Domain,
-		Name:      opts.Name,
-		ClockSkew: opts.ClockSkew,
-		TaskLease: s.taskLease,
-		Eligible:  s.eligible,
-		Now:       opts.Now,
+		Tables:       opts.Tables,
+		Domain:       opts.Domain,
+		Name:         opts.Name,
+		ClockSkew:    opts.ClockSkew,
+		TaskLease:    s.taskLease,
+		MaxTaskLease: maxTaskLease,
+		Voters:       s.voters,
+		Eligible:     s.eligible,
+		Now:          opts.Now,
 	})
 	return s, nil
 }
@@ -92,6 +97,17 @@
 	return s.opts.Policy.Current() != nil && view != nil && !view.AsOf.IsZero()
 }
 
+// voters are the entry VMs of this domain that hold a seat.
+func (s *Scheduler) voters() []string {
+	var names []string
+	for _, vm := range s.opts.Roster().VMs {
+		if vm.Domain == s.opts.Domain && vm.Seat >= 0 {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
+
 func (s *Scheduler) document() *policy.Document {
 	version := s.opts.Policy.Current()
 	if version == nil {
@@ -109,6 +125,17 @@
 	return max(minTaskLease, min(maxTaskLease, time.Duration(document.Jobs.TaskLease)))
 }
 
+// noteGiven keeps the latest deadline that was given to any task.
+func (s *Scheduler) noteGiven(deadline time.Time) {
+	at := deadline.UnixNano()
+	for {
+		known := s.given.Load()
+		if at <= known || s.given.CompareAndSwap(known, at) {
+			return
+		}
+	}
+}
+
 // leader starts a holder when the lease is won and ends it when it is lost.
 type leader struct {
 	s *Scheduler
--- a/entry/sched/watch.go
+++ b/entry/sched/watch.go
@@ -113,14 +113,13 @@
 	if h.settled || !h.loaded || len(h.links) < len(h.fleet.workers) {
 		return
 	}
-	if !h.lapsedBefore(now) {
-		for _, l := range h.links {
-			if !l.listed {
-				return
-			}
-		}
+	if !h.allListed() && !h.lapsedBefore(now) {
+		return
 	}
 	h.settled = true
+	for _, former := range h.grant.Former {
+		h.s.lease.ConfirmEnded(former)
+	}
 	for _, j := range sortedJobs(h.jobs) {
 		j.inherited = false
 		h.settleJob(j)
@@ -128,9 +127,21 @@
 	signal(h.wake)
 }
 
+// allListed reports whether every worker has listed its tasks, which also fences
+// all earlier holders there. The lock must be held.
+func (h *holder) allListed() bool {
+	for _, l := range h.links {
+		if !l.listed {
+			return false
+		}
+	}
+	return true
+}
+
 // lapsedBefore reports whether all leases that earlier holders gave have lapsed.
 func (h *holder) lapsedBefore(now time.Time) bool {
-	return now.After(h.grant.TasksUntil.Add(h.skew()))
+	bound := latest(h.grant.TasksUntil, h.renewedUntil)
+	return h.formers == 0 && now.After(bound.Add(h.skew()))
 }
 
 // recordFleet writes the fleet's row if the roster has workers that it lacks.
