Displace, reserve, quarantine and correct, so that the fleet repairs itself

Change: - urgent jobs stop the batch tasks that cost least, after a checkpoint, and find the room first in the queue; - one gang (or aged batch job) at a time has a reservation that ages out; work that ends before the gang fits may use its room, so two can't deadlock; - a worker on which different jobs fail in a row is quarantined and probed with one chunk; a job that failed on more than two workers isn't held against them; - sizes are corrected upwards per caller and kind of work, run times both ways; a task over the policy's ratio is charged what it uses, throttled, then stopped; - services leave a leaving worker; waiting jobs that no listed worker can carry for 5 s are refused. Failed tries: clearing the avoided workers without trying again left a job that fails everywhere pending for ever; a charge raised by usage never fell again after the throttle, so the next task found no room. Both found by the tests here.

--- a/entry/sched/fake_test.go
+++ b/entry/sched/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -14,7 +15,8 @@
 	"tanagerstack.org/core/roster"
 )
 
-// fakeWorker runs tasks in memory. A task's command is "run DURATION" or "fail".
+// fakeWorker runs tasks in memory. A task's command is "run DURATION", "fail", or
+// "use PERCENT", which runs on and uses that much of its declared processors.
 type fakeWorker struct {
 	worker.Handler
 	name     string
@@ -28,6 +30,11 @@
 	fails map[string]bool
 	// down makes all calls fail; tasks go on until their lease lapses.
 	down bool
+	// failAll makes all tasks fail.
+	failAll bool
+	// uses and throttled tell of tasks that use more than declared.
+	uses      map[string]int64
+	throttled map[string]bool
 	// overloaded counts starts that the capacity does not carry.
 	overloaded int
 }
@@ -37,6 +44,7 @@
 	w := &fakeWorker{
 		name: name, capacity: capacity,
 		tasks: map[string]*worker.TaskState{}, ends: map[string]time.Time{}, fails: map[string]bool{},
+		uses: map[string]int64{}, throttled: map[string]bool{},
 	}
 	server, err := worker.NewServer(w)
 	if err != nil {
@@ -52,10 +60,10 @@
 	return roster.Worker{Name: w.name, Domain: domain, Rack: rack, Address: address, Capacity: w.capacity, State: roster.Live}
 }
 
-func (w *fakeWorker) setDown(down bool) {
+func (w *fakeWorker) set(change func(*fakeWorker)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.down = down
+	change(w)
 }
 
 // fenced rejects a command; the lock must be held.
@@ -139,7 +147,14 @@
 	if start.Command[0] == "run" {
 		run, _ = time.ParseDuration(start.Command[1])
 	}
-	w.fails[start.TaskID] = start.Command[0] == "fail"
+	if start.Command[0] == "use" {
+		run = time.Hour
+		w.uses[start.TaskID], _ = strconv.ParseInt(start.Command[1], 10, 64)
+	}
+	w.fails[start.TaskID] = start.Command[0] == "fail" || w.failAll
+	if w.failAll {
+		run = 0
+	}
 	w.ends[start.TaskID] = now.Add(run)
 	w.tasks[start.TaskID] = &worker.TaskState{
 		TaskID: start.TaskID, Attempt: start.Attempt, Phase: worker.TaskStatePhaseRunning,
@@ -178,6 +193,29 @@
 	return w.list(), nil
 }
 
+func (w *fakeWorker) ThrottleTasks(_ context.Context, req *worker.ThrottleRequest) (*worker.TaskList, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range req.TaskIDs {
+		w.throttled[id] = true
+	}
+	return w.list(), nil
+}
+
+func (w *fakeWorker) GetUsage(context.Context) (*worker.Usage, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	usage := &worker.Usage{AsOf: time.Now(), Tasks: []worker.TaskUsage{}}
+	for id, r := range w.running() {
+		used := worker.TaskUsage{TaskID: id, Millicores: r.Millicores, MemoryBytes: r.MemoryBytes}
+		if percent := w.uses[id]; percent > 0 && !w.throttled[id] {
+			used.Millicores = r.Millicores * percent / 100
+		}
+		usage.Tasks = append(usage.Tasks, used)
+	}
+	return usage, nil
+}
+
 func (w *fakeWorker) list() *worker.TaskList {
 	list := &worker.TaskList{Epoch: w.epoch, Tasks: []worker.TaskState{}}
 	for _, task := range w.tasks {
--- a/entry/sched/holder.go
+++ b/entry/sched/holder.go
@@ -7,6 +7,7 @@
 
 	"tanagerstack.org/core/lease"
 	"tanagerstack.org/core/ledger"
+	"tanagerstack.org/core/place"
 	"tanagerstack.org/core/queue"
 	"tanagerstack.org/core/trace"
 )
@@ -33,6 +34,12 @@
 	// older jobs was listed or waited out.
 	loaded  bool
 	settled bool
+	// learned corrects declarations; reserved is the gang job's reservation.
+	learned  map[workload]correction
+	reserved *place.Reservation
+	// generation grows when waiting jobs may find room for another reason than
+	// that some fell free.
+	generation uint64
 	// formers counts earlier holders that may still renew tasks; renewedUntil is
 	// the latest deadline that those whose end was proved may have given.
 	formers      int
@@ -52,6 +59,7 @@
 		jobs:    make(map[string]*job),
 		teams:   make(map[string]*queue.Team),
 		links:   make(map[string]*link),
+		learned: make(map[workload]correction),
 		dirty:   make(map[string]*job),
 		wrote:   make(chan struct{}),
 	}
@@ -104,7 +112,7 @@
 		h.queue.Remove(j.row.ID)
 		return
 	}
-	h.queue.Add(j.item())
+	h.queue.Add(h.item(j))
 	signal(h.wake)
 }
 
--- a/entry/sched/job.go
+++ b/entry/sched/job.go
@@ -36,6 +36,13 @@
 	reason     string
 	checkpoint string
 	startedAt  time.Time
+	// size is what the task was started with.
+	size roster.Resources
+	// measured, oversized and runaway tell how the task compares with its
+	// declaration; oversized counts reports in a row.
+	measured  bool
+	oversized int
+	runaway   bool
 	// voidAt is the instant after which a start that was sent can't take effect.
 	voidAt time.Time
 }
@@ -60,11 +67,19 @@
 	why  string
 	// retryAt is the earliest instant of the next placement.
 	retryAt time.Time
+	// displaceAt and reserveAt are the earliest instants of the next displacement
+	// for the job, and of its next reservation.
+	displaceAt time.Time
+	reserveAt  time.Time
+	// placedAt is when tasks of the job were last placed.
+	placedAt time.Time
+	// unfitSince is when the job was first found too large for all listed workers.
+	unfitSince time.Time
 	// failedOn has workers where tasks of the job failed.
 	failedOn map[string]bool
 	// explained is the last explanation traced, so that it is not repeated.
 	explained string
-	// triedAt is the ledger's number of freed room at the last failed placement.
+	// triedAt is the holder's try number at the last failed placement.
 	triedAt uint64
 }
 
@@ -128,8 +143,8 @@
 	j.row.Notes[index] = taskNote{Failures: t.failures, Attempt: t.attempt, Reason: t.reason, Checkpoint: t.checkpoint}
 }
 
-// item is the job's entry in the queue.
-func (j *job) item() queue.Item {
+// item is a job's entry in the queue. The lock must be held.
+func (h *holder) item(j *job) queue.Item {
 	spec := j.row.Spec
 	it := queue.Item{
 		Job:        j.row.ID,
@@ -138,7 +153,7 @@
 		Service:    spec.Kind == caller.JobSpecKindService,
 		AcceptedAt: j.row.AcceptedAt,
 		NotAfter:   spec.NotAfter,
-		Each:       j.each(),
+		Each:       h.size(j),
 		Least:      1,
 	}
 	if spec.Kind == caller.JobSpecKindGang {
@@ -181,11 +196,8 @@
 		if t.worker != "" {
 			out.Worker = caller.NewOptString(t.worker)
 		}
-		switch {
-		case t.reason != "":
-			out.Reason = caller.NewOptString(t.reason)
-		case t.phase == pending && j.explained != "":
-			out.Reason = caller.NewOptString(j.explained)
+		if reason := j.reasonOf(t); reason != "" {
+			out.Reason = caller.NewOptString(reason)
 		}
 		view.Tasks[i] = out
 	}
@@ -195,6 +207,17 @@
 	return view
 }
 
+// reasonOf says why a task is where it is.
+func (j *job) reasonOf(t *task) string {
+	if t.phase != pending || j.explained == "" {
+		return t.reason
+	}
+	if t.reason == "" {
+		return j.explained
+	}
+	return j.explained + "; before that: " + t.reason
+}
+
 func (p phase) public() caller.TaskPhase {
 	switch p {
 	case running, stopping:
--- a/entry/sched/link.go
+++ b/entry/sched/link.go
@@ -37,6 +37,10 @@
 	starts   []ledger.Task
 	stops    map[ledger.Task]stopOrder
 	health   health
+	// usageAt is when the next usage report is asked for, usageAsOf the instant
+	// of the last one.
+	usageAt   time.Time
+	usageAsOf time.Time
 }
 
 // stopOrder is a stop that the worker has yet to carry out.
@@ -73,6 +77,7 @@
 		l.start(ctx)
 		l.stop(ctx)
 		l.renew(ctx)
+		l.usage(ctx)
 		// The jitter keeps renewals of many workers apart.
 		wait := renewEvery/4 + time.Duration(rand.Int63n(int64(renewEvery/8)))
 		select {
--- a/entry/sched/place.go
+++ b/entry/sched/place.go
@@ -51,6 +51,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.dropReservation(now)
 	touched := make(map[string]*job)
 	walk := h.queue.Begin(h.frame(now))
 	for range passDecisions {
@@ -75,13 +76,13 @@
 	if j.pending == 0 {
 		h.queue.Remove(j.row.ID)
 	} else if j.row.Spec.Kind == caller.JobSpecKindGang {
-		h.queue.Add(j.item())
+		h.queue.Add(h.item(j))
 	}
 }
 
 // frame is what a pass goes by. The lock must be held.
 func (h *holder) frame(now time.Time) queue.Frame {
-	frame := queue.Frame{Now: now, AgeBatch: defaultAgeBatch, Teams: h.teams}
+	frame := queue.Frame{Now: now, AgeBatch: h.ageBatch(), Teams: h.teams}
 	for _, w := range h.ledger.Workers() {
 		frame.Fleet = ledger.Sum(frame.Fleet, w.Capacity)
 	}
@@ -89,9 +90,6 @@
 	if document == nil {
 		return frame
 	}
-	if document.Jobs.AgeBatch > 0 {
-		frame.AgeBatch = time.Duration(document.Jobs.AgeBatch)
-	}
 	for name, granted := range document.Teams {
 		team := h.team(name)
 		team.Weight = granted.Share
@@ -104,6 +102,13 @@
 	return frame
 }
 
+func (h *holder) ageBatch() time.Duration {
+	if document := h.s.document(); document != nil && document.Jobs.AgeBatch > 0 {
+		return time.Duration(document.Jobs.AgeBatch)
+	}
+	return defaultAgeBatch
+}
+
 // placeNext places the next tasks of a job and returns how many. The lock must
 // be held.
 func (h *holder) placeNext(walk *queue.Pass, it queue.Item, j *job, now time.Time) int {
@@ -114,7 +119,7 @@
 		h.explain(j, "waits until all workers have listed their tasks")
 		return 0
 	}
-	if j.triedAt == h.ledger.Freed()+1 {
+	if j.triedAt == h.tryNumber() {
 		return 0
 	}
 	n := min(j.pending, chunk)
@@ -126,32 +131,63 @@
 		h.explain(j, fmt.Sprintf("over the quota of team %q: %d of %d tasks allowed", it.Team, allowed, n))
 		return 0
 	}
-	decision := place.Choose(&h.ledger, place.Demand{
-		Each: it.Each, Count: allowed, Policy: j.policy(), Avoid: j.failedOn,
-	})
+	demand := h.demandOf(j, it, allowed, now)
+	decision := place.Choose(&h.ledger, demand)
 	if len(decision.Workers) == 0 {
-		j.triedAt = h.ledger.Freed() + 1
-		h.explain(j, fmt.Sprintf("%d tasks wait for room; %d workers ruled out: %s", j.pending, decision.Considered, decision.Ruled))
+		h.noRoom(j, demand, decision, now)
 		return 0
 	}
 	h.reserve(j, it, decision.Workers)
 	return len(decision.Workers)
 }
 
+// noRoom notes that no worker has room for a job, and makes some where the job's
+// kind allows. The lock must be held.
+func (h *holder) noRoom(j *job, d place.Demand, decision place.Decision, now time.Time) {
+	if decision.Ruled[place.IsAvoided] > 0 {
+		// Better a worker where the job failed than none.
+		clear(j.failedOn)
+		return
+	}
+	h.explain(j, fmt.Sprintf("%d tasks wait for room; %d workers ruled out: %s", j.pending, decision.Considered, decision.Ruled))
+	switch {
+	case j.row.Spec.Urgent.Value:
+		h.displaceFor(j, d, now)
+		// It is tried again in each pass: a displacement may have fallen short.
+		return
+	case j.row.Spec.Kind == caller.JobSpecKindGang:
+		h.reserveFor(j, d, now)
+	case now.Sub(j.row.AcceptedAt) > h.ageBatch():
+		// Smaller jobs would take all room that falls free before it.
+		d.Count = 1
+		h.reserveFor(j, d, now)
+	}
+	j.triedAt = h.tryNumber()
+}
+
+// tryNumber changes whenever a job that found no room may find some. The lock
+// must be held.
+func (h *holder) tryNumber() uint64 { return h.ledger.Freed() + h.generation + 1 }
+
 // reserve charges pending tasks to workers and hands them to the links. The lock
 // must be held.
 func (h *holder) reserve(j *job, it queue.Item, workers []string) {
 	for n, index := range j.pendingTasks(len(workers)) {
 		name := workers[n]
 		j.set(index, starting)
-		j.tasks[index].worker = name
+		j.tasks[index].worker, j.tasks[index].size = name, it.Each
 		h.charge(name, ledger.Charge{Task: j.key(index), Team: it.Team, Amount: it.Each, State: ledger.Reserved})
 		l := h.links[name]
+		if l.health.quarantined {
+			l.health.probing = true
+			h.refresh(l, h.now())
+		}
 		l.starts = append(l.starts, j.key(index))
 		signal(l.wake)
 	}
 	h.trace(j.row.ID, "place", "placed", fmt.Sprintf("%d tasks on %v", len(workers), workers))
 	j.explained = ""
+	j.placedAt = h.now()
 }
 
 // explain keeps why a job waits, and traces it when it changed. The lock must be held.
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -164,6 +164,7 @@
 	}
 	t := &j.tasks[key.Index]
 	t.worker, t.attempt, t.startedAt = l.name, max(t.attempt, state.Attempt), state.StartedAt
+	t.size = c.Amount
 	j.set(key.Index, running)
 	h.enqueue(j)
 	h.trace(j.row.ID, "takeover", "found-running", fmt.Sprintf("task %d on %s", key.Index, l.name))
@@ -250,6 +251,7 @@
 		return
 	}
 	t := &j.tasks[key.Index]
+	l.health.probing = false
 	if t.worker != l.name || (t.phase != starting && t.phase != running && t.phase != stopping) {
 		return
 	}
@@ -272,13 +274,23 @@
 func (h *holder) finish(l *link, j *job, index int, state *worker.TaskState) {
 	t := &j.tasks[index]
 	h.trace(j.row.ID, "task", string(state.Phase), fmt.Sprintf("task %d attempt %d on %s %s", index, t.attempt, l.name, state.Message.Value))
-	switch state.Phase {
-	case worker.TaskStatePhaseSucceeded:
+	switch {
+	case state.Phase == worker.TaskStatePhaseSucceeded:
+		h.workerSucceeded(l)
+		h.learnRun(j, index, h.now())
 		h.succeed(j, index)
-	case worker.TaskStatePhaseFailed:
+	case state.Phase == worker.TaskStatePhaseFailed:
+		j.failedOn[l.name] = true
+		h.workerFailed(l, j)
 		h.failTask(l, j, index, state.Message.Value)
+	case t.runaway:
+		t.runaway = false
+		h.failTask(l, j, index, t.reason)
 	default:
-		t.reason = fmt.Sprintf("attempt %d %s on %s", t.attempt, state.Phase, l.name)
+		if t.reason == "" {
+			t.reason = fmt.Sprintf("attempt %d %s on %s", t.attempt, state.Phase, l.name)
+		}
+		j.note(index)
 		h.again(j, index)
 	}
 }
@@ -300,7 +312,6 @@
 	t := &j.tasks[index]
 	t.failures++
 	t.reason = fmt.Sprintf("attempt %d failed on %s: %s", t.attempt, l.name, message)
-	j.failedOn[l.name] = true
 	if t.failures < h.attempts() {
 		j.retryAt = h.now().Add(retryDelay << min(t.failures-1, 6))
 		h.again(j, index)
--- a/entry/sched/scheduler_test.go
+++ b/entry/sched/scheduler_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,33 +21,43 @@
 	t       *testing.T
 	tables  *store.Memory
 	policy  *policy.Keeper
-	view    *roster.View
+	view    atomic.Pointer[roster.View]
 	workers []*fakeWorker
 }
 
 func newRig(t *testing.T, workers int) *rig {
 	t.Helper()
-	r := &rig{t: t, tables: store.NewMemory(), policy: &policy.Keeper{}, view: &roster.View{AsOf: time.Now()}}
+	r := &rig{t: t, tables: store.NewMemory(), policy: &policy.Keeper{}}
+	view := &roster.View{AsOf: time.Now()}
 	r.policy.Offer(&policy.Version{Number: 1, Document: &policy.Document{
 		Work:    []string{"transcode"},
 		Callers: map[string]policy.Caller{"host": {Team: "studio", Domain: "zurich-a"}},
 		Teams:   map[string]policy.Team{"studio": {Share: 1, Quota: policy.Quota{Millicores: 40000}}},
-		Jobs:    policy.Jobs{TaskLease: policy.Duration(minTaskLease), Attempts: 2},
+		Jobs: policy.Jobs{
+			TaskLease: policy.Duration(minTaskLease), Attempts: 3,
+			QuarantineFailures: 2, QuarantineProbe: policy.Duration(time.Second),
+		},
 	}})
 	for i := range workers {
 		w := startFakeWorker(t, "worker-"+string(rune('a'+i)), roster.Resources{Millicores: 4000, MemoryBytes: 16 * gibibyte})
 		r.workers = append(r.workers, w)
-		r.view.Workers = append(r.view.Workers, w.member("zurich-a", "rack-"+string(rune('a'+i%2))))
+		view.Workers = append(view.Workers, w.member("zurich-a", "rack-"+string(rune('a'+i%2))))
 	}
+	r.view.Store(view)
 	return r
 }
 
+// changeWorkers replaces the roster's workers.
+func (r *rig) changeWorkers(change func([]roster.Worker) []roster.Worker) {
+	r.view.Store(&roster.View{AsOf: time.Now(), Workers: change(slices.Clone(r.view.Load().Workers))})
+}
+
 // scheduler starts an entry VM's scheduler; the function returned kills it.
 func (r *rig) scheduler(name string) (*Scheduler, func()) {
 	r.t.Helper()
 	s, err := New(Options{
 		Name: name, Domain: "zurich-a", Region: "north", Policy: r.policy, Tables: r.tables,
-		Roster: func() *roster.View { return r.view }, ClockSkew: 50 * time.Millisecond,
+		Roster: r.view.Load, ClockSkew: 50 * time.Millisecond,
 	})
 	if err != nil {
 		r.t.Fatal(err)
@@ -223,7 +235,7 @@
 			first, kill := r.scheduler("entry-1")
 			id := r.submit(first, jobSpec(caller.JobSpecKindBatch, 8, 1000, "run", "1h")).ID
 			r.await(first, id, runningTasks(8))
-			r.workers[0].setDown(test.workerDown)
+			r.workers[0].set(func(w *fakeWorker) { w.down = test.workerDown })
 			kill()
 			second, _ := r.scheduler("entry-2")
 			job := r.await(second, id, func(job *caller.Job) bool {
--- a/entry/sched/watch.go
+++ b/entry/sched/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"time"
 
@@ -28,6 +29,7 @@
 			klog.V(2).InfoS("The fleet's row could not be written; new workers wait", "err", err)
 		}
 		w.h.endLate(w.h.now())
+		w.h.endUnfit(w.h.now())
 		select {
 		case <-ctx.Done():
 			return
@@ -60,6 +62,9 @@
 	}
 	for _, l := range h.links {
 		h.refresh(l, now)
+		if l.member == leavingMember {
+			h.moveServices(l)
+		}
 	}
 	h.checkSettled(now)
 	signal(h.wake)
@@ -100,7 +105,7 @@
 		return ledger.Leaving
 	case !l.listed || !l.recorded || l.member == gone || now.Sub(l.heardAt) > silenceLimit:
 		return ledger.Unreachable
-	case l.health.quarantined:
+	case !l.health.usable(now):
 		return ledger.Quarantined
 	default:
 		return ledger.Usable
@@ -229,3 +234,53 @@
 	}
 	return false
 }
+
+// unfitFor is how long a job must not fit on any listed worker before it is
+// refused, so that a worker that is just being replaced does not count.
+const unfitFor = 5 * time.Second
+
+// endUnfit ends the waiting jobs that no listed worker can carry, even when empty.
+func (h *holder) endUnfit(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.settled {
+		return
+	}
+	for _, j := range h.jobs {
+		if j.ends != "" || j.pending == 0 {
+			continue
+		}
+		if fits, least := h.capacityFor(j), leastTogether(&j.row.Spec); fits >= least {
+			j.unfitSince = time.Time{}
+		} else if j.unfitSince.IsZero() {
+			j.unfitSince = now
+		} else if now.Sub(j.unfitSince) > unfitFor {
+			h.refuseUnfit(j, fits, least)
+		}
+	}
+}
+
+// capacityFor is how many of the tasks that must run together fit on the listed
+// workers if these are empty. The lock must be held.
+func (h *holder) capacityFor(j *job) int {
+	least := leastTogether(&j.row.Spec)
+	fits := 0
+	for _, l := range h.links {
+		if l.member != member {
+			continue
+		}
+		if w := h.ledger.Worker(l.name); w != nil {
+			fits += ledger.Count(j.each(), w.Capacity, least)
+		}
+	}
+	return fits
+}
+
+// refuseUnfit ends a job that can never run. The lock must be held.
+func (h *holder) refuseUnfit(j *job, fits, least int) {
+	state := caller.JobStateFailed
+	if !j.tried() && j.done == 0 {
+		state = caller.JobStateRefused
+	}
+	h.end(j, state, fmt.Sprintf("can-never-fit: %d of %d tasks of %+v fit on the workers that are left, all empty", fits, least, j.each()))
+}
