Serve callers: filter chain, claims, dispatch and relays between entry VMs

Ruled out: one pooled transport for all targets (a request could not be tied to the connection that was just proven alive); claiming before a slot is free (a refusal under overload would cost two writes). Change: package front with the ogen server, the chain label, window, limits, claim, route, dispatch, connection lanes with a proof of life, messages to owners and other failure domains, drain. Conclusion: thin version whole; elastic slots, process proofs and measurements are not built yet.

--- /dev/null
+++ b/entry/front/front_test.go
@@ -0,0 +1,294 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"tanagerstack.org/core/roster"
+	"tanagerstack.org/core/store"
+)
+
+func TestSendRequest(t *testing.T) {
+	f := newFleet(t, 3)
+	for i, v := range f.vms {
+		for _, idempotent := range []string{"true", "false"} {
+			id := fmt.Sprintf("%d-%s", i, idempotent)
+			got := f.send(v, id, "hello", "X-Idempotent", idempotent)
+			if want := (reply{http.StatusOK, id, "re:hello"}); got != want {
+				t.Errorf("request %s: got %+v, want %+v", id, got, want)
+			}
+		}
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	f := newFleet(t, 1)
+	past := time.Now().Add(-time.Second).Format(time.RFC3339Nano)
+	future := time.Now().Add(time.Hour).Format(time.RFC3339Nano)
+	for name, tc := range map[string]struct {
+		headers []string
+		body    string
+		status  int
+		want    []string
+	}{
+		"no token":      {[]string{"Authorization", ""}, "", 401, []string{"token"}},
+		"wrong token":   {[]string{"Authorization", "Bearer x"}, "", 401, []string{"token"}},
+		"no id":         {[]string{"X-Request-Id", ""}, "", 400, []string{"X-Request-Id", "1 to 120"}},
+		"idempotent":    {[]string{"X-Idempotent", "maybe"}, "", 400, []string{"X-Idempotent", "true or false"}},
+		"class":         {[]string{"X-Class", "none"}, "", 400, []string{"x-class", "one of hold"}},
+		"past":          {[]string{"X-Not-After", past}, "", 400, []string{"x-not-after", "at most 2s"}},
+		"far":           {[]string{"X-Not-After", future}, "", 400, []string{"x-not-after", "at most 2s"}},
+		"no instant":    {[]string{"X-Not-After", "soon"}, "", 400, []string{"X-Not-After", "instant such as"}},
+		"large":         {nil, strings.Repeat("x", 5000), 413, []string{"0 to 4096 bytes"}},
+		"content type":  {[]string{"Content-Type", "text/plain"}, "", 415, []string{"application/octet-stream"}},
+		"no media type": {[]string{"Content-Type", ""}, "", 400, []string{"body"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := f.send(f.vms[0], "bad-"+name, tc.body, tc.headers...)
+			if got.status != tc.status {
+				t.Errorf("status %d, want %d: %s", got.status, tc.status, got.body)
+			}
+			for _, want := range append(tc.want, `"outcome":"refused"`) {
+				if !strings.Contains(got.body, want) {
+					t.Errorf("the problem lacks %q: %s", want, got.body)
+				}
+			}
+		})
+	}
+	if f.targets[0].most+f.targets[1].most > 0 {
+		t.Error("a refused request reached a target")
+	}
+}
+
+func TestDoubledRequestRunsOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		faults store.Faults
+		later  time.Duration
+	}{
+		"tables":       {},
+		"tables down":  {store.Faults{Down: true}, 5 * time.Second},
+		"lost answers": {store.Faults{LostAnswers: 0.5, LostWrites: 0.5, Seed: 1}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3)
+			f.later(tc.later)
+			f.tables.SetFaults(tc.faults)
+			for i := range 20 {
+				id := fmt.Sprintf("double-%d", i)
+				replies := f.sendEverywhere(id)
+				completed := 0
+				for _, got := range replies {
+					if got == (reply{http.StatusOK, id, "re:x"}) {
+						completed++
+					}
+				}
+				runs := f.runsOf(id)
+				if runs > 1 || runs == 0 && completed > 0 {
+					t.Errorf("%s ran %d times and was completed %d times", id, runs, completed)
+				}
+				if runs != 1 || completed != len(replies) {
+					t.Logf("%s: %+v", id, replies)
+				}
+				if tc.faults.LostAnswers == 0 && completed != len(replies) {
+					t.Errorf("%s: %d of %d were completed: %+v", id, completed, len(replies), replies)
+				}
+			}
+		})
+	}
+}
+
+// sendEverywhere sends one request to all entry VMs at once, twice.
+func (f *fleet) sendEverywhere(id string) []reply {
+	replies := make([]reply, 2*len(f.vms))
+	var wait sync.WaitGroup
+	for i := range replies {
+		wait.Go(func() { replies[i] = f.send(f.vms[i%len(f.vms)], id, "x") })
+	}
+	wait.Wait()
+	return replies
+}
+
+func TestReusedIdentifier(t *testing.T) {
+	f := newFleet(t, 1)
+	f.send(f.vms[0], "same", "one")
+	if got := f.send(f.vms[0], "same", "two"); got.status != http.StatusConflict {
+		t.Errorf("got %+v for another request with a used identifier", got)
+	}
+}
+
+func TestRefusedRequestMayBeSentAgain(t *testing.T) {
+	f := newFleet(t, 2)
+	for _, target := range f.targets {
+		target.leaving = true
+	}
+	if got := f.send(f.vms[0], "again", "x"); got.status != http.StatusServiceUnavailable {
+		t.Fatalf("got %+v while all targets leave", got)
+	}
+	for i, target := range f.targets {
+		target.mu.Lock()
+		target.leaving = false
+		target.mu.Unlock()
+		fresh := newTarget(t, fmt.Sprintf("fresh%d", i))
+		f.targets = append(f.targets, fresh)
+	}
+	view := *f.vms[0].view.Load()
+	view.Targets = nil
+	for _, target := range f.targets[2:] {
+		view.Targets = append(view.Targets, target.listed())
+	}
+	f.show(&view)
+	if got := f.send(f.vms[1], "again", "x"); got.status != http.StatusOK {
+		t.Errorf("got %+v for a repeat of a request that did not run", got)
+	}
+}
+
+func TestWholeAnswersOnly(t *testing.T) {
+	for name, wrong := range map[string]func(w http.ResponseWriter, id string, body []byte){
+		"short": func(w http.ResponseWriter, id string, body []byte) {
+			w.Header().Set("Content-Length", "100")
+			answer(w, id, body)
+		},
+		"swapped": func(w http.ResponseWriter, _ string, body []byte) { answer(w, "another", body) },
+		"error":   func(w http.ResponseWriter, _ string, _ []byte) { w.WriteHeader(http.StatusInternalServerError) },
+		"cut": func(w http.ResponseWriter, id string, body []byte) {
+			answer(w, id, body)
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		},
+		"no length": func(w http.ResponseWriter, id string, body []byte) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nX-Request-Id: %s\r\n\r\n%s", id, body)
+			_ = conn.Close()
+		},
+		"late": func(w http.ResponseWriter, id string, body []byte) {
+			time.Sleep(2500 * time.Millisecond)
+			answer(w, id, body)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 1)
+			for _, target := range f.targets {
+				target.wrong = wrong
+			}
+			for _, idempotent := range []string{"true", "false"} {
+				got := f.send(f.vms[0], "wrong-"+idempotent, "x", "X-Idempotent", idempotent)
+				if got.status != http.StatusGatewayTimeout || !strings.Contains(got.body, `"outcome":"unknown"`) {
+					t.Errorf("idempotent %s: got %+v for an answer that is not whole", idempotent, got)
+				}
+			}
+			if runs := f.runsOf("wrong-false"); runs != 1 {
+				t.Errorf("a non-idempotent request ran %d times", runs)
+			}
+		})
+	}
+}
+
+func TestRetryOnAnotherTarget(t *testing.T) {
+	f := newFleet(t, 1)
+	f.targets[0].wrong = func(w http.ResponseWriter, _ string, _ []byte) { w.WriteHeader(http.StatusInternalServerError) }
+	for i := range 20 {
+		if got := f.send(f.vms[0], fmt.Sprint(i), "x", "X-Idempotent", "true"); got.status != http.StatusOK {
+			t.Errorf("request %d: got %+v with one good target", i, got)
+		}
+	}
+	if runs := f.targets[0].total(); runs > 4 {
+		t.Errorf("the failing target got %d of 20 requests", runs)
+	}
+}
+
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	f := newFleet(t, 1)
+	f.targets[0].leaving = true
+	for i := range 10 {
+		if got := f.send(f.vms[0], fmt.Sprint(i), "x"); got.status != http.StatusOK {
+			t.Errorf("request %d: got %+v with one good target", i, got)
+		}
+	}
+	if runs := f.targets[0].total(); runs > 0 {
+		t.Errorf("the leaving target ran %d requests", runs)
+	}
+}
+
+func (f *fakeTarget) total() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	total := 0
+	for _, runs := range f.runs {
+		total += runs
+	}
+	return total
+}
+
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, target := range f.targets {
+		target.run = 5 * time.Millisecond
+	}
+	var wait sync.WaitGroup
+	for i := range 300 {
+		wait.Go(func() { f.send(f.vms[i%3], fmt.Sprintf("load-%d", i), "x", "X-Idempotent", fmt.Sprint(i%2 == 0)) })
+	}
+	wait.Wait()
+	for _, target := range f.targets {
+		if target.most > 8 {
+			t.Errorf("target %s ran %d requests at once on 8 slots", target.name, target.most)
+		}
+	}
+}
+
+func TestOwnerGone(t *testing.T) {
+	f := newFleet(t, 3)
+	gone := f.vms[0]
+	view := *gone.view.Load()
+	view.VMs = append([]roster.VM(nil), view.VMs...)
+	view.VMs[0].Peer = view.VMs[1].Peer // another VM listens there, so the name does not fit
+	f.show(&view)
+	for i := range 20 {
+		if got := f.send(f.vms[1+i%2], fmt.Sprintf("gone-%d", i), "x"); got.status != http.StatusOK {
+			t.Errorf("request %d: got %+v although only the owner cannot be reached", i, got)
+		}
+	}
+	f.later(5 * time.Second)
+	f.tables.SetFaults(store.Faults{Down: true})
+	refused := 0
+	for i := range 20 {
+		got := f.send(f.vms[1+i%2], fmt.Sprintf("down-%d", i), "x")
+		if got.status == http.StatusServiceUnavailable {
+			refused++
+		}
+		if runs := f.runsOf(fmt.Sprintf("down-%d", i)); got.status == http.StatusServiceUnavailable && runs > 0 {
+			t.Errorf("request %d was refused and ran", i)
+		}
+	}
+	if refused == 0 || refused == 20 {
+		t.Errorf("%d of 20 requests were refused with the tables down and one owner gone", refused)
+	}
+}
+
+func TestDrainFinishesWhatIsInFlight(t *testing.T) {
+	f := newFleet(t, 1)
+	for _, target := range f.targets {
+		target.run = 300 * time.Millisecond
+	}
+	var inFlight sync.WaitGroup
+	var got reply
+	inFlight.Go(func() { got = f.send(f.vms[0], "slow", "x") })
+	for f.runsOf("slow") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := f.vms[0].Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	inFlight.Wait()
+	if got.status != http.StatusOK {
+		t.Errorf("the request in flight got %+v", got)
+	}
+	if got := f.send(f.vms[0], "new", "x"); got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "draining") {
+		t.Errorf("a new request got %+v", got)
+	}
+}
--- /dev/null
+++ b/entry/front/pool.go
@@ -0,0 +1,258 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tanagerstack.org/core/admit"
+	"tanagerstack.org/core/roster"
+	"tanagerstack.org/core/route"
+)
+
+// pool is the targets of one service that this entry VM has slots of, and the
+// requests that wait for one.
+type pool struct {
+	service string
+	place   route.Place
+	roster  func() *roster.View
+	now     func() time.Time
+
+	mu    sync.Mutex
+	table route.Table
+	queue admit.Queue[waiting]
+	lanes map[string]*lanes
+	// view and usable are what the table was last set from.
+	view   *roster.View
+	usable bool
+}
+
+// waiting is a request in the queue.
+type waiting struct {
+	query route.Query
+	// turn gets the target whose slot was taken for the request. It is closed
+	// when the window can no longer be met.
+	turn chan string
+}
+
+func newPool(service string, place route.Place, view func() *roster.View, now func() time.Time) *pool {
+	return &pool{service: service, place: place, roster: view, now: now, lanes: make(map[string]*lanes)}
+}
+
+// acquire takes a slot for the request, waiting for one if the window allows it.
+func (p *pool) acquire(ctx context.Context, r *Request, query route.Query) (slot, *Refused) {
+	w, taken, refused := p.enter(r, query)
+	if refused != nil {
+		return slot{}, refused
+	}
+	if w == nil {
+		return taken, nil
+	}
+	select {
+	case name, ok := <-w.Value.turn:
+		if !ok {
+			return slot{}, p.late(r)
+		}
+		return p.slotOf(name), nil
+	case <-ctx.Done():
+		return p.leave(r, w)
+	}
+}
+
+// finish gives a slot back and lets waiting requests have it.
+func (p *pool) finish(s slot, result route.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.table.Finish(now, s.target, result)
+	p.serve(now)
+}
+
+// setLeaving stops new requests to a target.
+func (p *pool) setLeaving(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.SetLeaving(name)
+}
+
+// advance does what time and membership bring.
+func (p *pool) advance() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.follow(now)
+	p.table.Advance(now)
+	for _, w := range p.queue.Late(now.Add(p.table.MeanDuration())) {
+		close(w.Value.turn)
+	}
+	p.serve(now)
+}
+
+// enter takes a slot at once, or queues the request, or refuses it.
+func (p *pool) enter(r *Request, query route.Query) (*admit.Waiter[waiting], slot, *Refused) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.follow(now)
+	if p.queue.Len() == 0 {
+		if name, ok := p.table.Pick(now, query); ok {
+			return nil, p.slot(name), nil
+		}
+	}
+	w := p.waiter(r, query)
+	if refused := p.judge(now, r, w); refused != nil {
+		return nil, slot{}, refused
+	}
+	p.queue.Push(w)
+	p.serve(now)
+	return w, slot{}, nil
+}
+
+func (p *pool) waiter(r *Request, query route.Query) *admit.Waiter[waiting] {
+	class := r.version.Document.Classes[r.Class]
+	return &admit.Waiter[waiting]{
+		Caller:   r.Caller,
+		Class:    r.Class,
+		Share:    class.Share,
+		Urgent:   class.Urgent,
+		NotAfter: r.NotAfter,
+		Value:    waiting{query: query, turn: make(chan string, 1)},
+	}
+}
+
+// judge refuses a request that could not end inside its window.
+func (p *pool) judge(now time.Time, r *Request, w *admit.Waiter[waiting]) *Refused {
+	if !p.table.Usable() {
+		refused := unavailable("no-target", now.Add(time.Second),
+			"no target of service %q is usable from entry VM %s", p.service, p.place.Name)
+		return &refused
+	}
+	slots, _ := p.table.Slots()
+	mean, ahead := p.table.MeanDuration(), p.queue.Ahead(w)
+	wait := mean * time.Duration(ahead+1) / time.Duration(max(1, slots))
+	if left := r.remaining(now); wait+mean > left {
+		refused := unavailable("window-too-short", now.Add(wait+mean-left),
+			"%d requests are ahead on %d slots and each takes %s: an expected wait of %s does not fit into the %s left",
+			ahead, slots, mean.Round(time.Microsecond), wait.Round(time.Microsecond), left.Round(time.Microsecond))
+		return &refused
+	}
+	return nil
+}
+
+// late is the refusal of a request that waited in vain.
+func (p *pool) late(r *Request) *Refused {
+	now := p.now()
+	refused := unavailable("window-passed", now,
+		"no slot of service %q came free within %s", p.service, now.Sub(r.ArrivedAt).Round(time.Microsecond))
+	return &refused
+}
+
+// leave takes a request out of the queue when its context has ended. A slot
+// that was taken for it meanwhile is given back.
+func (p *pool) leave(r *Request, w *admit.Waiter[waiting]) (slot, *Refused) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.queue.Remove(w) {
+		if name, ok := <-w.Value.turn; ok {
+			now := p.now()
+			p.table.Finish(now, name, route.Unused{})
+			p.serve(now)
+		}
+	}
+	return slot{}, p.late(r)
+}
+
+// serve gives free slots to waiting requests. The pool is locked.
+func (p *pool) serve(now time.Time) {
+	for p.queue.Len() > 0 && p.table.Ready() {
+		w, late := p.queue.Pop(now.Add(p.table.MeanDuration()))
+		for _, l := range late {
+			close(l.Value.turn)
+		}
+		if w == nil {
+			return
+		}
+		name, ok := p.table.Pick(now, w.Value.query)
+		if !ok {
+			p.queue.Push(w)
+			return
+		}
+		w.Value.turn <- name
+	}
+}
+
+// follow sets the table from the roster if that has changed. The pool is locked.
+func (p *pool) follow(now time.Time) {
+	view := p.roster()
+	if view == nil {
+		return
+	}
+	seat, usable := seatOf(view, p.place.Name, now)
+	if view == p.view && usable == p.usable {
+		return
+	}
+	p.view, p.usable = view, usable
+	var shares []route.Share
+	listed := make(map[string]bool)
+	for i := range view.Targets {
+		t := &view.Targets[i]
+		if t.Service != p.service || t.Domain != p.place.Domain {
+			continue
+		}
+		listed[t.Name] = true
+		p.connect(t)
+		if usable && t.State == roster.Live {
+			shares = append(shares, route.Share{Name: t.Name, Slots: route.FloorSlots(t.Name, t.Slots, seat, view.Seats)})
+		}
+	}
+	p.table.Set(shares)
+	p.disconnect(listed)
+}
+
+// connect makes the lanes of a target, anew if its address has changed.
+func (p *pool) connect(t *roster.Target) {
+	present := p.lanes[t.Name]
+	if present != nil && present.address == t.Address {
+		return
+	}
+	if present != nil {
+		present.close()
+	}
+	p.lanes[t.Name] = &lanes{address: t.Address}
+}
+
+// disconnect closes the lanes of targets that are not listed.
+func (p *pool) disconnect(listed map[string]bool) {
+	for name, l := range p.lanes {
+		if !listed[name] {
+			l.close()
+			delete(p.lanes, name)
+		}
+	}
+}
+
+func (p *pool) slotOf(name string) slot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.slot(name)
+}
+
+// slot returns the slot of a target. A target that has just left the list gets
+// lanes without an address, so that dialing it fails.
+func (p *pool) slot(name string) slot {
+	l := p.lanes[name]
+	if l == nil {
+		l = &lanes{}
+	}
+	return slot{target: name, lanes: l}
+}
+
+// seatOf returns the seat of an entry VM and whether it may use the slots of it.
+func seatOf(view *roster.View, name string, now time.Time) (seat int, usable bool) {
+	for i := range view.VMs {
+		if vm := &view.VMs[i]; vm.Name == name {
+			return vm.Seat, vm.Seat >= 0 && !now.Before(vm.SeatUsableAt)
+		}
+	}
+	return -1, false
+}
--- /dev/null
+++ b/entry/front/problem.go
@@ -0,0 +1,134 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/jx"
+	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/ogen-go/ogen/validate"
+
+	"tanagerstack.org/core/api/caller"
+)
+
+// acceptedValues says what the parameters accept, for errors that the generated
+// code finds.
+func acceptedValues(parameter string) string {
+	switch parameter {
+	case "X-Request-Id":
+		return "1 to 120 characters"
+	case "X-Idempotent":
+		return "true or false"
+	case "X-Not-After":
+		return "an instant such as 2026-12-04T08:00:00Z"
+	default:
+		return "a value as the API document describes it"
+	}
+}
+
+// problemOf turns an outcome that is not Completed into a problem document.
+func problemOf(o Outcome, id string) *caller.ProblemStatusCode {
+	switch o := o.(type) {
+	case Refused:
+		p := problem(o.Status, o.Reason, o.Detail)
+		p.Response.Outcome.SetTo(caller.ProblemOutcomeRefused)
+		p.Response.RequestID.SetTo(id)
+		setField(p, o.Field, o.Accepted)
+		if !o.RetryAt.IsZero() {
+			p.Response.RetryAt.SetTo(o.RetryAt.UTC())
+		}
+		return p
+	case Unknown:
+		p := problem(http.StatusGatewayTimeout, "unknown-outcome", o.Detail)
+		p.Response.Outcome.SetTo(caller.ProblemOutcomeUnknown)
+		p.Response.RequestID.SetTo(id)
+		return p
+	default:
+		return problem(http.StatusInternalServerError, "internal", "unexpected outcome")
+	}
+}
+
+func problem(status int, reason, detail string) *caller.ProblemStatusCode {
+	return &caller.ProblemStatusCode{StatusCode: status, Response: caller.Problem{
+		Title:  http.StatusText(status),
+		Status: status,
+		Detail: detail,
+		Reason: caller.NewOptString(reason),
+	}}
+}
+
+func setField(p *caller.ProblemStatusCode, field, accepted string) {
+	if field != "" {
+		p.Response.Field.SetTo(field)
+	}
+	if accepted != "" {
+		p.Response.Accepted.SetTo(accepted)
+	}
+}
+
+// problemOfError turns an error of the generated server into a problem document.
+// None of them comes after a request was sent on, so all are refusals.
+func problemOfError(err error) *caller.ProblemStatusCode {
+	p := problem(http.StatusInternalServerError, "internal", err.Error())
+	var security *ogenerrors.SecurityError
+	var parameter *ogenerrors.DecodeParamError
+	var contentType *validate.InvalidContentTypeError
+	var request *ogenerrors.DecodeRequestError
+	switch {
+	case errors.Is(err, errNoPolicy):
+		p = problem(http.StatusServiceUnavailable, "no-policy", errNoPolicy.Error())
+		p.Response.RetryAt.SetTo(time.Now().Add(time.Second).UTC())
+	case errors.As(err, &security):
+		p = problem(http.StatusUnauthorized, "unauthorized", "a bearer token of a caller in the policy is required")
+	case errors.As(err, &parameter):
+		p = problem(http.StatusBadRequest, "bad-parameter", parameter.Error())
+		setField(p, parameter.Name, acceptedValues(parameter.Name))
+	case errors.As(err, &contentType):
+		p = problem(http.StatusUnsupportedMediaType, "bad-content-type", contentType.Error())
+		setField(p, "Content-Type", "application/octet-stream for requests, application/json for jobs")
+	case errors.As(err, &request):
+		p = problem(http.StatusBadRequest, "bad-body", request.Error())
+		setField(p, bodyField(err), "the shape that the API document describes")
+	}
+	p.Response.Outcome.SetTo(caller.ProblemOutcomeRefused)
+	return p
+}
+
+// bodyField names the field of a JSON body that is at fault, if that is known.
+func bodyField(err error) string {
+	var invalid *validate.Error
+	if errors.As(err, &invalid) && len(invalid.Fields) > 0 {
+		return invalid.Fields[0].Name
+	}
+	return "body"
+}
+
+// handleError is the generated server's error handler.
+func handleError(_ context.Context, w http.ResponseWriter, r *http.Request, err error) {
+	var params *ogenerrors.DecodeParamsError
+	var request *ogenerrors.DecodeRequestError
+	if !errors.As(err, &params) && !errors.As(err, &request) {
+		// The answer has begun. Cutting the connection shows that it is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	writeProblem(w, problemOfError(err))
+	_ = r.Body.Close()
+}
+
+func writeProblem(w http.ResponseWriter, p *caller.ProblemStatusCode) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(p.StatusCode)
+	var e jx.Encoder
+	p.Response.Encode(&e)
+	_, _ = e.WriteTo(w)
+}
+
+// notFound answers requests for paths that the API does not have.
+func notFound(w http.ResponseWriter, r *http.Request) {
+	p := problem(http.StatusNotFound, "unknown-path", "the API has no path "+r.URL.Path)
+	setField(p, "path", "/v1/services/{service}/requests, /v1/jobs, /v1/jobs/{id}")
+	p.Response.Outcome.SetTo(caller.ProblemOutcomeRefused)
+	writeProblem(w, p)
+}
--- /dev/null
+++ b/entry/front/relay.go
@@ -0,0 +1,186 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"tanagerstack.org/core/claim"
+	"tanagerstack.org/core/peer"
+	"tanagerstack.org/core/roster"
+	"tanagerstack.org/core/route"
+)
+
+const (
+	// reasonUnreachable: the owner of the claim did not get the message.
+	reasonUnreachable = "claim-owner-unreachable"
+	// placesTried bounds the entry VMs that one request is passed on to.
+	placesTried = 3
+	// holdTimeout bounds the messages about claims.
+	holdTimeout = 500 * time.Millisecond
+	// regionBurst is how many seconds of the byte budget may be used at once.
+	regionBurst = 2
+)
+
+// relay passes requests and claims on to other entry VMs.
+type relay struct {
+	place   route.Place
+	peers   *peer.Node
+	roster  func() *roster.View
+	now     func() time.Time
+	metrics *metrics
+	claims  *claims
+
+	mu sync.Mutex
+	// bytes is the budget for traffic to other regions.
+	bytes *rate.Limiter
+}
+
+// call sends a message to an entry VM and waits for the answer.
+func call[A any](ctx context.Context, f *relay, vm roster.VM, q peer.Message) (A, error) {
+	if f.peers == nil {
+		var none A
+		return none, fmt.Errorf("message to %s: %w", vm.Name, peer.ErrNotSent)
+	}
+	return peer.Call[A](ctx, f.peers, peer.Address{Name: vm.Name, Addr: vm.Peer}, q)
+}
+
+// notHandled reports whether an error proves that the peer did nothing.
+func notHandled(err error) bool {
+	var remote *peer.RemoteError
+	if errors.As(err, &remote) {
+		return !remote.Handled()
+	}
+	return errors.Is(err, peer.ErrNotSent)
+}
+
+// pass sends the request to another entry VM and returns its outcome there, or
+// an error that proves that nothing was done with it.
+func (f *relay) pass(ctx context.Context, r *Request, vm roster.VM, stage string) (Outcome, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.NotAfter)
+	defer cancel()
+	f.metrics.passed.Add(1)
+	result, err := call[Result](ctx, f, vm, Pass{
+		Stage:      stage,
+		Caller:     r.Caller,
+		Service:    r.Service,
+		ID:         r.ID,
+		Class:      r.Class,
+		Idempotent: r.Idempotent,
+		NotAfter:   r.NotAfter,
+		Body:       r.Body,
+		Acting:     r.acting,
+	})
+	switch {
+	case err == nil:
+		return result.outcome(), nil
+	case notHandled(err):
+		return nil, err
+	default:
+		return Unknown{Detail: fmt.Sprintf("entry VM %s: %s", vm.Name, err)}, nil
+	}
+}
+
+// toClaimant brings the request to an entry VM that keeps the claim on it.
+func (f *relay) toClaimant(ctx context.Context, r *Request, vm roster.VM) Outcome {
+	outcome, err := f.pass(context.WithoutCancel(ctx), r, vm, stageOwn)
+	if err != nil {
+		return unavailable(reasonUnreachable, f.now().Add(time.Second),
+			"entry VM %s keeps the claim on this request and cannot be reached: %s", vm.Name, err)
+	}
+	return outcome
+}
+
+// placeElsewhere passes the request on to where the service has targets. It returns nil
+// if no entry VM could take it.
+func (f *relay) placeElsewhere(ctx context.Context, r *Request) Outcome {
+	candidates := route.Elsewhere(f.roster(), f.place, r.Service, r.ID, f.now())
+	var refused Outcome
+	for _, vm := range candidates[:min(placesTried, len(candidates))] {
+		if vm.Region != f.place.Region && !f.spend(r) {
+			break
+		}
+		if outcome := f.claims.secure(ctx, r); outcome != nil {
+			return outcome
+		}
+		outcome, err := f.pass(ctx, r, vm, stagePlace)
+		if err != nil {
+			continue
+		}
+		if _, again := outcome.(Refused); !again && !f.again(r, outcome) {
+			return outcome
+		}
+		refused = outcome
+	}
+	return refused
+}
+
+// again reports whether an idempotent request may go on to the next entry VM
+// although the last one may have run it.
+func (f *relay) again(r *Request, outcome Outcome) bool {
+	_, unknown := outcome.(Unknown)
+	return unknown && r.Idempotent
+}
+
+// spend takes the bytes of a request from the budget for other regions.
+func (f *relay) spend(r *Request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	budget := r.version.Document.Regions.BytesPerSecond
+	limit, burst := rate.Limit(budget), int(budget*regionBurst)
+	if f.bytes == nil {
+		f.bytes = rate.NewLimiter(limit, burst)
+	}
+	now := f.now()
+	if f.bytes.Limit() != limit {
+		f.bytes.SetLimitAt(now, limit)
+		f.bytes.SetBurstAt(now, burst)
+	}
+	allowed := f.bytes.AllowN(now, len(r.Body))
+	if allowed {
+		f.metrics.regionBytes.Add(int64(len(r.Body)))
+	}
+	return allowed
+}
+
+// lookup asks for the outcome of a request that another entry VM has claimed.
+func (f *relay) lookup(ctx context.Context, r *Request, vm roster.VM) Outcome {
+	ctx, cancel := context.WithDeadline(ctx, r.NotAfter)
+	defer cancel()
+	result, err := call[Result](ctx, f, vm, Lookup{Key: r.key(), NotAfter: r.NotAfter})
+	if err != nil {
+		return Unknown{Detail: fmt.Sprintf("entry VM %s has claimed this request and does not answer: %s", vm.Name, err)}
+	}
+	return result.outcome()
+}
+
+// hold asks the replica to remember a claim.
+func (f *relay) hold(ctx context.Context, c *claim.Claim[Outcome], vm roster.VM) (HoldAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	return call[HoldAnswer](ctx, f, vm, Hold{Claim: heldClaim(c)})
+}
+
+// release ends a hold. A lost message is harmless: the owner may replace it.
+func (f *relay) release(ctx context.Context, c *claim.Claim[Outcome], vm roster.VM) {
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	if _, err := call[ReleaseAnswer](ctx, f, vm, Release{Key: c.Key, Nonce: c.Nonce}); err != nil {
+		f.metrics.holdsLeft.Add(1)
+	}
+}
+
+// recall asks for the claims that another entry VM holds in memory.
+func (f *relay) recall(ctx context.Context, vm roster.VM) (RecallAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	return call[RecallAnswer](ctx, f, vm, Recall{})
+}
+
+func heldClaim(c *claim.Claim[Outcome]) HeldClaim {
+	return HeldClaim{Key: c.Key, Owner: c.Owner, Nonce: c.Nonce, Digest: c.Digest, KeepUntil: c.KeepUntil}
+}
--- /dev/null
+++ b/entry/front/router.go
@@ -0,0 +1,141 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tanagerstack.org/core/policy"
+	"tanagerstack.org/core/roster"
+	"tanagerstack.org/core/route"
+)
+
+// attemptShare is the share of the remaining window that an attempt may take
+// while another one is allowed after it.
+const attemptShare = 0.5
+
+// router is the last filter. It takes a slot, has the request dispatched, and
+// tries again elsewhere where that is safe.
+type router struct {
+	place  route.Place
+	roster func() *roster.View
+	now    func() time.Time
+	relay  *relay
+
+	mu    sync.Mutex
+	pools map[string]*pool
+
+	budgetMu sync.Mutex
+	budget   route.Budget
+}
+
+// Apply implements Filter.
+func (f *router) Apply(ctx context.Context, r *Request, next Next) Outcome {
+	f.firstTry(r.version.Document.Retry)
+	var query route.Query
+	query.Careful = !r.Idempotent
+	var last Outcome
+	for attempt := 1; ; attempt++ {
+		p := f.pool(r.Service)
+		taken, refused := p.acquire(ctx, r, query)
+		if refused != nil {
+			return f.elsewhere(ctx, r, last, *refused)
+		}
+		r.slot = taken
+		last = f.try(ctx, r, next, attempt)
+		p.finish(taken, r.attempt)
+		if !f.mayRetry(r, last, attempt) {
+			return last
+		}
+		query.Avoid = append(query.Avoid, taken.target)
+	}
+}
+
+// try has the request dispatched once.
+func (f *router) try(ctx context.Context, r *Request, next Next, attempt int) Outcome {
+	deadline := r.NotAfter
+	if r.Idempotent && attempt < r.version.Document.Retry.Attempts {
+		now := f.now()
+		deadline = now.Add(time.Duration(attemptShare * float64(r.remaining(now))))
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	return next(ctx, r)
+}
+
+// mayRetry decides whether the request goes to another target after an attempt.
+// One that provably did not run may; one that may have run only if it is
+// idempotent. Both need time, a policy that allows it and a budget.
+func (f *router) mayRetry(r *Request, last Outcome, attempt int) bool {
+	switch r.attempt.(type) {
+	case route.NotSent, route.Rejected:
+	case route.Failed, route.Lost:
+		if !r.Idempotent {
+			return false
+		}
+	default:
+		return false
+	}
+	if _, done := last.(Completed); done {
+		return false
+	}
+	if attempt >= r.version.Document.Retry.Attempts || r.remaining(f.now()) <= 0 {
+		return false
+	}
+	return f.retry()
+}
+
+// elsewhere passes the request on to entry VMs that may have a slot for it. It
+// returns what the attempts before led to if nobody has.
+func (f *router) elsewhere(ctx context.Context, r *Request, last Outcome, refused Refused) Outcome {
+	if r.origin == fromOwner || ctx.Err() != nil {
+		return firstOf(last, refused)
+	}
+	if outcome := f.relay.placeElsewhere(ctx, r); outcome != nil {
+		return outcome
+	}
+	return firstOf(last, refused)
+}
+
+// firstOf returns the outcome, or the refusal if there is none.
+func firstOf(last Outcome, refused Refused) Outcome {
+	if last != nil {
+		return last
+	}
+	return refused
+}
+
+// pool returns the pool of a service.
+func (f *router) pool(service string) *pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pools[service]
+	if p == nil {
+		p = newPool(service, f.place, f.roster, f.now)
+		f.pools[service] = p
+	}
+	return p
+}
+
+// all returns the pools.
+func (f *router) all() []*pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pools := make([]*pool, 0, len(f.pools))
+	for _, p := range f.pools {
+		pools = append(pools, p)
+	}
+	return pools
+}
+
+func (f *router) firstTry(p policy.Retry) {
+	f.budgetMu.Lock()
+	defer f.budgetMu.Unlock()
+	f.budget.FirstTry(p.Ratio)
+}
+
+func (f *router) retry() bool {
+	f.budgetMu.Lock()
+	defer f.budgetMu.Unlock()
+	return f.budget.Retry()
+}
