--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -17,6 +17,7 @@
 	maxSeats         = 64
 	DefaultDrain     = 30 * time.Second
 	maxDrain         = 10 * time.Minute
+	maxVerbosity     = 9
 )
 
 // Settings are all that an entry VM is told at its start.
@@ -56,6 +57,8 @@
 	Seats int
 	// Drain is the longest that a graceful shutdown waits for requests in flight.
 	Drain time.Duration
+	// Verbosity selects how much is logged.
+	Verbosity int
 }
 
 // Bind adds a flag for each setting. The values that flags get are kept as text
@@ -136,5 +139,7 @@
 			func(s *Settings) *int { return &s.Seats }),
 		durationField("drain", DefaultDrain, time.Second, maxDrain, "the longest that a stop waits for requests in flight",
 			func(s *Settings) *time.Duration { return &s.Drain }),
+		countField("verbosity", 0, 0, maxVerbosity, "how much to log",
+			func(s *Settings) *int { return &s.Verbosity }),
 	}
 }
