--- a/core/roster/seater.go
+++ b/core/roster/seater.go
@@ -48,6 +48,8 @@
 	// pausedAt is when a pause was last noticed. A read that began before it
 	// confirms nothing.
 	pausedAt time.Time
+	// released is set for good once the seat was given up.
+	released bool
 }
 
 func newSeater(opts Options, instance string) *seater {
@@ -82,6 +84,9 @@
 		return fmt.Errorf("seats: %w", err)
 	}
 	s.learn(rows, in.now)
+	if s.isReleased() {
+		return nil
+	}
 	own := s.own(rows)
 	present, err := decodeSeats(own.Value)
 	if err != nil {
@@ -147,6 +152,9 @@
 // release gives up the use of the seat after the VM's last request has ended.
 // The VM keeps the seat, and its next instance may use it at once.
 func (s *seater) release(ctx context.Context, now time.Time) error {
+	s.mu.Lock()
+	s.released = true
+	s.mu.Unlock()
 	row, err := s.tables.Read(ctx, tableName, s.domain)
 	if err != nil {
 		return fmt.Errorf("releasing the seat: %w", err)
@@ -163,12 +171,18 @@
 	return s.write(ctx, row, present, now)
 }
 
+func (s *seater) isReleased() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.released
+}
+
 // ownSeat returns the seat of this instance and the instant until which it may
 // be used without reading the row again, or nil.
 func (s *seater) ownSeat() (*seat, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.confirmed {
+	if !s.confirmed || s.released {
 		return nil, time.Time{}
 	}
 	mine := s.rows[s.domain].row.of(s.vm)
--- /dev/null
+++ b/entry/node/node.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"tanagerstack.org/core/api/member"
+	"tanagerstack.org/core/burn"
+	"tanagerstack.org/core/conf"
+	"tanagerstack.org/core/keys"
+	"tanagerstack.org/core/peer"
+	"tanagerstack.org/core/policy"
+	"tanagerstack.org/core/roster"
+	"tanagerstack.org/core/store"
+	"tanagerstack.org/core/trace"
+	"tanagerstack.org/entry/oper"
+)
+
+const (
+	membersTimeout = 5 * time.Second
+	// noticeTime is how long a stopping VM goes on taking requests, so that the
+	// balancer and the other VMs notice that it is leaving.
+	noticeTime = time.Second
+	// closeTime bounds the end of a stop, after requests in flight have ended.
+	closeTime = 5 * time.Second
+)
+
+// Node is the daemon of one entry VM.
+type Node struct {
+	settings conf.Settings
+	policy   *policy.Keeper
+	trace    *trace.Log
+	burn     *burn.Recorder
+	tables   *store.Client
+	peers    *peer.Node
+	roster   *roster.Tracker
+	oper     *oper.Operators
+	health   *health
+
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+// New builds a node. The peer socket is open when it returns.
+func New(settings conf.Settings) (*Node, error) {
+	n := &Node{
+		settings: settings,
+		policy:   &policy.Keeper{},
+		trace:    trace.NewLog(trace.Options{VM: settings.Name}),
+		burn:     burn.NewRecorder(burn.Options{}),
+		stop:     make(chan struct{}),
+	}
+	mux := peer.NewMux()
+	if err := n.connect(mux); err != nil {
+		return nil, err
+	}
+	if err := n.assemble(mux); err != nil {
+		return nil, errors.Join(err, n.close(context.Background()))
+	}
+	n.health = &health{policy: n.policy, view: n.roster.View}
+	return n, nil
+}
+
+// connect makes the links to the platform and to the other entry VMs.
+func (n *Node) connect(mux *peer.Mux) error {
+	s := n.settings
+	source, err := keys.NewSource(keys.Files{CA: s.CAFile, Cert: s.CertFile, Key: s.KeyFile})
+	if err != nil {
+		return fmt.Errorf("keys: %w", err)
+	}
+	n.tables, err = store.New(store.Options{Address: s.Tables})
+	if err != nil {
+		return err
+	}
+	n.peers, err = peer.NewNode(peer.Options{Name: s.Name, Listen: s.Peers, Keys: source, Mux: mux})
+	if err != nil {
+		n.tables.Close()
+		return err
+	}
+	return nil
+}
+
+// assemble builds the parts that rest on the links.
+func (n *Node) assemble(mux *peer.Mux) error {
+	if err := n.buildRoster(); err != nil {
+		return err
+	}
+	if err := n.buildOperators(); err != nil {
+		return err
+	}
+	n.roster.Register(mux)
+	n.oper.Register(mux)
+	return nil
+}
+
+func (n *Node) buildRoster() error {
+	s := n.settings
+	members, err := member.NewClient("http://"+s.Members.String(), member.WithClient(&http.Client{Timeout: membersTimeout}))
+	if err != nil {
+		return fmt.Errorf("client of the membership list: %w", err)
+	}
+	n.roster, err = roster.NewTracker(roster.Options{
+		Name:          s.Name,
+		Domain:        s.Domain,
+		Region:        s.Region,
+		Callers:       s.Callers,
+		Peer:          s.Peers,
+		Members:       members,
+		Seeds:         s.Seeds,
+		Peers:         n.peers,
+		Tables:        n.tables,
+		Seats:         s.Seats,
+		ClockSkew:     s.ClockSkew,
+		Window:        n.longestWindow,
+		PolicyVersion: n.policyVersion,
+	})
+	return err
+}
+
+func (n *Node) buildOperators() (err error) {
+	n.oper, err = oper.New(oper.Options{
+		Name:           n.settings.Name,
+		Domain:         n.settings.Domain,
+		Region:         n.settings.Region,
+		Policy:         n.policy,
+		Roster:         n.roster.View,
+		Peers:          n.peers,
+		Tables:         n.tables,
+		Trace:          n.trace,
+		Burn:           n.burn,
+		Drain:          n.Stop,
+		OperatorTokens: n.settings.OperatorTokens,
+	})
+	return err
+}
+
+// longestWindow is zero while no policy is in force.
+func (n *Node) longestWindow() time.Duration {
+	version := n.policy.Current()
+	if version == nil {
+		return 0
+	}
+	return version.Document.LongestWindow()
+}
+
+func (n *Node) policyVersion() int64 {
+	version := n.policy.Current()
+	if version == nil {
+		return 0
+	}
+	return version.Number
+}
+
+// Stop begins a graceful shutdown and returns at once.
+func (n *Node) Stop() {
+	n.stopOnce.Do(func() { close(n.stop) })
+}
+
+// Run serves until ctx ends or Stop is called, and shuts down gracefully. The
+// error is nil if no request in flight was cut off.
+func (n *Node) Run(ctx context.Context) error {
+	servers, err := n.listen()
+	if err != nil {
+		return errors.Join(err, n.close(context.Background()))
+	}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n.start(work)
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go s.run(failed)
+	}
+	klog.InfoS("Entry VM started", "name", n.settings.Name, "domain", n.settings.Domain,
+		"callers", n.settings.Callers, "operators", n.settings.Operators, "peers", n.peers.Addr())
+	select {
+	case err = <-failed:
+		klog.ErrorS(err, "A listener failed; stopping")
+	case <-n.stop:
+	case <-ctx.Done():
+	}
+	return errors.Join(err, n.shutdown(servers, cancel))
+}
+
+func (n *Node) start(ctx context.Context) {
+	n.roster.Start(ctx)
+	n.oper.Start(ctx)
+}
+
+// shutdown ends the node in an order that cuts off nothing: peers and balancer
+// hear of it first, and what requests in flight need is closed last.
+func (n *Node) shutdown(servers []*server, cancel context.CancelFunc) error {
+	klog.InfoS("Stopping", "name", n.settings.Name)
+	n.health.leaving.Store(true)
+	n.roster.SetLeaving()
+	time.Sleep(noticeTime)
+	closing, cancelClose := context.WithTimeout(context.Background(), closeTime)
+	defer cancelClose()
+	if err := n.roster.Release(closing); err != nil {
+		klog.ErrorS(err, "Seat not released; the next start waits for it")
+	}
+	for _, s := range servers {
+		s.shutdown(closing)
+	}
+	cancel()
+	if err := n.close(closing); err != nil {
+		klog.V(1).ErrorS(err, "Links not closed in order")
+	}
+	klog.InfoS("Stopped", "name", n.settings.Name)
+	klog.Flush()
+	return nil
+}
+
+func (n *Node) close(ctx context.Context) error {
+	n.tables.Close()
+	return n.peers.Close(ctx)
+}
