Use the seat as the roster shows it, and refuse at once when all targets were tried

Cause: the roster now tells until when a paused VM's seat holds. A retried request with no target left waited for the rest of its window. Change: pools take OwnSeat; Usable looks at the request; a waiter that suits no free target no longer blocks those behind it.

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -177,10 +177,11 @@
 // Ready reports whether any target may take a request.
 func (t *Table) Ready() bool { return len(t.ready) > 0 }
 
-// Usable reports whether any target that is neither leaving nor ejected has slots here.
-func (t *Table) Usable() bool {
+// Usable reports whether any target with slots here, busy or not, could take
+// the request.
+func (t *Table) Usable(now time.Time, q Query) bool {
 	for _, e := range t.entries {
-		if e.slots > 0 && !e.leaving && e.ejectedUntil.IsZero() {
+		if e.limit() > 0 && e.accepts(now, q) {
 			return true
 		}
 	}
--- a/entry/front/fleet_test.go
+++ b/entry/front/fleet_test.go
@@ -159,8 +159,10 @@
 
 // show gives all entry VMs the view.
 func (f *fleet) show(view *roster.View) {
-	for _, v := range f.vms {
-		v.view.Store(view)
+	for i, v := range f.vms {
+		own := *view
+		own.Self, own.Seat, own.SeatLapsesAt = v.opts.Name, i, time.Now().Add(time.Hour)
+		v.view.Store(&own)
 	}
 }
 
@@ -196,7 +198,7 @@
 		f.t.Fatal(err)
 	}
 	v.Register(mux)
-	v.view.Store(&roster.View{})
+	v.view.Store(&roster.View{Seat: -1})
 	v.server = httptest.NewServer(v.Handler())
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
--- a/entry/front/pool.go
+++ b/entry/front/pool.go
@@ -122,7 +122,7 @@
 
 // judge refuses a request that could not end inside its window.
 func (p *pool) judge(now time.Time, r *Request, w *admit.Waiter[waiting]) *Refused {
-	if !p.table.Usable() {
+	if !p.table.Usable(now, w.Value.query) {
 		refused := unavailable("no-target", now.Add(time.Second),
 			"no target of service %q is usable from entry VM %s", p.service, p.place.Name)
 		return &refused
@@ -164,20 +164,23 @@
 
 // serve gives free slots to waiting requests. The pool is locked.
 func (p *pool) serve(now time.Time) {
+	var unsuited []*admit.Waiter[waiting]
 	for p.queue.Len() > 0 && p.table.Ready() {
 		w, late := p.queue.Pop(now.Add(p.table.MeanDuration()))
 		for _, l := range late {
 			close(l.Value.turn)
 		}
 		if w == nil {
-			return
+			break
 		}
-		name, ok := p.table.Pick(now, w.Value.query)
-		if !ok {
-			p.queue.Push(w)
-			return
+		if name, ok := p.table.Pick(now, w.Value.query); ok {
+			w.Value.turn <- name
+		} else {
+			unsuited = append(unsuited, w)
 		}
-		w.Value.turn <- name
+	}
+	for _, w := range unsuited {
+		p.queue.Push(w)
 	}
 }
 
@@ -187,7 +190,7 @@
 	if view == nil {
 		return
 	}
-	seat, usable := seatOf(view, p.place.Name, now)
+	seat, usable := view.OwnSeat(now)
 	if view == p.view && usable == p.usable {
 		return
 	}
@@ -246,13 +249,3 @@
 	}
 	return slot{target: name, lanes: l}
 }
-
-// seatOf returns the seat of an entry VM and whether it may use the slots of it.
-func seatOf(view *roster.View, name string, now time.Time) (seat int, usable bool) {
-	for i := range view.VMs {
-		if vm := &view.VMs[i]; vm.Name == name {
-			return vm.Seat, vm.Seat >= 0 && !now.Before(vm.SeatUsableAt)
-		}
-	}
-	return -1, false
-}
--- a/entry/front/serve.go
+++ b/entry/front/serve.go
@@ -7,7 +7,6 @@
 
 	"tanagerstack.org/core/claim"
 	"tanagerstack.org/core/peer"
-	"tanagerstack.org/core/roster"
 	"tanagerstack.org/core/store"
 )
 
@@ -89,7 +88,7 @@
 // receiveRecall lists what only memories know.
 func (f *claims) receiveRecall(context.Context, peer.Identity, Recall) (RecallAnswer, error) {
 	now := f.now()
-	_, usable := seatOf(f.roster(), f.place.Name, now)
+	_, usable := f.roster().OwnSeat(now)
 	answer := RecallAnswer{Unsure: !usable && !f.remembers()}
 	for _, c := range f.book.Unstored(now, recallLimit) {
 		answer.Claims = append(answer.Claims, heldClaim(c))
@@ -104,7 +103,7 @@
 // in memory. Only when all have answered may this VM rely on the tables.
 func (f *claims) learn(ctx context.Context) {
 	view := f.roster()
-	if f.synced.Load() || view == nil || !seated(view, f.place.Name) {
+	if f.synced.Load() || view == nil || view.Seat < 0 {
 		return
 	}
 	for i := range view.VMs {
@@ -159,9 +158,3 @@
 func claimOf(h HeldClaim) *claim.Claim[Outcome] {
 	return &claim.Claim[Outcome]{Key: h.Key, Owner: h.Owner, Nonce: h.Nonce, Digest: h.Digest, KeepUntil: h.KeepUntil}
 }
-
-// seated reports whether an entry VM has a seat.
-func seated(view *roster.View, name string) bool {
-	seat, _ := seatOf(view, name, view.AsOf)
-	return seat >= 0
-}
