--- /dev/null
+++ b/admin/exception.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"tanagerstack.org/core/policy"
+)
+
+func exceptionCommand(options *connection) *cobra.Command {
+	command := &cobra.Command{
+		Use:   "exception",
+		Short: "List, add and remove exceptions from the defaults",
+		Long: `List, add and remove exceptions from the defaults.
+
+An exception matches requests by caller, class and service. The first in the list
+that matches and has not ended replaces the limits that it sets. Each needs a
+written reason.`,
+	}
+	command.AddCommand(exceptionListCommand(options), exceptionAddCommand(options), exceptionRemoveCommand(options))
+	return command
+}
+
+func exceptionListCommand(options *connection) *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "List the exceptions in force, in the order in which they are tried",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			doc, err := currentDocument(cmd, options)
+			if err != nil {
+				return err
+			}
+			p := &printer{out: cmd.OutOrStdout()}
+			table := p.table("NAME", "CALLER", "CLASS", "SERVICE", "UNTIL", "AUTHOR", "REASON")
+			for i := range doc.Exceptions {
+				e := &doc.Exceptions[i]
+				table.row(e.Name, orAny(e.Caller), orAny(e.Class), orAny(e.Service), until(e), e.Author, e.Reason)
+			}
+			table.end()
+			for _, warning := range doc.Lint(time.Now()) {
+				p.printf("warning: %s\n", warning)
+			}
+			return p.err
+		},
+	}
+}
+
+func exceptionAddCommand(options *connection) *cobra.Command {
+	var e policy.Exception
+	var window time.Duration
+	var end string
+	command := &cobra.Command{
+		Use:   "add NAME --reason TEXT",
+		Short: "Add an exception at the end of the list",
+		Example: `  tanager exception add archive --caller partners --class master --burst 20 \
+    --until 2026-12-24T18:00:00Z --reason "The partners move their archive until Christmas."`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			e.Name, e.Author, e.Limits.Window = args[0], options.author, policy.Duration(window)
+			if e.Author == "" {
+				return errors.New("--author: an exception needs somebody who answers for it (TANAGER_AUTHOR)")
+			}
+			if err := setEnd(&e, end); err != nil {
+				return err
+			}
+			number, text, err := currentText(cmd, options)
+			if err != nil {
+				return err
+			}
+			edited, err := policy.AddException(text, e)
+			if err != nil {
+				return err
+			}
+			return applyDocument(cmd, options, number, edited, e.Reason)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&e.Caller, "caller", "", "only requests of this caller")
+	flags.StringVar(&e.Class, "class", "", "only requests of this class")
+	flags.StringVar(&e.Service, "service", "", "only requests to this service")
+	flags.StringVar(&e.Reason, "reason", "", "why, in a sentence; it is kept with the exception")
+	flags.StringVar(&end, "until", "", "instant at which the exception ends, such as 2026-12-24T18:00:00Z")
+	flags.Float64Var(&e.Limits.RequestsPerSecond, "requests-per-second", 0, "sustained rate of one caller")
+	flags.IntVar(&e.Limits.Burst, "burst", 0, "requests at once on top of the rate")
+	flags.IntVar(&e.Limits.Concurrent, "concurrent", 0, "requests of one caller in flight on one entry VM")
+	flags.Int64Var(&e.Limits.BodyBytes, "body-bytes", 0, "largest request body")
+	flags.DurationVar(&window, "window", 0, "longest window that a request may declare")
+	flags.IntVar(&e.Limits.JobTasks, "job-tasks", 0, "most tasks of one job")
+	flags.IntVar(&e.Limits.PendingJobs, "pending-jobs", 0, "most jobs of one caller that have not ended")
+	return command
+}
+
+func setEnd(e *policy.Exception, text string) error {
+	if text == "" {
+		return nil
+	}
+	end, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return fmt.Errorf("--until %q is not an instant such as 2026-12-24T18:00:00Z", text)
+	}
+	if !end.After(time.Now()) {
+		return fmt.Errorf("--until %s is in the past", text)
+	}
+	e.Until = end
+	return nil
+}
+
+func exceptionRemoveCommand(options *connection) *cobra.Command {
+	var reason string
+	command := &cobra.Command{
+		Use:     "remove NAME --reason TEXT",
+		Short:   "Remove an exception",
+		Example: `  tanager exception remove archive --reason "The archive has been moved."`,
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			number, text, err := currentText(cmd, options)
+			if err != nil {
+				return err
+			}
+			edited, err := policy.RemoveException(text, args[0])
+			if err != nil {
+				return err
+			}
+			return applyDocument(cmd, options, number, edited, reason)
+		},
+	}
+	command.Flags().StringVar(&reason, "reason", "", "why, in a sentence; it is kept in the history")
+	return command
+}
+
+// currentText returns the number and the text of the version in force.
+func currentText(cmd *cobra.Command, options *connection) (int64, string, error) {
+	v, err := readVersion(cmd.Context(), options, 0)
+	if err != nil {
+		return 0, "", err
+	}
+	return v.Version, v.Document, nil
+}
+
+func currentDocument(cmd *cobra.Command, options *connection) (*policy.Document, error) {
+	_, text, err := currentText(cmd, options)
+	if err != nil {
+		return nil, err
+	}
+	return policy.Decode(text)
+}
+
+func orAny(name string) string {
+	if name == "" {
+		return "any"
+	}
+	return name
+}
+
+func until(e *policy.Exception) string {
+	if e.Until.IsZero() {
+		return "no end"
+	}
+	return e.Until.Format(time.RFC3339)
+}
--- /dev/null
+++ b/admin/status.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	api "tanagerstack.org/core/api/oper"
+)
+
+func statusCommand(options *connection) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show each entry VM's policy version, roles, cut-offs and age of what it knows",
+		Long: `Show each entry VM's policy version, roles, cut-offs and age of what it knows.
+
+All VMs are asked now. One that does not answer is shown as unknown: it may be cut
+off and still serve its callers.`,
+		Example: "  tanager status --entry 127.0.1.1:7001",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			client, err := options.client()
+			if err != nil {
+				return err
+			}
+			status, err := client.GetStatus(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return printStatus(cmd, status)
+		},
+	}
+}
+
+func printStatus(cmd *cobra.Command, status *api.Status) error {
+	p := &printer{out: cmd.OutOrStdout()}
+	p.printf("as seen by %s at %s\n", status.VM, status.AsOf.Format(time.RFC3339))
+	table := p.table("VM", "DOMAIN", "STATE", "POLICY", "TABLES", "HEARD", "LIST AGE", "ROLES")
+	for i := range status.Vms {
+		vm := &status.Vms[i]
+		table.row(vm.Name, vm.Domain, vm.State, vm.PolicyVersion, reachable(vm.StoreReachable),
+			age(status.AsOf, vm.HeardAt), age(status.AsOf, vm.KnowsAsOf.Value), strings.Join(vm.Roles, ", "))
+	}
+	table.end()
+	for _, note := range status.Notes {
+		p.printf("note: %s\n", note)
+	}
+	return p.err
+}
+
+func reachable(known api.OptBool) string {
+	reached, ok := known.Get()
+	switch {
+	case !ok:
+		return "unknown"
+	case reached:
+		return "reached"
+	default:
+		return "cut off"
+	}
+}
+
+// age says how long ago an instant was.
+func age(now, at time.Time) string {
+	if at.IsZero() {
+		return "never"
+	}
+	return max(0, now.Sub(at)).Round(100 * time.Millisecond).String()
+}
