--- a/core/api/oper/oas_json_gen.go
+++ b/core/api/oper/oas_json_gen.go
@@ -24,7 +24,7 @@
 func (s *Burn) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("as-of")
-		json.EncodeDateTime(e, s.AsOf)
+		json.EncodeTimeFormat(e, s.AsOf, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("rows")
@@ -91,7 +91,7 @@
 		case "as-of":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.AsOf = v
 				if err != nil {
 					return err
@@ -260,7 +260,7 @@
 func (s *BurnMinute) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("at")
-		json.EncodeDateTime(e, s.At)
+		json.EncodeTimeFormat(e, s.At, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("total")
@@ -307,7 +307,7 @@
 		case "at":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.At = v
 				if err != nil {
 					return err
@@ -1021,7 +1021,7 @@
 func (s *Decision) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("at")
-		json.EncodeDateTime(e, s.At)
+		json.EncodeTimeFormat(e, s.At, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("vm")
@@ -1077,7 +1077,7 @@
 		case "at":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.At = v
 				if err != nil {
 					return err
@@ -1681,14 +1681,14 @@
 // MarshalJSON implements stdjson.Marshaler.
 func (s OptDateTime) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
-	s.Encode(&e, json.EncodeDateTime)
+	s.Encode(&e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
 func (s *OptDateTime) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
-	return s.Decode(d, json.DecodeDateTime)
+	return s.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00"))
 }
 
 // Encode encodes time.Duration as json.
@@ -2415,7 +2415,7 @@
 	}
 	{
 		e.FieldStart("applied-at")
-		json.EncodeDateTime(e, s.AppliedAt)
+		json.EncodeTimeFormat(e, s.AppliedAt, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("document")
@@ -2479,7 +2479,7 @@
 		case "applied-at":
 			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.AppliedAt = v
 				if err != nil {
 					return err
@@ -2616,7 +2616,7 @@
 	{
 		if s.RetryAt.Set {
 			e.FieldStart("retry-at")
-			s.RetryAt.Encode(e, json.EncodeDateTime)
+			s.RetryAt.Encode(e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 		}
 	}
 	{
@@ -2753,7 +2753,7 @@
 		case "retry-at":
 			if err := func() error {
 				s.RetryAt.Reset()
-				if err := s.RetryAt.Decode(d, json.DecodeDateTime); err != nil {
+				if err := s.RetryAt.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00")); err != nil {
 					return err
 				}
 				return nil
@@ -3083,7 +3083,7 @@
 	}
 	{
 		e.FieldStart("as-of")
-		json.EncodeDateTime(e, s.AsOf)
+		json.EncodeTimeFormat(e, s.AsOf, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		if s.StoreReachable.Set {
@@ -3141,7 +3141,7 @@
 		case "as-of":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.AsOf = v
 				if err != nil {
 					return err
@@ -3293,7 +3293,7 @@
 	}
 	{
 		e.FieldStart("heard-at")
-		json.EncodeDateTime(e, s.HeardAt)
+		json.EncodeTimeFormat(e, s.HeardAt, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("roles")
@@ -3312,7 +3312,7 @@
 	{
 		if s.KnowsAsOf.Set {
 			e.FieldStart("knows-as-of")
-			s.KnowsAsOf.Encode(e, json.EncodeDateTime)
+			s.KnowsAsOf.Encode(e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 		}
 	}
 }
@@ -3408,7 +3408,7 @@
 		case "heard-at":
 			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.HeardAt = v
 				if err != nil {
 					return err
@@ -3450,7 +3450,7 @@
 		case "knows-as-of":
 			if err := func() error {
 				s.KnowsAsOf.Reset()
-				if err := s.KnowsAsOf.Decode(d, json.DecodeDateTime); err != nil {
+				if err := s.KnowsAsOf.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00")); err != nil {
 					return err
 				}
 				return nil
