--- a/core/burn/burn_test.go
+++ b/core/burn/burn_test.go
@@ -101,3 +101,28 @@
 	}
 	return total, bad
 }
+
+// TestPredictSpendsEachTokenOnce sends a steady load over a smaller rate.
+func TestPredictSpendsEachTokenOnce(t *testing.T) {
+	doc, err := policy.Decode(policy.DefaultText())
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc.Defaults.RequestsPerSecond, doc.Defaults.Burst = 5, 20
+	recorder := burn.NewRecorder(burn.Options{})
+	start := time.Unix(1_800_000_000, 0)
+	const seconds, perSecond = 50, 10
+	for i := range seconds * perSecond {
+		at := start.Add(time.Duration(i) * time.Second / perSecond)
+		class := []string{"hold", "report"}[i%2]
+		recorder.Observe(burn.Sample{Caller: "hosts", Class: class, ArrivedAt: at, EndedAt: at, NotAfter: at.Add(time.Second)})
+	}
+	var refused int64
+	for _, f := range burn.Predict(recorder.Snapshot(start.Add(time.Minute), true), doc, start) {
+		refused += f.Refused()
+	}
+	const want = seconds*perSecond - (20 + 5*seconds)
+	if refused != want {
+		t.Errorf("%d requests refused, want %d", refused, want)
+	}
+}
