--- a/entry/node/listen.go
+++ b/entry/node/listen.go
@@ -35,6 +35,7 @@
 		address netip.AddrPort
 		handler http.Handler
 	}{
+		{"callers", n.settings.Callers, n.front.Handler()},
 		{"operators", n.settings.Operators, n.oper.Handler()},
 		{"debug", n.settings.Debug, debug},
 	}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -19,7 +19,9 @@
 	"tanagerstack.org/core/roster"
 	"tanagerstack.org/core/store"
 	"tanagerstack.org/core/trace"
+	"tanagerstack.org/entry/front"
 	"tanagerstack.org/entry/oper"
+	"tanagerstack.org/entry/sched"
 )
 
 const (
@@ -27,6 +29,9 @@
 	// noticeTime is how long a stopping VM goes on taking requests, so that the
 	// balancer and the other VMs notice that it is leaving.
 	noticeTime = time.Second
+	// drainTime bounds the wait for requests in flight; it is longer than any
+	// window that a policy may allow.
+	drainTime = 2 * time.Minute
 	// closeTime bounds the end of a stop, after requests in flight have ended.
 	closeTime = 5 * time.Second
 )
@@ -40,6 +45,8 @@
 	tables   *store.Client
 	peers    *peer.Node
 	roster   *roster.Tracker
+	front    *front.Front
+	sched    *sched.Scheduler
 	oper     *oper.Operators
 	health   *health
 
@@ -91,10 +98,18 @@
 	if err := n.buildRoster(); err != nil {
 		return err
 	}
+	if err := n.buildScheduler(); err != nil {
+		return err
+	}
+	if err := n.buildFront(); err != nil {
+		return err
+	}
 	if err := n.buildOperators(); err != nil {
 		return err
 	}
 	n.roster.Register(mux)
+	n.sched.Register(mux)
+	n.front.Register(mux)
 	n.oper.Register(mux)
 	return nil
 }
@@ -119,6 +134,40 @@
 		ClockSkew:     s.ClockSkew,
 		Window:        n.longestWindow,
 		PolicyVersion: n.policyVersion,
+		LeaseEpoch:    n.leaseEpoch,
+	})
+	return err
+}
+
+func (n *Node) buildScheduler() (err error) {
+	n.sched, err = sched.New(sched.Options{
+		Name:      n.settings.Name,
+		Domain:    n.settings.Domain,
+		Region:    n.settings.Region,
+		Policy:    n.policy,
+		Roster:    n.roster.View,
+		Peers:     n.peers,
+		Tables:    n.tables,
+		Trace:     n.trace,
+		ClockSkew: n.settings.ClockSkew,
+	})
+	return err
+}
+
+func (n *Node) buildFront() (err error) {
+	n.front, err = front.New(front.Options{
+		Name:              n.settings.Name,
+		Domain:            n.settings.Domain,
+		Region:            n.settings.Region,
+		Policy:            n.policy,
+		Roster:            n.roster.View,
+		NoteTargetLeaving: n.roster.NoteTargetLeaving,
+		Peers:             n.peers,
+		Tables:            n.tables,
+		Trace:             n.trace,
+		Burn:              n.burn,
+		Jobs:              n.sched,
+		ClockSkew:         n.settings.ClockSkew,
 	})
 	return err
 }
@@ -134,6 +183,7 @@
 		Tables:         n.tables,
 		Trace:          n.trace,
 		Burn:           n.burn,
+		Roles:          n.sched.Roles,
 		Drain:          n.Stop,
 		OperatorTokens: n.settings.OperatorTokens,
 	})
@@ -157,6 +207,12 @@
 	return version.Number
 }
 
+// leaseEpoch is zero unless this VM holds its domain's lease.
+func (n *Node) leaseEpoch() int64 {
+	grant, _ := n.sched.Lease().Current(time.Now())
+	return grant.Epoch
+}
+
 // Stop begins a graceful shutdown and returns at once.
 func (n *Node) Stop() {
 	n.stopOnce.Do(func() { close(n.stop) })
@@ -190,6 +246,8 @@
 func (n *Node) start(ctx context.Context) {
 	n.roster.Start(ctx)
 	n.oper.Start(ctx)
+	n.sched.Start(ctx)
+	n.front.Start(ctx)
 }
 
 // shutdown ends the node in an order that cuts off nothing: peers and balancer
@@ -199,8 +257,12 @@
 	n.health.leaving.Store(true)
 	n.roster.SetLeaving()
 	time.Sleep(noticeTime)
+	drained := n.drain()
 	closing, cancelClose := context.WithTimeout(context.Background(), closeTime)
 	defer cancelClose()
+	if err := n.sched.Stop(closing); err != nil {
+		klog.ErrorS(err, "Domain lease not handed over; it ends at its deadline")
+	}
 	if err := n.roster.Release(closing); err != nil {
 		klog.ErrorS(err, "Seat not released; the next start waits for it")
 	}
@@ -213,6 +275,16 @@
 	}
 	klog.InfoS("Stopped", "name", n.settings.Name)
 	klog.Flush()
+	return drained
+}
+
+// drain waits for the requests in flight.
+func (n *Node) drain() error {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+	defer cancel()
+	if err := n.front.Drain(ctx); err != nil {
+		return fmt.Errorf("drain of requests in flight: %w", err)
+	}
 	return nil
 }
 
--- a/entry/node/vars.go
+++ b/entry/node/vars.go
@@ -17,6 +17,7 @@
 	vars.Set("name", text(n.settings.Name))
 	vars.Set("policy-version", number(n.policyVersion()))
 	vars.Set("ready", truth(len(n.health.faults(time.Now())) == 0))
+	vars.Set("requests", n.front.Vars())
 	vars.Set("store", n.storeVars())
 	vars.Set("peer", n.peerVars())
 	vars.Set("roster", rosterVars(n.roster.View()))
