Let the roster ask for the lease epoch while the node is being built

Cause: the tracker builds its first heartbeat in NewTracker and asks for the lease epoch then, but the scheduler is built after it, so the daemon crashed at start with a nil pointer. Ruled out: building the scheduler first, since it needs the roster. Before: no VM started; after: two VMs and the stand-ins answered a request, its repeat through the other VM, a job and a policy change by hand.

--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -207,8 +207,12 @@
 	return version.Number
 }
 
-// leaseEpoch is zero unless this VM holds its domain's lease.
+// leaseEpoch is zero unless this VM holds its domain's lease. The roster asks
+// for it while the node is still being built, before there is a scheduler.
 func (n *Node) leaseEpoch() int64 {
+	if n.sched == nil {
+		return 0
+	}
 	grant, _ := n.sched.Lease().Current(time.Now())
 	return grant.Epoch
 }
