--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,70 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tanagerstack.org/core/roster"
+)
+
+// TestLedgerAgainstAPlainSum runs random steps beside a map of charges, and
+// demands that room appears only with a proof.
+func TestLedgerAgainstAPlainSum(t *testing.T) {
+	const skew = time.Second
+	start := time.Unix(1000, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		var l Ledger
+		capacity := roster.Resources{Millicores: 50, MemoryBytes: 50, Accelerators: 2}
+		l.SetWorker("worker", "rack", capacity)
+		model := map[Task]Charge{}
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "seconds")) * time.Second)
+			key := Task{Job: "job", Index: rapid.IntRange(0, 4).Draw(t, "task")}
+			switch rapid.SampledFrom([]string{"charge", "release", "capacity"}).Draw(t, "step") {
+			case "charge":
+				c := Charge{
+					Task: key, State: rapid.SampledFrom([]State{Reserved, Unsettled, Running}).Draw(t, "state"),
+					Amount:        roster.Resources{Millicores: rapid.Int64Range(1, 20).Draw(t, "amount")},
+					LeaseDeadline: now.Add(2 * time.Second),
+				}
+				l.Charge("worker", c)
+				model[key] = c
+			case "release":
+				p := rapid.SampledFrom([]Proof{NothingSent{}, WorkerReport{}, LeaseLapsed{Now: now, Skew: skew}}).Draw(t, "proof")
+				release(t, &l, model, key, p, now, skew)
+			case "capacity":
+				capacity.Millicores = rapid.Int64Range(10, 90).Draw(t, "capacity")
+				l.SetWorker("worker", "rack", capacity)
+			}
+			free := capacity
+			for _, c := range model {
+				free = Difference(free, c.Amount)
+			}
+			if got := l.Worker("worker").Free; got != free {
+				t.Fatalf("free %+v, the plain sum gives %+v", got, free)
+			}
+		}
+	})
+}
+
+func release(t *rapid.T, l *Ledger, model map[Task]Charge, key Task, p Proof, now time.Time, skew time.Duration) {
+	c, charged := model[key]
+	enough := !charged
+	switch p.(type) {
+	case NothingSent:
+		enough = enough || c.State == Reserved
+	case WorkerReport:
+		enough = true
+	case LeaseLapsed:
+		enough = enough || (c.State != Reserved && now.After(c.LeaseDeadline.Add(skew)))
+	}
+	if got := l.Release("worker", key, p); got != enough {
+		t.Fatalf("release of %+v by %T: %v, want %v", c, p, got, enough)
+	}
+	if enough {
+		delete(model, key)
+	}
+}
--- /dev/null
+++ b/core/place/choose_test.go
@@ -0,0 +1,208 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tanagerstack.org/core/ledger"
+	"tanagerstack.org/core/roster"
+)
+
+func drawResources(t *rapid.T, label string, most int64) roster.Resources {
+	return roster.Resources{
+		Millicores:   rapid.Int64Range(1, most).Draw(t, label+"-millicores"),
+		MemoryBytes:  rapid.Int64Range(1, most).Draw(t, label+"-memory"),
+		Accelerators: int(rapid.Int64Range(0, most/4).Draw(t, label+"-accelerators")),
+	}
+}
+
+// drawLedger draws a small fleet with some charges on it.
+func drawLedger(t *rapid.T) *ledger.Ledger {
+	l := &ledger.Ledger{}
+	for i := range rapid.IntRange(1, 4).Draw(t, "workers") {
+		name := fmt.Sprintf("worker-%d", i)
+		l.SetWorker(name, fmt.Sprintf("rack-%d", i%2), drawResources(t, name, 12))
+		l.SetCondition(name, rapid.SampledFrom([]ledger.Condition{
+			ledger.Usable, ledger.Usable, ledger.Usable, ledger.Leaving, ledger.Quarantined, ledger.Unreachable,
+		}).Draw(t, name+"-condition"))
+		for n := range rapid.IntRange(0, 2).Draw(t, name+"-charges") {
+			l.Charge(name, ledger.Charge{Task: ledger.Task{Job: name, Index: n}, Amount: drawResources(t, "charge", 5)})
+		}
+	}
+	return l
+}
+
+// most is the naive version: it tries each worker for each task and returns the
+// greatest number of tasks that fit.
+func most(rooms []roster.Resources, each roster.Resources, count int) int {
+	best := 0
+	if count == 0 {
+		return 0
+	}
+	for i := range rooms {
+		if ledger.Fits(each, rooms[i]) {
+			rooms[i] = ledger.Difference(rooms[i], each)
+			best = max(best, 1+most(rooms, each, count-1))
+			rooms[i] = ledger.Sum(rooms[i], each)
+		}
+	}
+	return best
+}
+
+func usableRooms(l *ledger.Ledger, avoid map[string]bool) []roster.Resources {
+	var rooms []roster.Resources
+	for _, w := range l.Workers() {
+		if w.Condition == ledger.Usable && !avoid[w.Name] {
+			rooms = append(rooms, w.Free)
+		}
+	}
+	return rooms
+}
+
+func TestChooseAgainstExhaustiveSearch(t *testing.T) {
+	policies := map[string]Policy{"spread": Spread{}, "packed": Packed{}, "together": Together{}}
+	for name, policy := range policies {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				l := drawLedger(t)
+				d := Demand{
+					Each: drawResources(t, "each", 5), Count: rapid.IntRange(1, 4).Draw(t, "count"), Policy: policy,
+					Avoid: map[string]bool{"worker-1": rapid.Bool().Draw(t, "avoid")},
+				}
+				want := most(usableRooms(l, d.Avoid), d.Each, d.Count)
+				if _, all := policy.(Together); all && want < d.Count {
+					want = 0
+				}
+				got := Choose(l, d)
+				if len(got.Workers) != want || got.Missing != d.Count-want {
+					t.Fatalf("placed %d and missed %d of %d, exhaustive search places %d", len(got.Workers), got.Missing, d.Count, want)
+				}
+				checkDecision(t, l, d, got)
+			})
+		})
+	}
+}
+
+// checkDecision charges a decision and looks for what must not be.
+func checkDecision(t *rapid.T, l *ledger.Ledger, d Demand, got Decision) {
+	sum := 0
+	for _, n := range got.Ruled {
+		sum += n
+	}
+	if got.Missing > 0 && sum != got.Considered && (sum != 0 || got.Considered != 0) {
+		if _, all := d.Policy.(Together); !all {
+			t.Fatalf("%d of %d workers explained: %s", sum, got.Considered, got.Ruled)
+		}
+	}
+	for i, name := range got.Workers {
+		if w := l.Worker(name); w.Condition != ledger.Usable || d.Avoid[name] {
+			t.Fatalf("chose worker %s", name)
+		}
+		l.Charge(name, ledger.Charge{Task: ledger.Task{Job: "new", Index: i}, Amount: d.Each})
+	}
+	for _, name := range got.Workers {
+		if free := l.Worker(name).Free; !ledger.Fits(roster.Resources{}, free) {
+			t.Fatalf("worker %s is over its capacity by %+v", name, free)
+		}
+	}
+}
+
+func TestSpreadIsEvenOverRacks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &ledger.Ledger{}
+		racks := rapid.IntRange(1, 4).Draw(t, "racks")
+		for i := range racks * 3 {
+			name := fmt.Sprintf("worker-%02d", i)
+			l.SetWorker(name, fmt.Sprintf("rack-%d", i%racks), roster.Resources{Millicores: 100, MemoryBytes: 100})
+			l.SetCondition(name, ledger.Usable)
+		}
+		count := rapid.IntRange(1, 40).Draw(t, "count")
+		got := Choose(l, Demand{Each: roster.Resources{Millicores: 1, MemoryBytes: 1}, Count: count, Policy: Spread{}})
+		perRack := map[string]int{}
+		for _, name := range got.Workers {
+			perRack[l.Worker(name).Rack]++
+		}
+		for rack, n := range perRack {
+			if n < count/racks || n > (count+racks-1)/racks {
+				t.Fatalf("%s has %d of %d tasks over %d racks", rack, n, count, racks)
+			}
+		}
+	})
+}
+
+func TestDisplaceMakesRoomAndStopsNothingInVain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := drawLedger(t)
+		d := Demand{Each: drawResources(t, "each", 6), Count: rapid.IntRange(1, 3).Draw(t, "count"), Policy: Packed{}}
+		victims := map[string][]Victim{}
+		var rooms []roster.Resources
+		for _, w := range l.Workers() {
+			room := w.Free
+			for i, c := range l.ChargesOf(w.Name) {
+				victims[w.Name] = append(victims[w.Name], Victim{Task: c.Task, Amount: c.Amount, StartedAt: time.Unix(int64(i), 0)})
+				room = ledger.Sum(room, c.Amount)
+			}
+			if w.Condition == ledger.Usable {
+				rooms = append(rooms, room)
+			}
+		}
+		want := most(rooms, d.Each, d.Count)
+		for _, found := range Displace(l, d, victims) {
+			w := l.Worker(found.Worker)
+			needed := ledger.Times(d.Each, found.Tasks)
+			room := w.Free
+			for _, v := range found.Victims {
+				room = ledger.Sum(room, v.Amount)
+			}
+			if w.Condition != ledger.Usable || !ledger.Fits(needed, room) {
+				t.Fatalf("%d tasks don't fit on %s (%d) after %v", found.Tasks, w.Name, w.Condition, found.Victims)
+			}
+			for _, v := range found.Victims {
+				if ledger.Fits(needed, ledger.Difference(room, v.Amount)) {
+					t.Fatalf("victim %v is stopped in vain", v.Task)
+				}
+				l.Release(w.Name, v.Task, ledger.WorkerReport{})
+			}
+		}
+		if got := len(Choose(l, d).Workers); got != want {
+			t.Fatalf("%d tasks fit afterwards, exhaustive search places %d", got, want)
+		}
+	})
+}
+
+func TestReserveFindsRoomWhereEverythingEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := drawLedger(t)
+		d := Demand{Each: drawResources(t, "each", 5), Count: rapid.IntRange(1, 4).Draw(t, "count"), Policy: Together{}}
+		releases := map[string][]Release{}
+		var rooms []roster.Resources
+		for _, w := range l.Workers() {
+			room := w.Free
+			for i, c := range l.ChargesOf(w.Name) {
+				release := Release{Amount: c.Amount}
+				if rapid.Bool().Draw(t, "ends") {
+					release.EndsAt = time.Unix(int64(10+i), 0)
+					room = ledger.Sum(room, c.Amount)
+				}
+				releases[w.Name] = append(releases[w.Name], release)
+			}
+			if w.Condition == ledger.Usable {
+				rooms = append(rooms, room)
+			}
+		}
+		r, ok := Reserve(l, "gang", d, releases)
+		if want := most(rooms, d.Each, d.Count) == d.Count; ok != want {
+			t.Fatalf("reserved: %v, exhaustive search: %v", ok, want)
+		}
+		var held roster.Resources
+		for _, amount := range r.Held {
+			held = ledger.Sum(held, amount)
+		}
+		if ok && held != ledger.Times(d.Each, d.Count) {
+			t.Fatalf("held %+v for %d tasks of %+v", held, d.Count, d.Each)
+		}
+	})
+}
--- /dev/null
+++ b/core/queue/pass_test.go
@@ -0,0 +1,139 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tanagerstack.org/core/ledger"
+	"tanagerstack.org/core/roster"
+)
+
+// naiveNext looks at all items each time.
+func naiveNext(items []Item, skipped map[string]bool, frame Frame) (Item, bool) {
+	var best *Item
+	for i := range items {
+		it := &items[i]
+		if !skipped[it.Job] && (best == nil || naiveBefore(it, best, frame)) {
+			best = it
+		}
+	}
+	if best == nil {
+		return Item{}, false
+	}
+	return *best, true
+}
+
+func naiveBefore(a, b *Item, frame Frame) bool {
+	rank := func(it *Item) int {
+		switch {
+		case it.Urgent:
+			return 0
+		case !it.Service && !frame.Now.Before(it.AcceptedAt.Add(frame.AgeBatch)):
+			return 1
+		default:
+			return 2
+		}
+	}
+	if rank(a) != rank(b) {
+		return rank(a) < rank(b)
+	}
+	switch rank(a) {
+	case 1:
+		return byAge(a, b) < 0
+	case 2:
+		x, y := frame.Teams[a.Team].dominant(frame.Fleet), frame.Teams[b.Team].dominant(frame.Fleet)
+		if a.Team != b.Team && x != y {
+			return x < y
+		}
+		if a.Team != b.Team {
+			return a.Team < b.Team
+		}
+	}
+	return byWindow(a, b) < 0
+}
+
+func TestPassAgainstNaiveOrder(t *testing.T) {
+	start := time.Unix(1000, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue
+		var items []Item
+		frame := Frame{Now: start.Add(10 * time.Second), AgeBatch: 5 * time.Second, Fleet: roster.Resources{Millicores: 100, MemoryBytes: 100}, Teams: map[string]*Team{}}
+		for i := range 3 {
+			frame.Teams[fmt.Sprintf("team-%d", i)] = &Team{
+				Weight: rapid.SampledFrom([]float64{0, 1, 2}).Draw(t, "weight"),
+				Held:   roster.Resources{Millicores: rapid.Int64Range(0, 20).Draw(t, "held")},
+			}
+		}
+		for i := range rapid.IntRange(1, 12).Draw(t, "jobs") {
+			it := Item{
+				Job: fmt.Sprintf("job-%02d", i), Team: fmt.Sprintf("team-%d", rapid.IntRange(0, 2).Draw(t, "team")),
+				Urgent: rapid.Bool().Draw(t, "urgent"), Service: rapid.Bool().Draw(t, "service"),
+				AcceptedAt: start.Add(time.Duration(rapid.IntRange(0, 10).Draw(t, "accepted")) * time.Second),
+				NotAfter:   start.Add(time.Duration(rapid.IntRange(20, 25).Draw(t, "window")) * time.Second),
+				Each:       roster.Resources{Millicores: rapid.Int64Range(1, 9).Draw(t, "size"), MemoryBytes: 1},
+			}
+			q.Add(it)
+			if rapid.IntRange(0, 4).Draw(t, "removed") == 0 {
+				q.Remove(it.Job)
+				continue
+			}
+			items = append(items, it)
+		}
+		comparePasses(t, q.Begin(frame), items, frame)
+	})
+}
+
+// comparePasses walks a pass beside the naive order, charging some jobs.
+func comparePasses(t *rapid.T, pass *Pass, items []Item, frame Frame) {
+	skipped := map[string]bool{}
+	for {
+		got, ok := pass.Next()
+		want, more := naiveNext(items, skipped, frame)
+		if ok != more || got.Job != want.Job {
+			t.Fatalf("next is %q (%v), the naive order says %q (%v)", got.Job, ok, want.Job, more)
+		}
+		if !ok {
+			return
+		}
+		if rapid.Bool().Draw(t, "placed") {
+			team := frame.Teams[got.Team]
+			team.Held = ledger.Sum(team.Held, got.Each)
+		}
+		if rapid.Bool().Draw(t, "skip") {
+			pass.Skip(got)
+			skipped[got.Job] = true
+		}
+	}
+}
+
+func TestQuotaAgainstOneByOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		amount := func(label string, least, most int64) roster.Resources {
+			return roster.Resources{
+				Millicores:   rapid.Int64Range(least, most).Draw(t, label),
+				MemoryBytes:  rapid.Int64Range(least, most).Draw(t, label),
+				Accelerators: int(rapid.Int64Range(0, most).Draw(t, label)),
+			}
+		}
+		team := Team{Quota: amount("quota", 0, 30), Held: amount("held", 0, 30)}
+		each := amount("each", 1, 5)
+		limit := rapid.IntRange(0, 12).Draw(t, "limit")
+		want := 0
+		held := team.Held
+		over := func(quota, held, more int64) bool { return quota > 0 && more > 0 && held > quota }
+		for want < limit {
+			held = ledger.Sum(held, each)
+			if over(team.Quota.Millicores, held.Millicores, each.Millicores) || over(team.Quota.MemoryBytes, held.MemoryBytes, each.MemoryBytes) ||
+				over(int64(team.Quota.Accelerators), int64(held.Accelerators), int64(each.Accelerators)) {
+				break
+			}
+			want++
+		}
+		if got := team.Room(each, limit); got != want {
+			t.Fatalf("room for %d tasks, one by one gives %d", got, want)
+		}
+	})
+}
