Test that the stand-ins' records see what they are for

Found by them: a frozen stand-in that had not read the body never noticed that its client went, and the test waited for its server for good. A frozen request is now read, held until the fault ends, and then run even if its client has gone, which is what a stopped process does.

--- a/stand/cmds/load.go
+++ b/stand/cmds/load.go
@@ -45,7 +45,7 @@
 	set.StringVar(&f.opts.OperatorToken, "operator-token", "", "token of an operator")
 	set.Var(&f.callers, "callers", "callers with their tokens, as NAME=TOKEN,..")
 	set.StringVar(&f.opts.Service, "service", "booking", "the service that requests ask for")
-	set.StringVar(&f.opts.Work, "job-work", "transcode", "the kind of work of the jobs")
+	set.StringVar(&f.opts.Work, "job-work", "transcoding", "the kind of work of the jobs")
 	set.Var(&f.targets, "target-controls", "control APIs of the target stand-ins")
 	set.Var(&f.workers, "worker-controls", "control APIs of the worker stand-ins")
 	set.DurationVar(&f.opts.Duration, "duration", 10*time.Second, "how long new load is sent")
--- a/stand/faults/filter.go
+++ b/stand/faults/filter.go
@@ -76,13 +76,13 @@
 	return earlier
 }
 
-// thaw holds the request until the fault changes, as a stopped process does.
+// thaw holds the request until the fault changes and then runs it, even when the
+// client has gone: a stopped process finds it in its socket when it goes on.
 func (f *filter) thaw(w http.ResponseWriter, r *http.Request, changed <-chan struct{}) {
-	select {
-	case <-changed:
-		f.next.ServeHTTP(w, r)
-	case <-r.Context().Done():
-	}
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	<-changed
+	f.run(r).send(w)
 }
 
 // stayQuiet reads the request and returns only when the client has gone.
--- /dev/null
+++ b/stand/member/list_test.go
@@ -0,0 +1,29 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	api "tanagerstack.org/core/api/member"
+)
+
+func TestListLags(t *testing.T) {
+	begin := time.Now()
+	at := func(seconds int) time.Time { return begin.Add(time.Duration(seconds) * time.Second) }
+	list := NewList(10 * time.Second)
+	list.Put(api.Member{Name: "a", State: api.MemberStateLive}, at(0))
+	list.Put(api.Member{Name: "b", State: api.MemberStateLive}, at(0))
+	list.Put(api.Member{Name: "a", State: api.MemberStateLeaving}, at(5))
+	list.Put(api.Member{Name: "a", State: api.MemberStateGone}, at(7))
+	list.Remove("b", at(8))
+	want := map[int]string{9: "", 10: "a:live b:live ", 15: "a:leaving b:live ", 17: "b:live ", 18: "", 99: ""}
+	for _, seconds := range []int{9, 10, 15, 17, 18, 99} {
+		got := ""
+		for _, m := range list.At(at(seconds)).Members {
+			got += m.Name + ":" + string(m.State) + " "
+		}
+		if got != want[seconds] {
+			t.Errorf("after %ds: %q, want %q", seconds, got, want[seconds])
+		}
+	}
+}
--- a/stand/worker/fleet.go
+++ b/stand/worker/fleet.go
@@ -33,17 +33,20 @@
 
 // Add returns the API of a new agent in a failure domain.
 func (f *Fleet) Add(name, domain string) (http.Handler, error) {
-	a := &agent{
-		name: name, domain: domain, capacity: f.opts.Capacity, usageLag: f.opts.UsageLag,
-		record: f.record, faults: f.opts.Faults, tasks: make(map[string]*task),
-	}
-	server, err := api.NewServer(a)
+	server, err := api.NewServer(f.agent(name, domain))
 	if err != nil {
 		return nil, fmt.Errorf("worker API: %w", err)
 	}
 	return server, nil
 }
 
+func (f *Fleet) agent(name, domain string) *agent {
+	return &agent{
+		name: name, domain: domain, capacity: f.opts.Capacity, usageLag: f.opts.UsageLag,
+		record: f.record, faults: f.opts.Faults, tasks: make(map[string]*task),
+	}
+}
+
 // Record returns the totals of all agents.
 func (f *Fleet) Record() faultapi.Record { return f.record.totals() }
 
--- /dev/null
+++ b/stand/worker/worker_test.go
@@ -0,0 +1,200 @@
+package worker
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	faultapi "tanagerstack.org/core/api/fault"
+	api "tanagerstack.org/core/api/worker"
+	"tanagerstack.org/stand/faults"
+)
+
+// pair is two agents of one failure domain with a common record.
+type pair struct {
+	fleet *Fleet
+	sw    *faults.Switch
+	one   *agent
+	two   *agent
+}
+
+func newPair() *pair {
+	sw := faults.NewSwitch()
+	fleet := NewFleet(Options{Capacity: api.Resources{Millicores: 2000, MemoryBytes: 1000}, Faults: sw})
+	return &pair{fleet: fleet, sw: sw, one: fleet.agent("w1", "d"), two: fleet.agent("w2", "d")}
+}
+
+// command is a start command; its zero fields are filled in by startOn.
+type command struct {
+	epoch   int64
+	attempt int
+	lease   time.Duration
+	late    bool
+	args    []string
+	more    int64
+}
+
+func startOn(t *testing.T, a *agent, id string, c command) (string, error) {
+	t.Helper()
+	now := time.Now()
+	if c.lease == 0 {
+		c.lease = time.Minute
+	}
+	before := now.Add(time.Second)
+	if c.late {
+		before = now.Add(-time.Second)
+	}
+	answer, err := a.StartTasks(context.Background(), &api.StartRequest{
+		Domain: "d", Epoch: c.epoch, StartBefore: before,
+		Tasks: []api.TaskStart{{
+			TaskID: id, Attempt: c.attempt, Command: c.args, LeaseDeadline: now.Add(c.lease),
+			Resources: api.Resources{Millicores: 1000 + c.more, MemoryBytes: 100},
+		}},
+	})
+	if err != nil {
+		return "", err
+	}
+	if answer.Results[0].Started {
+		return "started", nil
+	}
+	return answer.Results[0].Reason.Or(""), nil
+}
+
+func TestRecordSeesTasksInTwoPlaces(t *testing.T) {
+	tests := map[string]struct {
+		first command
+		// between happens before the task is started elsewhere.
+		between func(p *pair)
+		doubled int64
+	}{
+		"still running": {doubled: 1},
+		"stopped before": {between: func(p *pair) {
+			_, _ = p.one.StopTasks(context.Background(), &api.StopRequest{Domain: "d", TaskIDs: []string{"j/0"}})
+		}},
+		"lapsed before": {first: command{lease: time.Millisecond}},
+		"done before":   {first: command{args: []string{"--run-for=1ms"}}},
+		"renewed after a short lease": {first: command{lease: 20 * time.Millisecond}, doubled: 1, between: func(p *pair) {
+			_, _ = p.one.RenewTasks(context.Background(), &api.RenewRequest{
+				Domain: "d", TaskIDs: []string{"j/0"}, LeaseDeadline: time.Now().Add(time.Minute),
+			})
+		}},
+		"slowed down past its first end": {first: command{args: []string{"--run-for=20ms"}}, doubled: 1, between: func(p *pair) {
+			_, _ = p.one.ThrottleTasks(context.Background(), &api.ThrottleRequest{
+				Domain: "d", TaskIDs: []string{"j/0"}, Millicores: 1,
+			})
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPair()
+			if got, err := startOn(t, p.one, "j/0", test.first); got != "started" {
+				t.Fatalf("first start: %q, %v", got, err)
+			}
+			if test.between != nil {
+				test.between(p)
+			}
+			time.Sleep(30 * time.Millisecond)
+			if got, err := startOn(t, p.two, "j/0", command{attempt: 1}); got != "started" {
+				t.Fatalf("second start: %q, %v", got, err)
+			}
+			record := p.fleet.Record()
+			if record.Doubled != test.doubled || record.Executions != 2 || p.fleet.Executions("j/0") != 2 {
+				t.Errorf("record = %+v, want doubled %d", record, test.doubled)
+			}
+		})
+	}
+}
+
+func TestStartIsRefused(t *testing.T) {
+	tests := map[string]struct {
+		command    command
+		want       string
+		overloaded int64
+		stale      bool
+	}{
+		"fits":              {command: command{attempt: 1, epoch: 5}, want: "started"},
+		"too large":         {command: command{attempt: 1, epoch: 5, more: 1}, want: "no-capacity", overloaded: 1},
+		"too late":          {command: command{attempt: 1, epoch: 5, late: true}, want: "start-before-passed"},
+		"lease over":        {command: command{attempt: 1, epoch: 5, lease: -time.Second}, want: "lease-deadline-passed"},
+		"older lease epoch": {command: command{attempt: 1, epoch: 4}, stale: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPair()
+			if got, err := startOn(t, p.one, "first/0", command{epoch: 5}); got != "started" {
+				t.Fatalf("first start: %q, %v", got, err)
+			}
+			got, err := startOn(t, p.one, "j/0", test.command)
+			if got != test.want || (err != nil) != test.stale {
+				t.Errorf("got %q, %v", got, err)
+			}
+			if record := p.fleet.Record(); record.Overloaded != test.overloaded {
+				t.Errorf("record = %+v, want overloaded %d", record, test.overloaded)
+			}
+		})
+	}
+}
+
+func TestTaskLife(t *testing.T) {
+	begin := time.Now()
+	at := begin.Add
+	start := func(args ...string) *task {
+		return newTask(&api.TaskStart{
+			TaskID: "j/0", Command: args, LeaseDeadline: at(10 * time.Second), Resources: api.Resources{Millicores: 1000},
+		}, begin)
+	}
+	tests := map[string]struct {
+		task  *task
+		drive func(t *task)
+		phase api.TaskStatePhase
+		end   time.Duration
+	}{
+		"succeeds":         {task: start("--run-for=3s"), phase: api.TaskStatePhaseSucceeded, end: 3 * time.Second},
+		"fails":            {task: start("--run-for=3s", "--fail"), phase: api.TaskStatePhaseFailed, end: 3 * time.Second},
+		"lapses":           {task: start(), phase: api.TaskStatePhaseLapsed, end: 10 * time.Second},
+		"lapses mid-way":   {task: start("--run-for=11s"), phase: api.TaskStatePhaseLapsed, end: 10 * time.Second},
+		"throttled to 25%": {task: start("--run-for=2s"), drive: func(t *task) { t.advance(at(time.Second)); t.limit(250) }, phase: api.TaskStatePhaseSucceeded, end: 5 * time.Second},
+		"throttled usage":  {task: start("--run-for=2s", "--use-millicores=4000"), drive: func(t *task) { t.limit(1000) }, phase: api.TaskStatePhaseSucceeded, end: 8 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if test.drive != nil {
+				test.drive(test.task)
+			}
+			if !test.task.advance(at(test.end - time.Millisecond)) {
+				t.Errorf("ended early: %+v", test.task.state)
+			}
+			test.task.advance(at(20 * time.Second))
+			if got := test.task.state; got.Phase != test.phase || !got.EndedAt.Value.Equal(at(test.end)) {
+				t.Errorf("ended as %s after %s, want %s after %s", got.Phase, got.EndedAt.Value.Sub(begin), test.phase, test.end)
+			}
+		})
+	}
+}
+
+func TestCheckpointResumes(t *testing.T) {
+	p := newPair()
+	_, _ = startOn(t, p.one, "j/0", command{args: []string{"--run-for=1h"}})
+	time.Sleep(5 * time.Millisecond)
+	list, err := p.one.StopTasks(context.Background(), &api.StopRequest{Domain: "d", TaskIDs: []string{"j/0"}, Checkpoint: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resumed := newTask(&api.TaskStart{Checkpoint: list.Tasks[0].Checkpoint, Command: []string{"--run-for=1h"}}, time.Now())
+	if resumed.done < 5*time.Millisecond {
+		t.Errorf("resumed with %s done, want at least 5ms", resumed.done)
+	}
+}
+
+func TestWorkerFailsEverything(t *testing.T) {
+	p := newPair()
+	p.sw.Set(faultapi.Fault{Kind: faultapi.FaultKindFailAll, Member: faultapi.NewOptString("w1")}, time.Now())
+	_, _ = startOn(t, p.one, "a/0", command{args: []string{"--run-for=1h"}})
+	_, _ = startOn(t, p.two, "b/0", command{args: []string{"--run-for=1h"}})
+	time.Sleep(2 * failureTime)
+	failed, _ := p.one.ListTasks(context.Background())
+	running, _ := p.two.ListTasks(context.Background())
+	if failed.Tasks[0].Phase != api.TaskStatePhaseFailed || running.Tasks[0].Phase != api.TaskStatePhaseRunning {
+		t.Errorf("w1 %s, w2 %s", failed.Tasks[0].Phase, running.Tasks[0].Phase)
+	}
+}
