Keep two instances out of one seat, proved by a model

A seat freed by mistake is now left by its VM before another takes it: its wait is longer by one refresh. The model fails with the wait after a restart, the wait for a dropped VM, or the lapse after a pause taken out.

--- a/core/roster/seat.go
+++ b/core/roster/seat.go
@@ -7,6 +7,11 @@
 	"time"
 )
 
+// noticeFor is how long a VM that the list dropped by mistake may take to read
+// so in the stored roster and to stop using its seat: one refresh at its latest
+// and one call, rounded up.
+const noticeFor = 6 * time.Second
+
 // seat is a share of the slots of each target of a failure domain.
 type seat struct {
 	Seat int `json:"seat"`
@@ -95,9 +100,9 @@
 	}
 	switch {
 	case s.Instance == "":
-		s.UsableAt = in.now
-	case s.UsableAt.After(in.now):
-		// The earlier instance died before it used the seat.
+		s.UsableAt = latest(in.now, s.UsableAt)
+	case s.UsableAt.After(in.now.Add(in.skew)):
+		// The earlier instance ended before it used the seat.
 	default:
 		s.UsableAt = in.now.Add(in.window + in.skew)
 	}
@@ -120,12 +125,12 @@
 	case in.listed[s.VM] || !s.FreeAt.IsZero():
 		return false
 	case s.Instance == "":
-		s.FreeAt = in.now
+		s.FreeAt = latest(in.now, s.UsableAt)
 		return true
 	case in.window == 0:
 		return false
 	default:
-		s.FreeAt = in.now.Add(in.window + in.skew)
+		s.FreeAt = in.now.Add(noticeFor + in.window + in.skew)
 		return true
 	}
 }
@@ -155,3 +160,10 @@
 func (s *seat) free(in seatInput) bool {
 	return !s.FreeAt.IsZero() && in.now.After(s.FreeAt.Add(in.skew))
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/roster/seat_test.go
@@ -0,0 +1,231 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tanagerstack.org/core/store"
+)
+
+const (
+	modelStep   = 250 * time.Millisecond
+	modelWindow = 4 * time.Second
+	modelSkew   = 200 * time.Millisecond
+)
+
+// process is one instance of a VM in the model.
+type process struct {
+	vm     string
+	offset time.Duration
+	seater *seater
+	view   View
+	paused bool
+	// pausedAt, refreshedAt and list are by the model's clock.
+	pausedAt    time.Time
+	refreshedAt time.Time
+	listed      map[string]bool
+	listedAt    time.Time
+}
+
+// use is the last request that an instance started on a seat.
+type use struct {
+	instance string
+	endsAt   time.Time
+}
+
+// seatModel runs VMs of one failure domain over a fake clock, with a table
+// service that loses answers and a list that lags.
+type seatModel struct {
+	t         *rapid.T
+	now       time.Time
+	seats     int
+	tables    *store.Memory
+	processes map[string]*process
+	listed    map[string]bool
+	started   int
+	uses      map[int][]use
+	// taken counts seats that passed from one VM to another.
+	taken int
+}
+
+func newSeatModel(t *rapid.T) *seatModel {
+	return &seatModel{
+		t:         t,
+		now:       time.Unix(1_700_000_000, 0),
+		seats:     rapid.IntRange(1, 3).Draw(t, "seats"),
+		tables:    store.NewMemory(),
+		processes: make(map[string]*process),
+		listed:    make(map[string]bool),
+		uses:      make(map[int][]use),
+	}
+}
+
+func (m *seatModel) clock(p *process) time.Time { return m.now.Add(p.offset) }
+
+func (m *seatModel) draw(label string) *process {
+	var vms []string
+	for _, vm := range []string{"a", "b", "c", "d"} {
+		if m.processes[vm] != nil {
+			vms = append(vms, vm)
+		}
+	}
+	if len(vms) == 0 {
+		m.t.Skip("no process runs")
+	}
+	return m.processes[rapid.SampledFrom(vms).Draw(m.t, label)]
+}
+
+// start kills the VM's present process, if there is one, and starts another.
+func (m *seatModel) start(vm string) {
+	m.started++
+	m.listed[vm] = true
+	skew := int64(modelSkew / 2)
+	p := &process{
+		vm:     vm,
+		offset: time.Duration(rapid.Int64Range(-skew, skew).Draw(m.t, "offset")),
+		seater: newSeater(Options{Tables: m.tables, Domain: "d", Name: vm}, fmt.Sprint(vm, m.started)),
+	}
+	p.view.Seat = -1
+	m.processes[vm] = p
+}
+
+// refresh lets a process poll the list, as it was a while ago, and its seat.
+func (m *seatModel) refresh(p *process) {
+	if p.paused {
+		return
+	}
+	p.listed, p.listedAt = make(map[string]bool), m.now
+	for vm := range m.listed {
+		p.listed[vm] = true
+	}
+	p.refreshedAt = m.now
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+	defer cancel()
+	_ = p.seater.refresh(ctx, seatInput{
+		now:      m.clock(p),
+		seats:    m.seats,
+		window:   modelWindow,
+		skew:     modelSkew,
+		listed:   p.listed,
+		listedAt: p.listedAt,
+	})
+	m.look(p)
+}
+
+// look publishes the process's view.
+func (m *seatModel) look(p *process) {
+	p.view = View{Seat: -1}
+	if mine, lapsesAt := p.seater.ownSeat(); mine != nil {
+		p.view = View{Seat: mine.Seat, SeatUsableAt: mine.UsableAt, SeatLapsesAt: lapsesAt}
+	}
+}
+
+// work starts a request in the process's seat, if it may use one.
+func (m *seatModel) work(p *process) {
+	number, usable := p.view.OwnSeat(m.clock(p))
+	if !usable || p.paused {
+		return
+	}
+	uses := m.uses[number]
+	for _, other := range uses {
+		if other.instance != p.seater.instance && m.now.Before(other.endsAt) {
+			m.t.Fatalf("%s uses seat %d at %s, where requests of %s run until %s", p.seater.instance, number, m.now, other.instance, other.endsAt)
+		}
+	}
+	if len(uses) > 0 && uses[0].instance != p.seater.instance {
+		m.taken++
+	}
+	m.uses[number] = []use{{instance: p.seater.instance, endsAt: m.now.Add(modelWindow)}}
+}
+
+// pass moves the clock. Processes that are not paused tick and work, and refresh
+// at least as often as they would by themselves.
+func (m *seatModel) pass(steps int) {
+	for range steps {
+		m.now = m.now.Add(modelStep)
+		for _, vm := range []string{"a", "b", "c", "d"} {
+			p := m.processes[vm]
+			if p == nil || p.paused {
+				continue
+			}
+			m.work(p)
+			p.seater.tick(m.clock(p))
+			if m.now.Sub(p.refreshedAt) > seatPeriod {
+				m.refresh(p)
+			}
+			m.look(p)
+			m.work(p)
+		}
+	}
+}
+
+func (m *seatModel) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"start":   func(t *rapid.T) { m.start(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "vm")) },
+		"kill":    func(*rapid.T) { delete(m.processes, m.draw("killed").vm) },
+		"refresh": func(*rapid.T) { m.refresh(m.draw("refreshed")) },
+		"pass":    func(t *rapid.T) { m.pass(rapid.IntRange(1, 60).Draw(t, "steps")) },
+		"pause": func(*rapid.T) {
+			p := m.draw("paused")
+			p.paused, p.pausedAt = true, m.now
+		},
+		"resume": func(*rapid.T) {
+			p := m.draw("resumed")
+			p.paused = false
+			m.work(p)
+		},
+		"stop": func(*rapid.T) {
+			p := m.draw("stopped")
+			if !p.paused {
+				m.stop(p)
+			}
+		},
+		"drop": m.drop,
+		"faults": func(t *rapid.T) {
+			share := rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "lost")
+			m.tables.SetFaults(store.Faults{LostAnswers: share, LostWrites: 0.5, Seed: int64(m.started), Down: rapid.Bool().Draw(t, "down")})
+		},
+	}
+}
+
+// stop shuts a process down after its last request has ended.
+func (m *seatModel) stop(p *process) {
+	delete(m.processes, p.vm)
+	for number, uses := range m.uses {
+		if len(uses) > 0 && uses[0].instance == p.seater.instance {
+			delete(m.uses, number)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+	defer cancel()
+	_ = p.seater.release(ctx, m.clock(p))
+}
+
+// drop takes a VM off the list that is dead, or has been paused for long.
+func (m *seatModel) drop(t *rapid.T) {
+	vm := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "dropped")
+	p := m.processes[vm]
+	if p == nil || p.paused && m.now.Sub(p.pausedAt) > PauseLimit {
+		delete(m.listed, vm)
+	}
+}
+
+// TestSeatsNeverShared checks that no instance uses a seat while requests of
+// another may still run in it.
+func TestSeatsNeverShared(t *testing.T) {
+	taken := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newSeatModel(t)
+		t.Repeat(m.actions())
+		m.tables.SetFaults(store.Faults{})
+		m.pass(100)
+		taken += m.taken
+	})
+	if taken == 0 {
+		t.Fatal("no seat passed from one instance to another in any run")
+	}
+}
--- a/core/roster/seater.go
+++ b/core/roster/seater.go
@@ -167,7 +167,7 @@
 	if mine == nil || mine.Instance != s.instance {
 		return nil
 	}
-	mine.Instance, mine.UsableAt = "", now
+	mine.Instance, mine.UsableAt = "", latest(mine.UsableAt, now)
 	return s.write(ctx, row, present, now)
 }
 
