Release the seat only after a whole drain, within the setting's time

A seat released while requests still ran would let the next instance use their slots at once. A lease that has run out is no longer told to the other VMs as held.

--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -29,9 +29,6 @@
 	// noticeTime is how long a stopping VM goes on taking requests, so that the
 	// balancer and the other VMs notice that it is leaving.
 	noticeTime = time.Second
-	// drainTime bounds the wait for requests in flight; it is longer than any
-	// window that a policy may allow.
-	drainTime = 2 * time.Minute
 	// closeTime bounds the end of a stop, after requests in flight have ended.
 	closeTime = 5 * time.Second
 )
@@ -213,7 +210,10 @@
 	if n.sched == nil {
 		return 0
 	}
-	grant, _ := n.sched.Lease().Current(time.Now())
+	grant, holds := n.sched.Lease().Current(time.Now())
+	if !holds {
+		return 0
+	}
 	return grant.Epoch
 }
 
@@ -267,8 +267,8 @@
 	if err := n.sched.Stop(closing); err != nil {
 		klog.ErrorS(err, "Domain lease not handed over; it ends at its deadline")
 	}
-	if err := n.roster.Release(closing); err != nil {
-		klog.ErrorS(err, "Seat not released; the next start waits for it")
+	if drained == nil {
+		n.releaseSeat(closing)
 	}
 	for _, s := range servers {
 		s.shutdown(closing)
@@ -277,14 +277,21 @@
 	if err := n.close(closing); err != nil {
 		klog.V(1).ErrorS(err, "Links not closed in order")
 	}
-	klog.InfoS("Stopped", "name", n.settings.Name)
+	klog.InfoS("Stopped", "name", n.settings.Name, "drained", drained == nil)
 	klog.Flush()
 	return drained
 }
 
+// releaseSeat may only be called once no request is in flight any more.
+func (n *Node) releaseSeat(ctx context.Context) {
+	if err := n.roster.Release(ctx); err != nil {
+		klog.ErrorS(err, "Seat not released; the next start waits for it")
+	}
+}
+
 // drain waits for the requests in flight.
 func (n *Node) drain() error {
-	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Drain)
 	defer cancel()
 	if err := n.front.Drain(ctx); err != nil {
 		return fmt.Errorf("drain of requests in flight: %w", err)
--- a/entry/node/vars.go
+++ b/entry/node/vars.go
@@ -16,6 +16,7 @@
 	vars := new(expvar.Map).Init()
 	vars.Set("name", text(n.settings.Name))
 	vars.Set("policy-version", number(n.policyVersion()))
+	vars.Set("lease-epoch", number(n.leaseEpoch()))
 	vars.Set("ready", truth(len(n.health.faults(time.Now())) == 0))
 	vars.Set("requests", n.front.Vars())
 	vars.Set("store", n.storeVars())
