--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"container/heap"
 	"time"
 )
@@ -53,6 +54,7 @@
 
 // flow is the waiters of one caller in one class, by earliest deadline.
 type flow[T any] struct {
+	caller  string
 	owner   *class[T]
 	tag     float64
 	waiters deadlineHeap[T]
@@ -196,7 +198,7 @@
 func (l *level[T]) next() *class[T] {
 	var best *class[T]
 	for _, c := range l.classes {
-		if c.size > 0 && (best == nil || c.tag < best.tag) {
+		if c.size > 0 && (best == nil || comesFirst(c.tag, c.name, best.tag, best.name)) {
 			best = c
 		}
 	}
@@ -215,7 +217,7 @@
 	f := c.flows[caller]
 	if f == nil {
 		c.forgetIdle()
-		f = &flow[T]{owner: c}
+		f = &flow[T]{caller: caller, owner: c}
 		c.flows[caller] = f
 	}
 	return f
@@ -225,7 +227,7 @@
 func (c *class[T]) next() *flow[T] {
 	best := c.active[0]
 	for _, f := range c.active[1:] {
-		if f.tag < best.tag {
+		if comesFirst(f.tag, f.caller, best.tag, best.caller) {
 			best = f
 		}
 	}
@@ -286,6 +288,11 @@
 	return count
 }
 
+// comesFirst orders by tag, then by name, so that decisions can be repeated.
+func comesFirst(tag float64, name string, otherTag float64, otherName string) bool {
+	return cmp.Or(cmp.Compare(tag, otherTag), cmp.Compare(name, otherName)) < 0
+}
+
 // deadlineHeap is a heap.Interface by earliest deadline.
 type deadlineHeap[T any] []*Waiter[T]
 
--- /dev/null
+++ b/core/route/naive_test.go
@@ -0,0 +1,273 @@
+package route
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// naiveTable is the rule of the Table written down plainly.
+type naiveTable struct {
+	targets []*naiveTarget
+	picks   uint64
+}
+
+type naiveTarget struct {
+	name                string
+	slots, busy         int
+	leaving             bool
+	failures, ejections int
+	ejectedUntil        time.Time
+	trustedAt           time.Time
+	lastPick            uint64
+	held                []time.Time
+}
+
+func (n *naiveTable) set(shares []Share) {
+	for _, target := range n.targets {
+		at := slices.IndexFunc(shares, func(s Share) bool { return s.Name == target.name })
+		target.slots = 0
+		if at >= 0 {
+			target.slots = shares[at].Slots
+		}
+		if target.slots == 0 {
+			target.leaving = false
+		}
+	}
+	for _, s := range shares {
+		if n.find(s.Name) == nil {
+			n.targets = append(n.targets, &naiveTarget{name: s.Name, slots: s.Slots})
+		}
+	}
+	n.forget()
+}
+
+func (n *naiveTable) forget() {
+	n.targets = slices.DeleteFunc(n.targets, func(t *naiveTarget) bool { return t.slots == 0 && t.busy == 0 })
+}
+
+func (n *naiveTable) find(name string) *naiveTarget {
+	for _, t := range n.targets {
+		if t.name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+func (n *naiveTable) advance(now time.Time) {
+	for _, t := range n.targets {
+		t.held = slices.DeleteFunc(t.held, func(until time.Time) bool {
+			due := !now.Before(until)
+			if due {
+				t.busy--
+			}
+			return due
+		})
+		if !now.Before(t.ejectedUntil) {
+			t.ejectedUntil = time.Time{}
+		}
+	}
+	n.forget()
+}
+
+func (n *naiveTable) pick(now time.Time, q Query) (string, bool) {
+	n.advance(now)
+	var best *naiveTarget
+	for _, t := range n.targets {
+		limit := t.slots
+		if t.ejections > 0 {
+			limit = min(limit, 1)
+		}
+		careful := q.Careful && t.ejections > 0 && now.Before(t.trustedAt)
+		if t.leaving || !t.ejectedUntil.IsZero() || t.busy >= limit || careful || slices.Contains(q.Avoid, t.name) {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(t.load(), best.load()), cmp.Compare(t.lastPick, best.lastPick),
+			cmp.Compare(t.name, best.name)) < 0 {
+			best = t
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	n.picks++
+	best.lastPick = n.picks
+	best.busy++
+	return best.name, true
+}
+
+func (t *naiveTarget) load() float64 { return float64(t.busy+t.failures) / float64(t.slots) }
+
+func (n *naiveTable) finish(now time.Time, name string, r Result) {
+	t := n.find(name)
+	switch r := r.(type) {
+	case Succeeded:
+		t.failures, t.ejections = 0, 0
+	case Unused:
+	case Lost:
+		t.held = append(t.held, r.Until)
+		t.busy++
+		t.fail(now)
+	default:
+		t.fail(now)
+	}
+	t.busy--
+	n.forget()
+}
+
+func (t *naiveTarget) fail(now time.Time) {
+	t.failures++
+	if t.ejectedUntil.IsZero() && (t.failures >= failuresToEject || t.ejections > 0) {
+		length := firstEjection
+		for range t.ejections {
+			length = min(longestEjection, 2*length)
+		}
+		t.ejections++
+		t.ejectedUntil = now.Add(length)
+		t.trustedAt = t.ejectedUntil.Add(length)
+	}
+}
+
+func drawShares(t *rapid.T) []Share {
+	var shares []Share
+	for i := range 6 {
+		if slots := rapid.IntRange(0, 4).Draw(t, "slots"); slots > 0 {
+			shares = append(shares, Share{Name: fmt.Sprint("t", i), Slots: slots})
+		}
+	}
+	return shares
+}
+
+func drawResult(t *rapid.T, now time.Time) Result {
+	return rapid.SampledFrom([]Result{
+		Succeeded{Took: time.Millisecond}, Succeeded{Took: time.Second}, Unused{}, NotSent{}, Rejected{}, Failed{},
+		Lost{Until: now.Add(2 * time.Second)},
+	}).Draw(t, "result")
+}
+
+func TestTableAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var table Table
+		naive := &naiveTable{}
+		now := time.Unix(1000, 0)
+		var taken []string
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 1, 5, 20, 80}).Draw(t, "elapsed")) * 100 * time.Millisecond)
+			switch rapid.SampledFrom([]string{"set", "leave", "pick", "pick", "pick", "finish", "finish", "finish"}).Draw(t, "step") {
+			case "set":
+				shares := drawShares(t)
+				table.Set(shares)
+				naive.set(shares)
+			case "leave":
+				name := fmt.Sprint("t", rapid.IntRange(0, 5).Draw(t, "target"))
+				table.SetLeaving(name)
+				if target := naive.find(name); target != nil {
+					target.leaving = true
+				}
+			case "pick":
+				q := Query{Careful: rapid.Bool().Draw(t, "careful")}
+				if rapid.Bool().Draw(t, "avoiding") {
+					q.Avoid = []string{"t0", "t3"}
+				}
+				got, ok := table.Pick(now, q)
+				want, wantOK := naive.pick(now, q)
+				if got != want || ok != wantOK {
+					t.Fatalf("picked %q, the naive version %q", got, want)
+				}
+				if ok {
+					taken = append(taken, got)
+				}
+			case "finish":
+				if len(taken) > 0 {
+					at := rapid.IntRange(0, len(taken)-1).Draw(t, "taken")
+					result := drawResult(t, now)
+					table.Finish(now, taken[at], result)
+					naive.finish(now, taken[at], result)
+					taken = slices.Delete(taken, at, at+1)
+				}
+			}
+			checkCounts(t, &table, naive)
+		}
+	})
+}
+
+func checkCounts(t *rapid.T, table *Table, naive *naiveTable) {
+	slots, busy := 0, 0
+	for _, target := range naive.targets {
+		slots += target.slots
+		busy += target.busy
+	}
+	gotSlots, gotBusy := table.Slots()
+	if gotSlots != slots || gotBusy != busy {
+		t.Fatalf("%d of %d slots are taken, the naive version has %d of %d", gotBusy, gotSlots, busy, slots)
+	}
+}
+
+func TestFloorSlotsAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.String().Draw(t, "target")
+		slots, seats := rapid.IntRange(0, 40).Draw(t, "slots"), rapid.IntRange(1, 9).Draw(t, "seats")
+		total := 0
+		for seat := range seats {
+			floor := FloorSlots(name, slots, seat, seats)
+			if floor < slots/seats || floor > slots/seats+1 {
+				t.Fatalf("seat %d of %d has %d of %d slots", seat, seats, floor, slots)
+			}
+			total += floor
+		}
+		if total != slots {
+			t.Fatalf("the seats have %d of %d slots", total, slots)
+		}
+	})
+}
+
+// TestFastFailureAttractsNoWork has targets that need time and one that fails
+// at once.
+func TestFastFailureAttractsNoWork(t *testing.T) {
+	var table Table
+	table.Set([]Share{{"good", 4}, {"fast", 4}})
+	now := time.Unix(1000, 0)
+	failed := 0
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		name, ok := table.Pick(now, Query{})
+		if !ok {
+			continue
+		}
+		if name == "fast" {
+			failed++
+			table.Finish(now, name, Failed{})
+		} else {
+			table.Finish(now, name, Succeeded{Took: 10 * time.Millisecond})
+		}
+	}
+	// Three failures eject it; in 10 s, doubling from 0.5 s, probes follow at
+	// 0.5, 1.5, 3.5 and 7.5 s.
+	if failed > 7 {
+		t.Errorf("the failing target got %d requests in 10 s", failed)
+	}
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var budget Budget
+		ratio := rapid.Float64Range(0, 1).Draw(t, "ratio")
+		first, retries := 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "retry") && budget.Retry() {
+				retries++
+			} else {
+				budget.FirstTry(ratio)
+				first++
+			}
+			if float64(retries) > initialRetries+ratio*float64(first)+1e-6 {
+				t.Fatalf("%d retries after %d first tries at a ratio of %g", retries, first, ratio)
+			}
+		}
+	})
+}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"container/heap"
 	"slices"
 	"time"
@@ -267,10 +268,11 @@
 // Failures count as load.
 func (e *entry) before(other *entry) bool {
 	load, otherLoad := (e.busy+e.failures)*other.slots, (other.busy+other.failures)*e.slots
-	if load != otherLoad {
-		return load < otherLoad
-	}
-	return e.lastPick < other.lastPick
+	return cmp.Or(
+		cmp.Compare(load, otherLoad),
+		cmp.Compare(e.lastPick, other.lastPick),
+		cmp.Compare(e.name, other.name),
+	) < 0
 }
 
 // readyHeap is a heap.Interface by load.
