Draw longer histories in the differential tests

Cause: with few steps the test did not find an ejection time that does not double. After: that edit fails it; go test -count=3 passes on the real code.

--- a/core/admit/naive_test.go
+++ b/core/admit/naive_test.go
@@ -94,7 +94,7 @@
 		naive := &naiveQueue{tags: make(map[string]float64), served: make(map[string]float64)}
 		held := make(map[int]*Waiter[int])
 		now := 0
-		for serial := range rapid.IntRange(1, 80).Draw(t, "steps") {
+		for serial := range rapid.IntRange(50, 200).Draw(t, "steps") {
 			switch rapid.SampledFrom([]string{"push", "push", "push", "pop", "pop", "remove"}).Draw(t, "step") {
 			case "push":
 				w := drawWaiter(t, serial)
--- a/core/route/naive_test.go
+++ b/core/route/naive_test.go
@@ -156,7 +156,7 @@
 		naive := &naiveTable{}
 		now := time.Unix(1000, 0)
 		var taken []string
-		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+		for range rapid.IntRange(100, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 1, 5, 20, 80}).Draw(t, "elapsed")) * 100 * time.Millisecond)
 			switch rapid.SampledFrom([]string{"set", "leave", "pick", "pick", "pick", "finish", "finish", "finish"}).Draw(t, "step") {
 			case "set":
