Delete claim rows by version and in batches, and ride out slow tables

Cause: an unconditional delete of an expired row could remove the claim of a later request with the same identifier; a refusal read and deleted its row on the caller's time; slow tables held slots. Change: rows are deleted at the version that this VM wrote, many in one transaction, from the claim loop; one VM a domain looks for orphans each minute; with inserts slower than 20 ms the claim is secured before a slot is taken; an entry VM that refused for want of slots is left alone for 100 ms; attempts are traced; samples carry the body's size. After: go test -race ./entry/front passes (7.9 s).

--- a/core/claim/book.go
+++ b/core/claim/book.go
@@ -40,10 +40,16 @@
 	phase   Phase
 	outcome O
 	size    int
-	// stored is whether the tables have the claim's row; written is whether
-	// this VM wrote it and so deletes it.
+	// stored is whether the tables have the claim's row. version is the row's if
+	// this VM wrote it and so deletes it, and 0 otherwise.
 	stored  bool
-	written bool
+	version int64
+}
+
+// StoredRow is a row that this VM wrote and may delete at that version.
+type StoredRow struct {
+	Key     Key
+	Version int64
 }
 
 // Done is closed when the claim has ended or was dropped.
@@ -92,14 +98,14 @@
 	return s.claims[key]
 }
 
-// SetSent notes that the request may reach a target from now on, and whether
-// the tables have the claim's row.
-func (b *Book[O]) SetSent(c *Claim[O], stored bool) {
+// SetSent notes that the request may reach a target from now on. A version
+// other than 0 is that of the claim's row in the tables.
+func (b *Book[O]) SetSent(c *Claim[O], version int64) {
 	s := b.shard(c.Key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.phase = Sent
-	c.stored, c.written = stored, stored
+	c.stored, c.version = version != 0, version
 }
 
 // End keeps the outcome for repeats of the request. An outcome whose size does
@@ -121,19 +127,19 @@
 }
 
 // Drop forgets a claim whose request did not run. Those that wait for it get
-// the outcome. It reports whether the tables have the claim's row, and whether
-// only the memories of this VM and of its replica have it.
-func (b *Book[O]) Drop(c *Claim[O], outcome O) (stored, held bool) {
+// the outcome. It returns the version of the claim's row in the tables, or 0,
+// and reports whether only the memories of this VM and of its replica have it.
+func (b *Book[O]) Drop(c *Claim[O], outcome O) (version int64, held bool) {
 	s := b.shard(c.Key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.claims[c.Key] == c {
 		delete(s.claims, c.Key)
 	}
-	stored, held = c.stored, c.phase == Sent && !c.stored
+	version, held = c.version, c.phase == Sent && !c.stored
 	c.outcome, c.phase = outcome, Ended
 	close(c.done)
-	return stored, held
+	return version, held
 }
 
 // Replace puts c in the place of a claim that is held for the same owner. It
@@ -176,12 +182,13 @@
 	return c.outcome, c.phase == Ended
 }
 
-// SetStored notes that the tables have the claim's row, and whether this VM wrote it.
-func (b *Book[O]) SetStored(c *Claim[O], written bool) {
+// SetStored notes that the tables have the claim's row. The version is 0 if
+// another VM wrote it.
+func (b *Book[O]) SetStored(c *Claim[O], version int64) {
 	s := b.shard(c.Key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.stored, c.written = true, c.written || written
+	c.stored, c.version = true, version
 }
 
 // Unstored returns up to limit claims that were sent, or are held for another
@@ -197,20 +204,20 @@
 	return found
 }
 
-// Expire forgets the claims whose time has passed at now. It returns the keys
-// of up to limit rows that this VM wrote and may delete; claims beyond the
-// limit are kept for the next call.
-func (b *Book[O]) Expire(now time.Time, limit int) []Key {
-	var rows []Key
+// Expire forgets the claims whose time has passed at now. It returns up to
+// limit rows that this VM wrote; claims beyond the limit are kept for the next
+// call.
+func (b *Book[O]) Expire(now time.Time, limit int) []StoredRow {
+	var rows []StoredRow
 	b.each(func(c *Claim[O]) bool {
 		if now.Before(c.KeepUntil) || c.phase == Open {
 			return true
 		}
-		if c.written {
+		if c.version != 0 {
 			if len(rows) == limit {
 				return true
 			}
-			rows = append(rows, c.Key)
+			rows = append(rows, StoredRow{Key: c.Key, Version: c.version})
 		}
 		b.bytes.Add(-int64(c.size))
 		return false
--- a/entry/front/api.go
+++ b/entry/front/api.go
@@ -70,13 +70,14 @@
 		StartedAt: r.startedAt,
 		EndedAt:   now,
 		NotAfter:  r.NotAfter,
+		BodyBytes: int64(len(r.Body)),
 	}
 	decision := trace.Decision{At: now, Step: "answer", Exception: r.exception}
 	switch o := outcome.(type) {
 	case Completed:
 		f.metrics.completed.Add(1)
 		sample.Outcome, decision.Verdict = burn.Completed, "completed"
-		decision.Detail = "target " + r.slot.target
+		decision.Detail = "after " + now.Sub(r.ArrivedAt).String()
 	case Refused:
 		f.metrics.refused.Add(1)
 		sample.Outcome, decision.Verdict = burn.Refused, "refused"
--- a/entry/front/claims.go
+++ b/entry/front/claims.go
@@ -29,6 +29,10 @@
 	relay     *relay
 	book      *claim.Book[Outcome]
 	metrics   *metrics
+	// rows are those that this VM has to delete.
+	rows rowsToDelete
+	// storeTime is how long the tables take to insert a claim.
+	storeTime movingMean
 
 	// instance names this process among those of the same VM name.
 	instance string
@@ -122,15 +126,26 @@
 	r.claim = mine
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.NotAfter)
 	defer cancel()
-	outcome := next(ctx, r)
+	outcome := f.secureAndCall(ctx, r, next)
 	if refused, ok := outcome.(Refused); ok {
-		f.withdraw(r, refused)
+		f.withdraw(ctx, r, refused)
 		return outcome
 	}
 	f.book.End(mine, outcome, outcomeSize(outcome))
 	return outcome
 }
 
+// secureAndCall secures the claim early if the tables are slow, so that no slot waits for
+// them, and calls next.
+func (f *claims) secureAndCall(ctx context.Context, r *Request, next Next) Outcome {
+	if f.storeTime.mean() > slowStore {
+		if outcome := f.secure(ctx, r); outcome != nil {
+			return outcome
+		}
+	}
+	return next(ctx, r)
+}
+
 // join waits for the outcome of the first request with the same key.
 func (f *claims) join(ctx context.Context, r *Request, first *claim.Claim[Outcome]) Outcome {
 	f.metrics.doubled.Add(1)
--- a/entry/front/dispatch.go
+++ b/entry/front/dispatch.go
@@ -8,6 +8,7 @@
 
 	"tanagerstack.org/core/api/target"
 	"tanagerstack.org/core/route"
+	"tanagerstack.org/core/trace"
 )
 
 // dispatcher ends the chain: it sends a request to the target whose slot it has.
@@ -16,6 +17,7 @@
 	claims    *claims
 	clockSkew time.Duration
 	metrics   *metrics
+	trace     *trace.Log
 	// noteLeaving tells the membership and the pool that a target is leaving.
 	noteLeaving func(service, name string)
 }
@@ -28,9 +30,41 @@
 	}
 	outcome := d.over(ctx, r, used)
 	r.slot.lanes.put(used)
+	d.explain(r)
 	return outcome
 }
 
+// explain records how an attempt ended.
+func (d *dispatcher) explain(r *Request) {
+	if d.trace == nil {
+		return
+	}
+	d.trace.Add(r.ID, trace.Decision{
+		At:      d.now(),
+		Step:    "dispatch",
+		Verdict: verdict(r.attempt),
+		Detail:  "target " + r.slot.target,
+	})
+}
+
+// verdict names the end of an attempt.
+func verdict(result route.Result) string {
+	switch result.(type) {
+	case route.Succeeded:
+		return "succeeded"
+	case route.Unused:
+		return "claim-not-held"
+	case route.NotSent:
+		return "not-sent"
+	case route.Rejected:
+		return "not-run"
+	case route.Failed:
+		return "failed"
+	default:
+		return "lost"
+	}
+}
+
 // over sends the request over a lane, once the target is known to live and the
 // claim to be safe.
 func (d *dispatcher) over(ctx context.Context, r *Request, used *lane) Outcome {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -112,7 +112,15 @@
 	}
 	passing.claims = f.claims
 	f.router = &router{place: place, roster: opts.Roster, now: f.now, relay: passing, pools: make(map[string]*pool)}
-	last := &dispatcher{now: f.now, claims: f.claims, clockSkew: opts.ClockSkew, metrics: f.metrics, noteLeaving: f.noteLeaving}
+	passing.retry = f.router.retry
+	last := &dispatcher{
+		now:         f.now,
+		claims:      f.claims,
+		clockSkew:   opts.ClockSkew,
+		metrics:     f.metrics,
+		trace:       opts.Trace,
+		noteLeaving: f.noteLeaving,
+	}
 	f.placeChain = chain(last.Dispatch, f.router)
 	f.ownChain = chain(f.placeChain, f.claims)
 	f.callerChain = chain(f.ownChain,
--- a/entry/front/loops.go
+++ b/entry/front/loops.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"time"
-
-	"tanagerstack.org/core/store"
 )
 
 const (
@@ -19,6 +16,8 @@
 	flushLimit = 500
 	// sweepLimit bounds the rows deleted in one transaction.
 	sweepLimit = 500
+	// orphansEvery is the number of claim ticks between looks for old rows.
+	orphansEvery = 300
 	// forgetEvery is the number of ticks between looks at idle callers.
 	forgetEvery = 200
 )
@@ -50,10 +49,13 @@
 func (l claimLoop) run(ctx context.Context) {
 	ticker := time.NewTicker(claimTick)
 	defer ticker.Stop()
-	for {
+	for count := 1; ; count++ {
 		l.claims.learn(ctx)
 		l.claims.flush(ctx)
 		l.claims.sweep(ctx)
+		if count%orphansEvery == 0 {
+			l.claims.sweepOrphans(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -61,8 +63,3 @@
 		}
 	}
 }
-
-func isConflict(err error) bool {
-	var conflict *store.ConflictError
-	return errors.As(err, &conflict)
-}
--- a/entry/front/metrics.go
+++ b/entry/front/metrics.go
@@ -11,7 +11,7 @@
 	passed, regionBytes expvar.Int
 	// doubled counts repeats of non-idempotent requests.
 	doubled, memoryClaims expvar.Int
-	// rowsLeft and holdsLeft count claims that could not be cleaned up.
+	// rowsLeft and holdsLeft count claims that could not be cleaned up at once.
 	rowsLeft, holdsLeft expvar.Int
 }
 
--- a/entry/front/relay.go
+++ b/entry/front/relay.go
@@ -22,6 +22,8 @@
 	placesTried = 3
 	// holdTimeout bounds the messages about claims.
 	holdTimeout = 500 * time.Millisecond
+	// fullFor is how long an entry VM that refused a request is left alone.
+	fullFor = 100 * time.Millisecond
 	// regionBurst is how many seconds of the byte budget may be used at once.
 	regionBurst = 2
 )
@@ -34,10 +36,15 @@
 	now     func() time.Time
 	metrics *metrics
 	claims  *claims
+	// retry takes a retry from the budget.
+	retry func() bool
 
 	mu sync.Mutex
 	// bytes is the budget for traffic to other regions.
 	bytes *rate.Limiter
+	// full has, by entry VM and service, until when a VM that refused a request
+	// for want of slots gets no other one.
+	full map[string]time.Time
 }
 
 // call sends a message to an entry VM and waits for the answer.
@@ -64,6 +71,9 @@
 	ctx, cancel := context.WithDeadline(ctx, r.NotAfter)
 	defer cancel()
 	f.metrics.passed.Add(1)
+	if r.startedAt.IsZero() {
+		r.startedAt = f.now()
+	}
 	result, err := call[Result](ctx, f, vm, Pass{
 		Stage:      stage,
 		Caller:     r.Caller,
@@ -100,7 +110,14 @@
 func (f *relay) placeElsewhere(ctx context.Context, r *Request) Outcome {
 	candidates := route.Elsewhere(f.roster(), f.place, r.Service, r.ID, f.now())
 	var refused Outcome
-	for _, vm := range candidates[:min(placesTried, len(candidates))] {
+	tried := 0
+	for _, vm := range candidates {
+		if f.isFull(vm.Name, r.Service) {
+			continue
+		}
+		if tried++; tried > placesTried {
+			break
+		}
 		if vm.Region != f.place.Region && !f.spend(r) {
 			break
 		}
@@ -109,9 +126,12 @@
 		}
 		outcome, err := f.pass(ctx, r, vm, stagePlace)
 		if err != nil {
+			f.setFull(vm.Name, r.Service)
 			continue
 		}
-		if _, again := outcome.(Refused); !again && !f.again(r, outcome) {
+		if _, again := outcome.(Refused); again {
+			f.setFull(vm.Name, r.Service)
+		} else if !f.again(r, outcome) {
 			return outcome
 		}
 		refused = outcome
@@ -119,11 +139,27 @@
 	return refused
 }
 
+// isFull reports whether an entry VM has just refused a request for a service.
+func (f *relay) isFull(vm, service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now().Before(f.full[vm+"/"+service])
+}
+
+func (f *relay) setFull(vm, service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full == nil {
+		f.full = make(map[string]time.Time)
+	}
+	f.full[vm+"/"+service] = f.now().Add(fullFor)
+}
+
 // again reports whether an idempotent request may go on to the next entry VM
 // although the last one may have run it.
 func (f *relay) again(r *Request, outcome Outcome) bool {
 	_, unknown := outcome.(Unknown)
-	return unknown && r.Idempotent
+	return unknown && r.Idempotent && f.retry()
 }
 
 // spend takes the bytes of a request from the budget for other regions.
--- a/entry/front/secure.go
+++ b/entry/front/secure.go
@@ -44,11 +44,13 @@
 func (f *claims) secureInTables(ctx context.Context, r *Request) Outcome {
 	bounded, cancel := f.boundStore(ctx, r)
 	defer cancel()
-	err := f.insert(bounded, r.claim, store.Absent)
+	started := f.now()
+	version, err := f.insert(bounded, r.claim, store.Absent)
+	f.storeTime.observe(f.now().Sub(started))
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
-		f.book.SetSent(r.claim, true)
+		f.book.SetSent(r.claim, version)
 		return nil
 	case errors.As(err, &conflict) && len(conflict.Rows) > 0:
 		return f.settle(ctx, r, conflict.Rows[0])
@@ -59,19 +61,19 @@
 	}
 }
 
-// insert writes the claim's row over a row of the expected version.
-func (f *claims) insert(ctx context.Context, c *claim.Claim[Outcome], expected int64) error {
+// insert writes the claim's row over a row of the expected version. It returns
+// the version of the new row.
+func (f *claims) insert(ctx context.Context, c *claim.Claim[Outcome], expected int64) (int64, error) {
 	value, err := claim.Row{Owner: c.Owner, Nonce: c.Nonce, Digest: c.Digest, KeepUntil: c.KeepUntil}.Encode()
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = f.tables.Commit(ctx, store.Put{
+	return f.tables.Commit(ctx, store.Put{
 		Table:    claim.Table,
 		Key:      c.Key.String(),
 		Value:    value,
 		Expected: store.Expect(expected),
 	})
-	return err
 }
 
 // settleByReading finds out whether an insert took effect whose answer was lost.
@@ -98,7 +100,7 @@
 	case err != nil:
 		return Unknown{Detail: err.Error()}
 	case present.Nonce == r.claim.Nonce:
-		f.book.SetSent(r.claim, true)
+		f.book.SetSent(r.claim, row.Version)
 		return nil
 	case f.now().After(present.KeepUntil), f.ours(present.Nonce):
 		// An old row, or one of a request of this process that was refused: had
@@ -117,10 +119,11 @@
 func (f *claims) insertAgain(ctx context.Context, r *Request, expected int64) Outcome {
 	bounded, cancel := f.boundStore(ctx, r)
 	defer cancel()
-	if err := f.insert(bounded, r.claim, expected); err != nil {
+	version, err := f.insert(bounded, r.claim, expected)
+	if err != nil {
 		return unavailable("claim-unsettled", f.now(), "the claim could not be written: %s", err)
 	}
-	f.book.SetSent(r.claim, true)
+	f.book.SetSent(r.claim, version)
 	return nil
 }
 
@@ -151,7 +154,7 @@
 		return f.ask(ctx, r, held.Owner)
 	}
 	f.metrics.memoryClaims.Add(1)
-	f.book.SetSent(r.claim, false)
+	f.book.SetSent(r.claim, 0)
 	return nil
 }
 
@@ -165,38 +168,13 @@
 }
 
 // withdraw undoes the claim of a request that did not run.
-func (f *claims) withdraw(r *Request, refused Refused) {
-	stored, held := f.book.Drop(r.claim, refused)
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	if stored {
-		f.deleteRow(ctx, r.claim)
-	}
-	if held {
-		if replica, ok := f.replica(r.claim.Key); ok {
-			f.relay.release(ctx, r.claim, replica)
-		}
-	}
-}
-
-// deleteRow deletes the claim's row. A row that stays is harmless: this process
-// may replace it, and others call its request unknown.
-func (f *claims) deleteRow(ctx context.Context, c *claim.Claim[Outcome]) {
-	row, err := f.tables.Read(ctx, claim.Table, c.Key.String())
-	if err != nil || row.Version == store.Absent {
-		return
+func (f *claims) withdraw(ctx context.Context, r *Request, refused Refused) {
+	version, held := f.book.Drop(r.claim, refused)
+	if version != 0 {
+		f.rows.add(claim.StoredRow{Key: r.claim.Key, Version: version})
 	}
-	present, err := claim.DecodeRow(row.Value)
-	if err != nil || present.Nonce != c.Nonce {
-		return
-	}
-	_, err = f.tables.Commit(ctx, store.Delete{
-		Table:    claim.Table,
-		Key:      c.Key.String(),
-		Expected: store.Expect(row.Version),
-	})
-	if err != nil {
-		f.metrics.rowsLeft.Add(1)
+	if replica, ok := f.replica(r.claim.Key); held && ok {
+		f.relay.release(context.WithoutCancel(ctx), r.claim, replica)
 	}
 }
 
--- a/entry/front/serve.go
+++ b/entry/front/serve.go
@@ -7,7 +7,6 @@
 
 	"tanagerstack.org/core/claim"
 	"tanagerstack.org/core/peer"
-	"tanagerstack.org/core/store"
 )
 
 // receivePass runs a request that another entry VM passed on.
@@ -122,39 +121,6 @@
 	f.synced.Store(true)
 }
 
-// flush writes claims that only memories have to the tables.
-func (f *claims) flush(ctx context.Context) {
-	if !f.tables.Reachable() {
-		return
-	}
-	for _, c := range f.book.Unstored(f.now(), flushLimit) {
-		err := f.insert(ctx, c, store.Absent)
-		if err == nil {
-			f.book.SetStored(c, true)
-			continue
-		}
-		if !isConflict(err) {
-			return
-		}
-		f.book.SetStored(c, false)
-	}
-}
-
-// sweep forgets claims whose time has passed and deletes their rows.
-func (f *claims) sweep(ctx context.Context) {
-	keys := f.book.Expire(f.now(), sweepLimit)
-	if len(keys) == 0 {
-		return
-	}
-	changes := make([]store.Change, 0, len(keys))
-	for _, key := range keys {
-		changes = append(changes, store.Delete{Table: claim.Table, Key: key.String()})
-	}
-	if _, err := f.tables.Commit(ctx, changes...); err != nil {
-		f.metrics.rowsLeft.Add(int64(len(keys)))
-	}
-}
-
 func claimOf(h HeldClaim) *claim.Claim[Outcome] {
 	return &claim.Claim[Outcome]{Key: h.Key, Owner: h.Owner, Nonce: h.Nonce, Digest: h.Digest, KeepUntil: h.KeepUntil}
 }
