Measure what processes use and work out a larger size from slopes

tanager-stand watch reads processor time, memory and traffic of processes; fit draws lines through sizes. docs/CAPACITY.md will rest on them.

--- /dev/null
+++ b/stand/cmds/slopes.go
@@ -0,0 +1,128 @@
+package cmds
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"tanagerstack.org/stand/flags"
+	"tanagerstack.org/stand/slope"
+)
+
+// newWatch returns the command that measures running processes.
+func newWatch() *cobra.Command {
+	var processes flags.Pairs
+	var role string
+	var size float64
+	var duration time.Duration
+	cmd := &cobra.Command{
+		Use:   "watch",
+		Short: "Measure what running processes use, as points for the fit command",
+		Long: `Watches processes for a while and writes one JSON line for each: its role, the
+size that it ran at, and its processor time, memory and traffic. make slopes uses
+it; docs/CAPACITY.md has the results.`,
+		Example: "  tanager-stand watch --process 4711=127.0.1.1:8082 --role peers --size 9 --duration 10s >> points",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			watched, err := parseProcesses(processes)
+			if err != nil {
+				return err
+			}
+			usages, err := slope.Watch(cmd.Context(), watched, duration)
+			if err != nil {
+				return err
+			}
+			encoder := json.NewEncoder(cmd.OutOrStdout())
+			for _, usage := range usages {
+				if err := encoder.Encode(slope.Point{Role: role, Size: size, Usage: usage}); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().Var(&processes, "process", "processes with the addresses of their /debug/vars, as PID=IP:PORT,..; PID=none if they have none")
+	cmd.Flags().StringVar(&role, "role", "", "role of the processes")
+	cmd.Flags().Float64Var(&size, "size", 0, "size that they run at")
+	cmd.Flags().DurationVar(&duration, "duration", 10*time.Second, "how long to watch")
+	return cmd
+}
+
+func parseProcesses(pairs flags.Pairs) ([]slope.Process, error) {
+	processes := make([]slope.Process, 0, len(pairs))
+	var failed []error
+	for _, pair := range pairs {
+		p := slope.Process{}
+		var err error
+		if p.PID, err = strconv.Atoi(pair.Name); err != nil || p.PID < 1 {
+			failed = append(failed, fmt.Errorf("--process: %q is not the number of a process", pair.Name))
+		}
+		if pair.Value != "none" {
+			if p.Debug, err = netip.ParseAddrPort(pair.Value); err != nil {
+				failed = append(failed, fmt.Errorf("--process: %q is not IP:PORT or none", pair.Value))
+			}
+		}
+		processes = append(processes, p)
+	}
+	if len(pairs) == 0 {
+		failed = append(failed, errors.New("--process: name at least one"))
+	}
+	return processes, errors.Join(failed...)
+}
+
+// newFit returns the command that works out usages at a larger size.
+func newFit() *cobra.Command {
+	var targets flags.Pairs
+	cmd := &cobra.Command{
+		Use:     "fit",
+		Short:   "Draw lines through measured points and work out what a target size uses",
+		Long:    "Reads the points that watch wrote from standard input and prints a Markdown table.",
+		Example: "  tanager-stand fit --target peers=20 < points",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			parsed, err := parseTargets(targets)
+			if err != nil {
+				return err
+			}
+			points, err := readPoints(cmd.InOrStdin())
+			if err != nil {
+				return err
+			}
+			return slope.WriteTable(cmd.OutOrStdout(), points, parsed)
+		},
+	}
+	cmd.Flags().Var(&targets, "target", "sizes to work out, as ROLE=SIZE,..")
+	return cmd
+}
+
+func parseTargets(pairs flags.Pairs) ([]slope.Target, error) {
+	targets := make([]slope.Target, 0, len(pairs))
+	for _, pair := range pairs {
+		size, err := strconv.ParseFloat(pair.Value, 64)
+		if err != nil || size <= 0 {
+			return nil, fmt.Errorf("--target: %q is not a size above 0", pair.Value)
+		}
+		targets = append(targets, slope.Target{Role: pair.Name, Size: size})
+	}
+	return targets, nil
+}
+
+func readPoints(in io.Reader) ([]slope.Point, error) {
+	var points []slope.Point
+	lines := bufio.NewScanner(in)
+	for lines.Scan() {
+		var p slope.Point
+		if err := json.Unmarshal(lines.Bytes(), &p); err != nil {
+			return nil, fmt.Errorf("line %d of the points: %w", len(points)+1, err)
+		}
+		points = append(points, p)
+	}
+	return points, lines.Err()
+}
--- /dev/null
+++ b/stand/slope/usage.go
@@ -0,0 +1,71 @@
+package slope
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Measures are the names of what a Usage holds, in the order of reports.
+func Measures() []string {
+	return []string{"cpu-percent", "memory-mb", "tcp-kb-per-second", "peer-kb-per-second", "store-reads-per-second", "store-commits-per-second"}
+}
+
+// Usage maps measures to values.
+type Usage map[string]float64
+
+// Point is the usage of one process at one size of its role.
+type Point struct {
+	Role  string  `json:"role"`
+	Size  float64 `json:"size"`
+	Usage Usage   `json:"usage"`
+}
+
+// Watch returns what each process uses over the duration.
+func Watch(ctx context.Context, processes []Process, duration time.Duration) ([]Usage, error) {
+	before, err := readAll(ctx, processes)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(duration):
+	}
+	after, err := readAll(ctx, processes)
+	if err != nil {
+		return nil, err
+	}
+	usages := make([]Usage, len(processes))
+	for i := range processes {
+		usages[i] = usage(before[i], after[i])
+	}
+	return usages, nil
+}
+
+func readAll(ctx context.Context, processes []Process) ([]counters, error) {
+	all := make([]counters, len(processes))
+	var failed []error
+	for i, p := range processes {
+		c, err := p.read(ctx)
+		if err != nil {
+			failed = append(failed, fmt.Errorf("process %d: %w", p.PID, err))
+		}
+		all[i] = c
+	}
+	return all, errors.Join(failed...)
+}
+
+func usage(before, after counters) Usage {
+	seconds := after.at.Sub(before.at).Seconds()
+	const kilobyte = 1000
+	return Usage{
+		"cpu-percent":              100 * (after.processor - before.processor).Seconds() / seconds,
+		"memory-mb":                float64(after.residentKB) * 1024 / 1e6,
+		"tcp-kb-per-second":        float64(after.tcpBytes-before.tcpBytes) / kilobyte / seconds,
+		"peer-kb-per-second":       float64(after.peerBytes-before.peerBytes) / kilobyte / seconds,
+		"store-reads-per-second":   float64(after.storeCalls-before.storeCalls) / seconds,
+		"store-commits-per-second": float64(after.storeCommits-before.storeCommits) / seconds,
+	}
+}
