--- a/admin/burn.go
+++ b/admin/burn.go
@@ -69,19 +69,35 @@
 	if len(report.Missing) > 0 {
 		p.printf("warning: %s did not answer; what they served is not counted\n", strings.Join(report.Missing, ", "))
 	}
+	if len(report.Rows) == 0 {
+		p.printf("no requests in the last 6 hours\n")
+		return p.err
+	}
+	p.printf("\nobjectives, the least budget left first:\n")
 	table := p.table("CALLER", "CLASS", "OBJECTIVE", "TARGET", "REQUESTS", "BAD", "BUDGET LEFT", "BURN 5M/1H/6H", "WAIT P50", "WAIT P99")
 	for i := range report.Rows {
 		r := &report.Rows[i]
 		table.row(r.Caller, r.Class, r.Objective, percent(r.Target), r.Total, r.Bad, percent(r.BudgetLeft), rates(r), r.P50.Value, r.P99.Value)
 	}
 	table.end()
+	p.printf("\nwho burns the budget:\n")
+	printSpent(p, report.Rows)
 	if len(report.Limits) > 0 {
-		p.printf("\nwho hits limits:\n")
+		p.printf("\nwho floods us:\n")
 		printLimits(p, report.Limits)
 	}
 	return p.err
 }
 
+// printSpent lists callers by the most budget that they spent of any objective.
+func printSpent(p *printer, rows []api.BurnRow) {
+	table := p.table("CALLER", "SPENT")
+	for _, s := range spentShares(rows) {
+		table.row(s.Name, s.Text)
+	}
+	table.end()
+}
+
 func printLimits(p *printer, limits []api.LimitHits) {
 	table := p.table("CALLER", "LIMIT", "HITS")
 	for _, hit := range limits {
