Keep in an ended job's row which worker had each task, and how often

Cause: a job that ended showed attempt 0 and no worker, since rows note tasks only on failures. Notes on every event would make a row of 5,000 tasks grow with each; so all are noted once, as the job ends. Tests: TestJobsEndAsTheirKindDemands demands both; it failed before.

--- a/entry/sched/job.go
+++ b/entry/sched/job.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -28,10 +29,12 @@
 
 // task is a task of a job on the holder.
 type task struct {
-	phase    phase
-	worker   string
-	attempt  int
-	failures int
+	phase phase
+	// worker has the task while it is live, lastWorker had it before.
+	worker     string
+	lastWorker string
+	attempt    int
+	failures   int
 	// reason says why the task is where it is, for people.
 	reason     string
 	checkpoint string
@@ -143,6 +146,17 @@
 	j.row.Notes[index] = taskNote{Failures: t.failures, Attempt: t.attempt, Reason: t.reason, Checkpoint: t.checkpoint}
 }
 
+// noteAll puts into the row what became of each task, as the job ends.
+func (j *job) noteAll() {
+	j.row.Notes = make(map[int]taskNote, len(j.tasks))
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.attempt > 0 {
+			j.row.Notes[i] = taskNote{Failures: t.failures, Attempt: t.attempt, Reason: t.reason, Checkpoint: t.checkpoint, Worker: cmp.Or(t.worker, t.lastWorker)}
+		}
+	}
+}
+
 // item is a job's entry in the queue. The lock must be held.
 func (h *holder) item(j *job) queue.Item {
 	spec := j.row.Spec
@@ -166,8 +180,9 @@
 func (j *job) placed() map[string]int {
 	counts := make(map[string]int)
 	for i := range j.tasks {
-		if w := j.tasks[i].worker; w != "" {
-			counts[w]++
+		switch t := &j.tasks[i]; t.phase {
+		case starting, running, stopping:
+			counts[t.worker]++
 		}
 	}
 	return counts
@@ -193,8 +208,12 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		out := caller.Task{Index: i, Phase: t.phase.public(), Attempt: t.attempt}
-		if t.worker != "" {
-			out.Worker = caller.NewOptString(t.worker)
+		name := t.worker
+		if ended(j.row.State) {
+			name = cmp.Or(t.worker, t.lastWorker)
+		}
+		if name != "" {
+			out.Worker = caller.NewOptString(name)
 		}
 		if reason := j.reasonOf(t); reason != "" {
 			out.Reason = caller.NewOptString(reason)
@@ -253,6 +272,9 @@
 	for i := range view.Tasks {
 		note := r.Notes[i]
 		view.Tasks[i] = caller.Task{Index: i, Phase: r.endPhase(i), Attempt: note.Attempt}
+		if note.Worker != "" {
+			view.Tasks[i].Worker = caller.NewOptString(note.Worker)
+		}
 		if note.Reason != "" {
 			view.Tasks[i].Reason = caller.NewOptString(note.Reason)
 		}
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -264,7 +264,8 @@
 
 // again makes a task pending. The lock must be held.
 func (h *holder) again(j *job, index int) {
-	j.tasks[index].worker = ""
+	t := &j.tasks[index]
+	t.lastWorker, t.worker = t.worker, ""
 	j.set(index, pending)
 	h.enqueue(j)
 	h.settleJob(j)
@@ -374,6 +375,7 @@
 		return
 	}
 	j.row.State, j.row.Reason, j.row.EndedAt = j.ends, j.why, h.now()
+	j.noteAll()
 	h.trace(j.row.ID, "job", string(j.ends), j.why)
 	h.markDirty(j)
 }
--- a/entry/sched/row.go
+++ b/entry/sched/row.go
@@ -47,6 +47,8 @@
 	Attempt    int    `json:"attempt,omitempty"`
 	Reason     string `json:"reason,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
+	// Worker is the task's last worker, noted when the job ends.
+	Worker string `json:"worker,omitempty"`
 }
 
 func (r *jobRow) key() string { return r.Domain + "/" + r.ID }
--- a/entry/sched/scheduler_test.go
+++ b/entry/sched/scheduler_test.go
@@ -142,6 +142,11 @@
 		if job.State != test.want {
 			t.Errorf("%s: %s (%s), want %s", name, job.State, job.Reason.Value, test.want)
 		}
+		for _, task := range job.Tasks {
+			if task.Attempt == 0 || task.Worker.Value == "" {
+				t.Errorf("%s: the ended job lost where task %d ran: %+v", name, task.Index, task)
+			}
+		}
 	}
 	for _, w := range r.workers {
 		if w.overloaded > 0 {
