Keep the worker in a task's note however the job ends

All notes are now made in one place. After: go test -race -run 'TestJobsEnd|TestCancel|Takeover' ./entry/sched passes.

--- a/entry/sched/job.go
+++ b/entry/sched/job.go
@@ -92,7 +92,8 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		note := row.Notes[i]
-		t.failures, t.attempt, t.reason, t.checkpoint = note.Failures, note.Attempt, note.Reason, note.Checkpoint
+		t.failures, t.attempt, t.reason = note.Failures, note.Attempt, note.Reason
+		t.checkpoint, t.lastWorker = note.Checkpoint, note.Worker
 		if row.succeeded(i) {
 			t.phase = succeeded
 			j.done++
@@ -143,7 +144,17 @@
 	if j.row.Notes == nil {
 		j.row.Notes = make(map[int]taskNote)
 	}
-	j.row.Notes[index] = taskNote{Failures: t.failures, Attempt: t.attempt, Reason: t.reason, Checkpoint: t.checkpoint}
+	j.row.Notes[index] = t.note()
+}
+
+func (t *task) note() taskNote {
+	return taskNote{
+		Failures:   t.failures,
+		Attempt:    t.attempt,
+		Reason:     t.reason,
+		Checkpoint: t.checkpoint,
+		Worker:     cmp.Or(t.worker, t.lastWorker),
+	}
 }
 
 // noteAll puts into the row what became of each task, as the job ends.
@@ -152,7 +163,7 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.attempt > 0 {
-			j.row.Notes[i] = taskNote{Failures: t.failures, Attempt: t.attempt, Reason: t.reason, Checkpoint: t.checkpoint, Worker: cmp.Or(t.worker, t.lastWorker)}
+			j.row.Notes[i] = t.note()
 		}
 	}
 }
--- a/entry/sched/row.go
+++ b/entry/sched/row.go
@@ -47,7 +47,7 @@
 	Attempt    int    `json:"attempt,omitempty"`
 	Reason     string `json:"reason,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
-	// Worker is the task's last worker, noted when the job ends.
+	// Worker is the task's last worker.
 	Worker string `json:"worker,omitempty"`
 }
 
