--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,9 @@
 
 tools: $(LINTER) ## Install the linter at its pinned version.
 
+bench-jobs: ## Measure placement, takeover and control cost; non-zero past a bound.
+	go test -tags bench -count=1 -timeout 5m -run TestBenchJobs -v ./entry/sched
+
 lint: $(LINTER) ## Run the linter.
 	$(LINTER) run $(PACKAGES)
 
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -120,17 +120,10 @@
 const acceleratorPenalty = 4
 
 // leftover scores what stays free on w after one task, as a share of its
-// capacity: the less, the better. Room that is left in one dimension only is
-// waste, so an uneven rest counts in addition.
+// capacity: the less, the better.
 func leftover(w *ledger.Worker, each roster.Resources) float64 {
-	processors := share(w.Free.Millicores-each.Millicores, w.Capacity.Millicores)
-	memory := share(w.Free.MemoryBytes-each.MemoryBytes, w.Capacity.MemoryBytes)
-	score := processors + memory
-	if uneven := processors - memory; uneven > 0 {
-		score += uneven
-	} else {
-		score -= uneven
-	}
+	score := share(w.Free.Millicores-each.Millicores, w.Capacity.Millicores) +
+		share(w.Free.MemoryBytes-each.MemoryBytes, w.Capacity.MemoryBytes)
 	if each.Accelerators == 0 && w.Free.Accelerators > 0 {
 		score += acceleratorPenalty
 	}
