--- a/stand/load/job.go
+++ b/stand/load/job.go
@@ -88,7 +88,7 @@
 		spec.Kind, spec.Tasks = api.JobSpecKindGang, gangTasks
 	default:
 		spec.Kind, spec.Tasks = api.JobSpecKindService, serviceTasks
-		spec.ExpectedRun, spec.Command = 0, []string{}
+		spec.ExpectedRun, spec.Command = 0, []string{"--use-millicores=500"}
 	}
 	return spec
 }
