Let the seat model cut VMs off and lag their listing

The first model could not see the need to read the row after a pause, nor to be listed before taking a seat.

--- a/core/roster/seat_test.go
+++ b/core/roster/seat_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -17,6 +18,8 @@
 	modelSkew   = 200 * time.Millisecond
 )
 
+var modelVMs = []string{"a", "b", "c", "d"}
+
 // process is one instance of a VM in the model.
 type process struct {
 	vm     string
@@ -24,11 +27,19 @@
 	seater *seater
 	view   View
 	paused bool
-	// pausedAt, refreshedAt and list are by the model's clock.
+	// cut keeps the process from the platform.
+	cut bool
+	// pausedAt and refreshedAt are by the model's clock.
 	pausedAt    time.Time
 	refreshedAt time.Time
-	listed      map[string]bool
-	listedAt    time.Time
+	// list is the last list that the process read.
+	list snapshot
+}
+
+// snapshot is the platform's list at an instant.
+type snapshot struct {
+	at     time.Time
+	listed map[string]bool
 }
 
 // use is the last request that an instance started on a seat.
@@ -45,9 +56,12 @@
 	seats     int
 	tables    *store.Memory
 	processes map[string]*process
-	listed    map[string]bool
-	started   int
-	uses      map[int][]use
+	// history has the platform's list at each step; enlistAt has VMs that it
+	// will show.
+	history  []snapshot
+	enlistAt map[string]time.Time
+	started  int
+	uses     map[int][]use
 	// taken counts seats that passed from one VM to another.
 	taken int
 }
@@ -59,7 +73,8 @@
 		seats:     rapid.IntRange(1, 3).Draw(t, "seats"),
 		tables:    store.NewMemory(),
 		processes: make(map[string]*process),
-		listed:    make(map[string]bool),
+		history:   []snapshot{{at: time.Unix(1_700_000_000, 0)}},
+		enlistAt:  make(map[string]time.Time),
 		uses:      make(map[int][]use),
 	}
 }
@@ -68,7 +83,7 @@
 
 func (m *seatModel) draw(label string) *process {
 	var vms []string
-	for _, vm := range []string{"a", "b", "c", "d"} {
+	for _, vm := range modelVMs {
 		if m.processes[vm] != nil {
 			vms = append(vms, vm)
 		}
@@ -79,10 +94,17 @@
 	return m.processes[rapid.SampledFrom(vms).Draw(m.t, label)]
 }
 
-// start kills the VM's present process, if there is one, and starts another.
+func (m *seatModel) drawVM(label string) string { return rapid.SampledFrom(modelVMs).Draw(m.t, label) }
+
+// start kills the VM's present process, if there is one, and starts another. The
+// list shows a new VM after a while, but one that it had dropped from the start.
 func (m *seatModel) start(vm string) {
 	m.started++
-	m.listed[vm] = true
+	if m.everListed(vm) {
+		m.enlist(vm)
+	} else {
+		m.enlistAt[vm] = m.now.Add(time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(m.t, "lag")))
+	}
 	skew := int64(modelSkew / 2)
 	p := &process{
 		vm:     vm,
@@ -93,14 +115,40 @@
 	m.processes[vm] = p
 }
 
+func (m *seatModel) everListed(vm string) bool {
+	for _, s := range m.history {
+		if s.listed[vm] {
+			return true
+		}
+	}
+	return false
+}
+
+// enlist adds the VM to the list, and delist drops it.
+func (m *seatModel) enlist(vm string) {
+	m.changeList(func(listed map[string]bool) { listed[vm] = true })
+}
+func (m *seatModel) delist(vm string) {
+	m.changeList(func(listed map[string]bool) { delete(listed, vm) })
+}
+
+func (m *seatModel) changeList(change func(map[string]bool)) {
+	listed := maps.Clone(m.history[len(m.history)-1].listed)
+	if listed == nil {
+		listed = make(map[string]bool)
+	}
+	change(listed)
+	m.history = append(m.history, snapshot{at: m.now, listed: listed})
+}
+
 // refresh lets a process poll the list, as it was a while ago, and its seat.
 func (m *seatModel) refresh(p *process) {
-	if p.paused {
+	if p.paused || p.cut {
 		return
 	}
-	p.listed, p.listedAt = make(map[string]bool), m.now
-	for vm := range m.listed {
-		p.listed[vm] = true
+	age := rapid.IntRange(0, min(20, len(m.history)-1)).Draw(m.t, "age of list")
+	if list := m.history[len(m.history)-1-age]; list.at.After(p.list.at) {
+		p.list = list
 	}
 	p.refreshedAt = m.now
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
@@ -110,8 +158,8 @@
 		seats:    m.seats,
 		window:   modelWindow,
 		skew:     modelSkew,
-		listed:   p.listed,
-		listedAt: p.listedAt,
+		listed:   p.list.listed,
+		listedAt: p.list.at,
 	})
 	m.look(p)
 }
@@ -147,7 +195,15 @@
 func (m *seatModel) pass(steps int) {
 	for range steps {
 		m.now = m.now.Add(modelStep)
-		for _, vm := range []string{"a", "b", "c", "d"} {
+		m.changeList(func(listed map[string]bool) {
+			for vm, at := range m.enlistAt {
+				if !m.now.Before(at) {
+					listed[vm] = true
+					delete(m.enlistAt, vm)
+				}
+			}
+		})
+		for _, vm := range modelVMs {
 			p := m.processes[vm]
 			if p == nil || p.paused {
 				continue
@@ -165,7 +221,7 @@
 
 func (m *seatModel) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
-		"start":   func(t *rapid.T) { m.start(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "vm")) },
+		"start":   func(*rapid.T) { m.start(m.drawVM("vm")) },
 		"kill":    func(*rapid.T) { delete(m.processes, m.draw("killed").vm) },
 		"refresh": func(*rapid.T) { m.refresh(m.draw("refreshed")) },
 		"pass":    func(t *rapid.T) { m.pass(rapid.IntRange(1, 60).Draw(t, "steps")) },
@@ -173,6 +229,8 @@
 			p := m.draw("paused")
 			p.paused, p.pausedAt = true, m.now
 		},
+		"cut":    func(*rapid.T) { p := m.draw("cut"); p.cut = !p.cut },
+		"freeze": m.freeze,
 		"resume": func(*rapid.T) {
 			p := m.draw("resumed")
 			p.paused = false
@@ -206,12 +264,30 @@
 }
 
 // drop takes a VM off the list that is dead, or has been paused for long.
-func (m *seatModel) drop(t *rapid.T) {
-	vm := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "dropped")
+func (m *seatModel) drop(*rapid.T) {
+	vm := m.drawVM("dropped")
 	p := m.processes[vm]
 	if p == nil || p.paused && m.now.Sub(p.pausedAt) > PauseLimit {
-		delete(m.listed, vm)
+		delete(m.enlistAt, vm)
+		m.delist(vm)
+	}
+}
+
+// freeze pauses a VM for so long that another may get its seat, and wakes it up
+// cut off from the platform.
+func (m *seatModel) freeze(t *rapid.T) {
+	p := m.draw("frozen")
+	p.paused, p.pausedAt, p.cut = true, m.now, true
+	m.pass(10)
+	delete(m.enlistAt, p.vm)
+	m.delist(p.vm)
+	if vm := m.drawVM("next"); vm != p.vm {
+		m.start(vm)
 	}
+	m.pass(rapid.IntRange(40, 120).Draw(t, "steps"))
+	p.paused = false
+	m.work(p)
+	m.pass(1)
 }
 
 // TestSeatsNeverShared checks that no instance uses a seat while requests of
