--- a/core/keys/source.go
+++ b/core/keys/source.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// recheckEvery bounds how often a Source looks at the times of its files.
-const recheckEvery = time.Second
+// RecheckEvery bounds how often a Source looks at the times of its files.
+const RecheckEvery = time.Second
 
 // Files are the paths of a VM's keys.
 type Files struct {
@@ -60,7 +60,7 @@
 	if now.Before(s.checkAt) {
 		return s.pair
 	}
-	s.checkAt = now.Add(recheckEvery)
+	s.checkAt = now.Add(RecheckEvery)
 	times, err := s.files.changedAt()
 	if err != nil || times == s.changedAt {
 		return s.pair
--- a/core/peer/node_test.go
+++ b/core/peer/node_test.go
@@ -32,13 +32,28 @@
 	return &fleet{t: t, dir: dir}
 }
 
-func (f *fleet) node(name string, mux *Mux) (*Node, Address) {
-	f.t.Helper()
-	source, err := keys.NewSource(keys.Files{
+func (f *fleet) files(name string) keys.Files {
+	return keys.Files{
 		CA:   f.dir + "/" + keys.AuthorityCert,
 		Cert: keys.CertFile(f.dir, name),
 		Key:  keys.KeyFile(f.dir, name),
-	})
+	}
+}
+
+func copyFile(t *testing.T, from, to string) {
+	t.Helper()
+	data, err := os.ReadFile(from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(to, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fleet) node(name string, mux *Mux) (*Node, Address) {
+	f.t.Helper()
+	source, err := keys.NewSource(f.files(name))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -133,13 +148,7 @@
 		t.Run(name, func(t *testing.T) {
 			away := newFleet(t, "a")
 			if trusts {
-				authority, err := os.ReadFile(home.dir + "/" + keys.AuthorityCert)
-				if err != nil {
-					t.Fatal(err)
-				}
-				if err := os.WriteFile(away.dir+"/"+keys.AuthorityCert, authority, 0o600); err != nil {
-					t.Fatal(err)
-				}
+				copyFile(t, home.dir+"/"+keys.AuthorityCert, away.dir+"/"+keys.AuthorityCert)
 			}
 			a, _ := away.node("a", nil)
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
