Prove silent connections and claims within one process

Cause: a connection that went silent within a second of its last answer took a non-idempotent request with it.

--- a/entry/front/dispatch.go
+++ b/entry/front/dispatch.go
@@ -68,7 +68,11 @@
 // over sends the request over a lane, once the target is known to live and the
 // claim to be safe.
 func (d *dispatcher) over(ctx context.Context, r *Request, used *lane) Outcome {
-	state, err := used.prove(ctx, d.now())
+	trusted := provenFor
+	if !r.Idempotent {
+		trusted = provenForClaim
+	}
+	state, err := used.prove(ctx, d.now(), trusted)
 	if err != nil {
 		return d.notSent(r, err)
 	}
--- a/entry/front/lane.go
+++ b/entry/front/lane.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	// provenFor is how long a connection counts as alive after an answer on it.
-	provenFor = time.Second
+	// provenFor is how long a connection counts as alive after an answer on it,
+	// and provenForClaim how long it does for a non-idempotent request, whose
+	// outcome would be unknown if the connection were not.
+	provenFor      = time.Second
+	provenForClaim = 200 * time.Millisecond
 	// proofTimeout bounds the proof of life of a connection.
 	proofTimeout = 250 * time.Millisecond
 	// dialTimeout bounds a new connection to a target.
@@ -106,9 +109,9 @@
 
 // prove makes sure that the target answers on the lane's connection, and
 // replaces a connection that went silent. It returns the target's state, or nil
-// if the connection was proven a moment ago.
-func (l *lane) prove(ctx context.Context, now time.Time) (*target.TargetState, error) {
-	if now.Sub(l.provenAt) < provenFor {
+// if the connection was proven within the trusted time.
+func (l *lane) prove(ctx context.Context, now time.Time, trusted time.Duration) (*target.TargetState, error) {
+	if now.Sub(l.provenAt) < trusted {
 		return nil, nil
 	}
 	state, err := l.askState(ctx)
