Add the harness for process tests, and take peer addresses from the platform's list

Cause found while cutting peers: a heartbeat's own peer address went before the platform's list, so calls went past the forwarder. Ruled out: the forwarder itself (platform cuts and its path lookup worked). Change: the list's peer address goes first, since the platform knows by which address others reach a VM. Faults that spoil an answer now leave probes and reads alone: lost-answer had struck the entry VM's proof of life, so no request ever ran under it.

--- a/core/roster/build.go
+++ b/core/roster/build.go
@@ -68,15 +68,20 @@
 	return merged
 }
 
-// merge puts what a VM says of itself over what the list says of it.
+// merge puts what a VM says of itself over what the list says of it, but for its
+// peer address: the platform knows by which address others reach the VM.
 func (h heard) merge(vm VM, now time.Time) VM {
 	listedLeaving := vm.State == Leaving
+	reachedAt := vm.Peer
+	if !reachedAt.IsValid() {
+		reachedAt = h.beat.Peer
+	}
 	vm = VM{
 		Name:          h.beat.Name,
 		Domain:        h.beat.Domain,
 		Region:        h.beat.Region,
 		Callers:       h.beat.Callers,
-		Peer:          h.beat.Peer,
+		Peer:          reachedAt,
 		HeardAt:       h.at,
 		PolicyVersion: h.beat.PolicyVersion,
 		LeaseEpoch:    h.beat.LeaseEpoch,
--- a/stand/faults/doc.go
+++ b/stand/faults/doc.go
@@ -17,6 +17,10 @@
 //   - leaving: the VM says that it is leaving; stand-ins act on it themselves.
 //   - frozen: a request is held until the fault changes, then run.
 //
+// The faults that spoil an answer (lost-answer, short-body, swapped-answer and
+// late-answer) strike only requests that change something: probes and reads are
+// answered as usual.
+//
 // Control serves the fault API, through which tests set faults and read what the
 // stand-in recorded.
 package faults
--- a/stand/faults/filter.go
+++ b/stand/faults/filter.go
@@ -29,6 +29,10 @@
 // ServeHTTP runs the request, or lets it fail as the fault in force says.
 func (f *filter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	fault, changed := f.faults.strike(f.member)
+	if spoilsAnswer(fault.Kind) && reads(r) {
+		f.next.ServeHTTP(w, r)
+		return
+	}
 	switch fault.Kind {
 	case api.FaultKindDown:
 		reset(w)
@@ -57,6 +61,21 @@
 	}
 }
 
+// spoilsAnswer reports whether a fault lets a request run and spoils its answer.
+func spoilsAnswer(kind api.FaultKind) bool {
+	switch kind {
+	case api.FaultKindLostAnswer, api.FaultKindShortBody, api.FaultKindSwappedAnswer, api.FaultKindLateAnswer:
+		return true
+	default:
+		return false
+	}
+}
+
+// reads reports whether a request changes nothing. The table service reads rows by POST.
+func reads(r *http.Request) bool {
+	return r.Method == http.MethodGet || r.URL.Path == "/v1/read"
+}
+
 // run runs the request to its end, even when the client gives up, and keeps the answer.
 func (f *filter) run(r *http.Request) *capture {
 	answer := &capture{header: make(http.Header), status: http.StatusOK}
--- a/stand/load/change.go
+++ b/stand/load/change.go
@@ -73,6 +73,9 @@
 		}
 		began := time.Now()
 		version, err := d.apply(ctx, number)
+		if err != nil && ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			klog.InfoS("policy change was not applied; the next one follows", "err", err)
 			continue
--- /dev/null
+++ b/stand/proof/process_test.go
@@ -0,0 +1,144 @@
+package proof
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// stopPatience is how long a process may take to stop at the end of a test.
+	stopPatience = 5 * time.Second
+	// logTail is how much of each log is printed when a test fails.
+	logTail = 3000
+)
+
+// build builds the three programs once for all tests.
+var build = sync.OnceValues(func() (string, error) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		return "", err
+	}
+	for name, module := range map[string]string{"tanager-entry": "entry", "tanager-stand": "stand", "tanager": "admin"} {
+		cmd := exec.Command("go", "build", "-o", filepath.Join(programs, name), "./"+module)
+		cmd.Dir = root
+		if output, err := cmd.CombinedOutput(); err != nil {
+			return "", fmt.Errorf("building %s: %w\n%s", name, err, output)
+		}
+	}
+	return programs, nil
+})
+
+// programs is the directory of the built programs.
+var programs string
+
+func TestMain(m *testing.M) {
+	directory, err := os.MkdirTemp("", "tanager-proof-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	programs = directory
+	code := m.Run()
+	_ = os.RemoveAll(directory)
+	os.Exit(code)
+}
+
+// process is one started program.
+type process struct {
+	name    string
+	log     string
+	cmd     *exec.Cmd
+	done    chan struct{}
+	program string
+	args    []string
+}
+
+// startProcess starts a program that is stopped at the end of the test.
+func startProcess(t *testing.T, directory, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{
+		name: name, log: filepath.Join(directory, name+".log"),
+		program: filepath.Join(programs, program), args: args,
+	}
+	p.start(t)
+	t.Cleanup(func() {
+		p.end()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", p.name, p.tail())
+		}
+	})
+	return p
+}
+
+func (p *process) start(t *testing.T) {
+	t.Helper()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	p.cmd = exec.Command(p.program, p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// A test that is itself killed leaves no process behind.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p.done = make(chan struct{})
+	go p.run(p.cmd, p.done)
+}
+
+// run waits for the process, so that done tells when it has ended.
+func (p *process) run(cmd *exec.Cmd, done chan struct{}) {
+	_ = cmd.Wait()
+	close(done)
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process without notice.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// pause stops the process in its tracks until resume.
+func (p *process) pause()  { p.signal(syscall.SIGSTOP) }
+func (p *process) resume() { p.signal(syscall.SIGCONT) }
+
+// stop asks the process to stop and returns its exit code.
+func (p *process) stop() int {
+	p.signal(syscall.SIGTERM)
+	<-p.done
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// end stops the process however it is.
+func (p *process) end() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(stopPatience):
+		p.kill()
+	}
+}
+
+// tail returns the end of the process's log.
+func (p *process) tail() string {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	if len(text) > logTail {
+		text = text[len(text)-logTail:]
+	}
+	return strings.TrimSpace(string(text))
+}
