--- a/entry/front/dispatch.go
+++ b/entry/front/dispatch.go
@@ -8,6 +8,7 @@
 
 	"tanagerstack.org/core/api/target"
 	"tanagerstack.org/core/route"
+	"tanagerstack.org/core/trace"
 )
 
 // dispatcher ends the chain: it sends a request to the target whose slot it has.
@@ -16,6 +17,7 @@
 	claims    *claims
 	clockSkew time.Duration
 	metrics   *metrics
+	trace     *trace.Log
 	// noteLeaving tells the membership and the pool that a target is leaving.
 	noteLeaving func(service, name string)
 }
@@ -28,13 +30,49 @@
 	}
 	outcome := d.over(ctx, r, used)
 	r.slot.lanes.put(used)
+	d.explain(r)
 	return outcome
 }
 
+// explain records how an attempt ended.
+func (d *dispatcher) explain(r *Request) {
+	if d.trace == nil {
+		return
+	}
+	d.trace.Add(r.ID, trace.Decision{
+		At:      d.now(),
+		Step:    "dispatch",
+		Verdict: verdict(r.attempt),
+		Detail:  "target " + r.slot.target,
+	})
+}
+
+// verdict names the end of an attempt.
+func verdict(result route.Result) string {
+	switch result.(type) {
+	case route.Succeeded:
+		return "succeeded"
+	case route.Unused:
+		return "claim-not-held"
+	case route.NotSent:
+		return "not-sent"
+	case route.Rejected:
+		return "not-run"
+	case route.Failed:
+		return "failed"
+	default:
+		return "lost"
+	}
+}
+
 // over sends the request over a lane, once the target is known to live and the
 // claim to be safe.
 func (d *dispatcher) over(ctx context.Context, r *Request, used *lane) Outcome {
-	state, err := used.prove(ctx, d.now())
+	trusted := provenFor
+	if !r.Idempotent {
+		trusted = provenForClaim
+	}
+	state, err := used.prove(ctx, d.now(), trusted)
 	if err != nil {
 		return d.notSent(r, err)
 	}
@@ -54,7 +92,7 @@
 	ended := d.now()
 	switch {
 	case err != nil:
-		return d.failed(r, used, err)
+		return d.failed(r, used, err, ended.Sub(started))
 	case problem != nil:
 		used.provenAt = ended
 		return d.rejected(r, problem)
@@ -87,7 +125,7 @@
 }
 
 // failed is the outcome when the request may have reached the target.
-func (d *dispatcher) failed(r *Request, used *lane, err error) Outcome {
+func (d *dispatcher) failed(r *Request, used *lane, err error, took time.Duration) Outcome {
 	used.provenAt = time.Time{}
 	var send *sendError
 	if !errors.As(err, &send) {
@@ -100,7 +138,8 @@
 		r.attempt = route.Failed{}
 	default:
 		d.metrics.lost.Add(1)
-		r.attempt = route.Lost{Until: r.NotAfter.Add(d.clockSkew)}
+		hurried := errors.Is(err, context.DeadlineExceeded) && took < patience*r.slot.expected
+		r.attempt = route.Lost{Until: r.NotAfter.Add(d.clockSkew), Hurried: hurried}
 	}
 	return Unknown{Detail: fmt.Sprintf("target %s: %s", r.slot.target, err)}
 }
--- a/entry/sched/job.go
+++ b/entry/sched/job.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -28,14 +29,23 @@
 
 // task is a task of a job on the holder.
 type task struct {
-	phase    phase
-	worker   string
-	attempt  int
-	failures int
+	phase phase
+	// worker has the task while it is live, lastWorker had it before.
+	worker     string
+	lastWorker string
+	attempt    int
+	failures   int
 	// reason says why the task is where it is, for people.
 	reason     string
 	checkpoint string
 	startedAt  time.Time
+	// size is what the task was started with.
+	size roster.Resources
+	// measured, oversized and runaway tell how the task compares with its
+	// declaration; oversized counts reports in a row.
+	measured  bool
+	oversized int
+	runaway   bool
 	// voidAt is the instant after which a start that was sent can't take effect.
 	voidAt time.Time
 }
@@ -60,11 +70,19 @@
 	why  string
 	// retryAt is the earliest instant of the next placement.
 	retryAt time.Time
+	// displaceAt and reserveAt are the earliest instants of the next displacement
+	// for the job, and of its next reservation.
+	displaceAt time.Time
+	reserveAt  time.Time
+	// placedAt is when tasks of the job were last placed.
+	placedAt time.Time
+	// unfitSince is when the job was first found too large for all listed workers.
+	unfitSince time.Time
 	// failedOn has workers where tasks of the job failed.
 	failedOn map[string]bool
 	// explained is the last explanation traced, so that it is not repeated.
 	explained string
-	// triedAt is the ledger's number of freed room at the last failed placement.
+	// triedAt is the holder's try number at the last failed placement.
 	triedAt uint64
 }
 
@@ -74,7 +92,8 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		note := row.Notes[i]
-		t.failures, t.attempt, t.reason, t.checkpoint = note.Failures, note.Attempt, note.Reason, note.Checkpoint
+		t.failures, t.attempt, t.reason = note.Failures, note.Attempt, note.Reason
+		t.checkpoint, t.lastWorker = note.Checkpoint, note.Worker
 		if row.succeeded(i) {
 			t.phase = succeeded
 			j.done++
@@ -125,11 +144,32 @@
 	if j.row.Notes == nil {
 		j.row.Notes = make(map[int]taskNote)
 	}
-	j.row.Notes[index] = taskNote{Failures: t.failures, Attempt: t.attempt, Reason: t.reason, Checkpoint: t.checkpoint}
+	j.row.Notes[index] = t.note()
 }
 
-// item is the job's entry in the queue.
-func (j *job) item() queue.Item {
+func (t *task) note() taskNote {
+	return taskNote{
+		Failures:   t.failures,
+		Attempt:    t.attempt,
+		Reason:     t.reason,
+		Checkpoint: t.checkpoint,
+		Worker:     cmp.Or(t.worker, t.lastWorker),
+	}
+}
+
+// noteAll puts into the row what became of each task, as the job ends.
+func (j *job) noteAll() {
+	j.row.Notes = make(map[int]taskNote, len(j.tasks))
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.attempt > 0 {
+			j.row.Notes[i] = t.note()
+		}
+	}
+}
+
+// item is a job's entry in the queue. The lock must be held.
+func (h *holder) item(j *job) queue.Item {
 	spec := j.row.Spec
 	it := queue.Item{
 		Job:        j.row.ID,
@@ -138,7 +178,7 @@
 		Service:    spec.Kind == caller.JobSpecKindService,
 		AcceptedAt: j.row.AcceptedAt,
 		NotAfter:   spec.NotAfter,
-		Each:       j.each(),
+		Each:       h.size(j),
 		Least:      1,
 	}
 	if spec.Kind == caller.JobSpecKindGang {
@@ -151,8 +191,9 @@
 func (j *job) placed() map[string]int {
 	counts := make(map[string]int)
 	for i := range j.tasks {
-		if w := j.tasks[i].worker; w != "" {
-			counts[w]++
+		switch t := &j.tasks[i]; t.phase {
+		case starting, running, stopping:
+			counts[t.worker]++
 		}
 	}
 	return counts
@@ -178,14 +219,15 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		out := caller.Task{Index: i, Phase: t.phase.public(), Attempt: t.attempt}
-		if t.worker != "" {
-			out.Worker = caller.NewOptString(t.worker)
+		name := t.worker
+		if ended(j.row.State) {
+			name = cmp.Or(t.worker, t.lastWorker)
+		}
+		if name != "" {
+			out.Worker = caller.NewOptString(name)
 		}
-		switch {
-		case t.reason != "":
-			out.Reason = caller.NewOptString(t.reason)
-		case t.phase == pending && j.explained != "":
-			out.Reason = caller.NewOptString(j.explained)
+		if reason := j.reasonOf(t); reason != "" {
+			out.Reason = caller.NewOptString(reason)
 		}
 		view.Tasks[i] = out
 	}
@@ -195,6 +237,17 @@
 	return view
 }
 
+// reasonOf says why a task is where it is.
+func (j *job) reasonOf(t *task) string {
+	if t.phase != pending || j.explained == "" {
+		return t.reason
+	}
+	if t.reason == "" {
+		return j.explained
+	}
+	return j.explained + "; before that: " + t.reason
+}
+
 func (p phase) public() caller.TaskPhase {
 	switch p {
 	case running, stopping:
@@ -230,6 +283,9 @@
 	for i := range view.Tasks {
 		note := r.Notes[i]
 		view.Tasks[i] = caller.Task{Index: i, Phase: r.endPhase(i), Attempt: note.Attempt}
+		if note.Worker != "" {
+			view.Tasks[i].Worker = caller.NewOptString(note.Worker)
+		}
 		if note.Reason != "" {
 			view.Tasks[i].Reason = caller.NewOptString(note.Reason)
 		}
