Pass requests by entry VMs that cannot be reached

Change: a relay looks for a live connection for at most 250 ms (WithOpenTimeout in package peer, additive), leaves a VM that it could not reach alone for 500 ms, and goes to the replica first when the owner's heartbeats have stopped.

--- a/core/peer/call.go
+++ b/core/peer/call.go
@@ -48,7 +48,9 @@
 	if err != nil {
 		return nil, notSent(to, err)
 	}
-	o, stream, err := l.openStream(ctx)
+	opening, opened := boundOpening(ctx)
+	defer opened()
+	o, stream, err := l.openStream(opening)
 	if err != nil {
 		return nil, notSent(to, err)
 	}
@@ -63,6 +65,22 @@
 	return answer.Body, nil
 }
 
+// openTimeoutKey is the context key of WithOpenTimeout.
+type openTimeoutKey struct{}
+
+// WithOpenTimeout bounds how long a call may look for a live connection. A call
+// that finds none in time ends with ErrNotSent, long before its own deadline.
+func WithOpenTimeout(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, openTimeoutKey{}, d)
+}
+
+func boundOpening(ctx context.Context) (context.Context, context.CancelFunc) {
+	if d, ok := ctx.Value(openTimeoutKey{}).(time.Duration); ok {
+		return context.WithTimeout(ctx, d)
+	}
+	return context.WithCancel(ctx)
+}
+
 func boundCall(ctx context.Context) (context.Context, context.CancelFunc) {
 	if _, ok := ctx.Deadline(); ok {
 		return context.WithCancel(ctx)
--- a/entry/front/claims.go
+++ b/entry/front/claims.go
@@ -74,29 +74,38 @@
 }
 
 // toOwner brings a request to the owner of its claim, or to the replica if the
-// owner cannot be reached and so has not seen it from here.
+// owner cannot be reached and so has not seen it from here. An owner that has
+// gone quiet is asked last.
 func (f *claims) toOwner(ctx context.Context, r *Request, next Next, order []roster.VM) Outcome {
-	var refused Refused
-	for position, vm := range order[:min(2, len(order))] {
+	positions := []int{0, 1}[:min(2, len(order))]
+	if len(positions) == 2 && order[0].State != roster.Live && order[0].Name != f.place.Name {
+		positions = []int{1, 0}
+	}
+	var first Outcome
+	for _, position := range positions {
 		r.acting = position == 1
-		var outcome Outcome
-		switch {
-		case vm.Name == f.place.Name:
-			outcome = f.own(ctx, r, next)
-		case vm.State == roster.Leaving:
-			outcome = unavailable(reasonDraining, f.now(), "the owner of the claim, entry VM %s, is leaving", vm.Name)
-		default:
-			outcome = f.relay.toClaimant(ctx, r, vm)
-		}
-		last, ok := outcome.(Refused)
-		if !ok || !ownerMissing(last) {
+		outcome := f.toSeat(ctx, r, next, order[position])
+		refused, ok := outcome.(Refused)
+		if !ok || !ownerMissing(refused) {
 			return outcome
 		}
-		if position == 0 {
-			refused = last
+		if first == nil {
+			first = outcome
 		}
 	}
-	return refused
+	return first
+}
+
+// toSeat brings a request to one of the two entry VMs that may keep its claim.
+func (f *claims) toSeat(ctx context.Context, r *Request, next Next, vm roster.VM) Outcome {
+	switch {
+	case vm.Name == f.place.Name:
+		return f.own(ctx, r, next)
+	case vm.State == roster.Leaving:
+		return unavailable(reasonDraining, f.now(), "entry VM %s, which keeps the claim, is leaving", vm.Name)
+	default:
+		return f.relay.toClaimant(ctx, r, vm)
+	}
 }
 
 // ownerMissing reports whether a refusal means that the VM could not decide
--- a/entry/front/relay.go
+++ b/entry/front/relay.go
@@ -22,6 +22,11 @@
 	placesTried = 3
 	// holdTimeout bounds the messages about claims.
 	holdTimeout = 500 * time.Millisecond
+	// openTimeout bounds the search for a live connection to an entry VM. Until
+	// it ends nothing was sent, so that another VM may get the request.
+	openTimeout = 250 * time.Millisecond
+	// downFor is how long an entry VM that could not be reached is left alone.
+	downFor = 500 * time.Millisecond
 	// fullFor is how long an entry VM that refused a request is left alone.
 	fullFor = 100 * time.Millisecond
 	// regionBurst is how many seconds of the byte budget may be used at once.
@@ -53,7 +58,7 @@
 		var none A
 		return none, fmt.Errorf("message to %s: %w", vm.Name, peer.ErrNotSent)
 	}
-	return peer.Call[A](ctx, f.peers, peer.Address{Name: vm.Name, Addr: vm.Peer}, q)
+	return peer.Call[A](peer.WithOpenTimeout(ctx, openTimeout), f.peers, peer.Address{Name: vm.Name, Addr: vm.Peer}, q)
 }
 
 // notHandled reports whether an error proves that the peer did nothing.
@@ -97,8 +102,13 @@
 
 // toClaimant brings the request to an entry VM that keeps the claim on it.
 func (f *relay) toClaimant(ctx context.Context, r *Request, vm roster.VM) Outcome {
+	if f.isFull(vm.Name, anyService) {
+		return unavailable(reasonUnreachable, f.now().Add(downFor),
+			"entry VM %s keeps the claim on this request and could not be reached a moment ago", vm.Name)
+	}
 	outcome, err := f.pass(context.WithoutCancel(ctx), r, vm, stageOwn)
 	if err != nil {
+		f.leaveAlone(vm.Name, anyService, downFor)
 		return unavailable(reasonUnreachable, f.now().Add(time.Second),
 			"entry VM %s keeps the claim on this request and cannot be reached: %s", vm.Name, err)
 	}
@@ -112,7 +122,7 @@
 	var refused Outcome
 	tried := 0
 	for _, vm := range candidates {
-		if f.isFull(vm.Name, r.Service) {
+		if f.isFull(vm.Name, r.Service) || f.isFull(vm.Name, anyService) {
 			continue
 		}
 		if tried++; tried > placesTried {
@@ -126,11 +136,11 @@
 		}
 		outcome, err := f.pass(ctx, r, vm, stagePlace)
 		if err != nil {
-			f.setFull(vm.Name, r.Service)
+			f.leaveAlone(vm.Name, anyService, downFor)
 			continue
 		}
 		if _, again := outcome.(Refused); again {
-			f.setFull(vm.Name, r.Service)
+			f.leaveAlone(vm.Name, r.Service, fullFor)
 		} else if !f.again(r, outcome) {
 			return outcome
 		}
@@ -139,20 +149,24 @@
 	return refused
 }
 
-// isFull reports whether an entry VM has just refused a request for a service.
+// anyService stands for all services of an entry VM that cannot be reached.
+const anyService = ""
+
+// isFull reports whether an entry VM is to be left alone for a service.
 func (f *relay) isFull(vm, service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.now().Before(f.full[vm+"/"+service])
 }
 
-func (f *relay) setFull(vm, service string) {
+// leaveAlone keeps requests for a service away from an entry VM for a while.
+func (f *relay) leaveAlone(vm, service string, length time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.full == nil {
 		f.full = make(map[string]time.Time)
 	}
-	f.full[vm+"/"+service] = f.now().Add(fullFor)
+	f.full[vm+"/"+service] = f.now().Add(length)
 }
 
 // again reports whether an idempotent request may go on to the next entry VM
