Run process tests by themselves and never from the test cache

Change: stand/proof runs after the other packages, with -count=1. Conclusion: a pass of a process test is always of this tree.

--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,14 @@
 demo: build ## Run the whole product on loopback under load, with a kill on the way.
 	@scripts/demo
 
+# The tests of stand/proof start the programs as processes. They run by themselves,
+# so that others do not take their processor time, and are never taken from the
+# test cache, which knows nothing of the programs that they build.
 test: ## Run all tests with the race detector.
-	go test -race -timeout $(TEST_TIMEOUT) $(PACKAGES)
+	@status=0; \
+	go test -race -timeout $(TEST_TIMEOUT) $$(go list $(PACKAGES) | grep -v /stand/proof) || status=1; \
+	go test -race -count=1 -timeout $(TEST_TIMEOUT) ./stand/proof/... || status=1; \
+	exit $$status
 
 test-short: ## Run the tests that start no processes.
 	go test -short $(PACKAGES)
