Renew quiet workers less often, and pick workers without sorting or large allocations

Cause: (1) a holder lists all tasks of each worker each second, 684 KiB/s for 112 workers; (2) each decision sorted all candidates and grew a slice beyond 32 KiB. Change: a worker is renewed each second only near an expected end of one of its tasks, else four times in a lease; silence now counts from the first failed call. Up to 8 tasks the best worker is picked by selection, from one exact allocation.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -11,9 +11,10 @@
 // candidate is a worker that can take at least one task of the demand.
 type candidate struct {
 	worker *ledger.Worker
-	fits   int
 	score  float64
-	taken  int
+	// fits is how many tasks the worker can take, taken how many it is given.
+	fits  int32
+	taken int32
 }
 
 // Choose picks workers for the tasks of a demand.
@@ -40,7 +41,7 @@
 // eligible returns the workers with room for one task or more, and counts why
 // the others have none.
 func eligible(l *ledger.Ledger, d Demand, ruled *Ruled) []candidate {
-	candidates := make([]candidate, 0, 16)
+	candidates := make([]candidate, 0, len(l.Workers()))
 	for _, w := range l.Workers() {
 		if c, out := excluded(w, d.Avoid); out {
 			ruled[c]++
@@ -59,7 +60,7 @@
 			ruled[IsHeld]++
 			continue
 		}
-		candidates = append(candidates, candidate{worker: w, fits: fits})
+		candidates = append(candidates, candidate{worker: w, fits: int32(fits)})
 	}
 	return candidates
 }
@@ -93,7 +94,7 @@
 func total(candidates []candidate) int {
 	sum := 0
 	for i := range candidates {
-		sum += candidates[i].fits
+		sum += int(candidates[i].fits)
 	}
 	return sum
 }
@@ -103,10 +104,17 @@
 	for i := range candidates {
 		candidates[i].score = leftover(candidates[i].worker, d.Each)
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.Name, b.worker.Name))
-	})
+	if d.Count > selectionLimit {
+		slices.SortFunc(candidates, byScore)
+	}
 	for i := range candidates {
+		if len(decision.Workers) == d.Count {
+			return
+		}
+		if d.Count <= selectionLimit {
+			least := i + leastScore(candidates[i:])
+			candidates[i], candidates[least] = candidates[least], candidates[i]
+		}
 		c := &candidates[i]
 		for c.taken < c.fits && len(decision.Workers) < d.Count {
 			c.taken++
@@ -115,6 +123,24 @@
 	}
 }
 
+// selectionLimit is the number of tasks up to which picking the best worker again
+// and again costs less than sorting all of them.
+const selectionLimit = 8
+
+func byScore(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.Name, b.worker.Name))
+}
+
+func leastScore(candidates []candidate) int {
+	least := 0
+	for i := range candidates {
+		if byScore(candidates[i], candidates[least]) < 0 {
+			least = i
+		}
+	}
+	return least
+}
+
 // acceleratorPenalty keeps tasks without accelerators off workers that have
 // some free, as long as another worker has room.
 const acceleratorPenalty = 4
@@ -167,7 +193,7 @@
 	if x, y := racks[a.worker.Rack], racks[b.worker.Rack]; x != y {
 		return x < y
 	}
-	if x, y := placed[a.worker.Name]+a.taken, placed[b.worker.Name]+b.taken; x != y {
+	if x, y := placed[a.worker.Name]+int(a.taken), placed[b.worker.Name]+int(b.taken); x != y {
 		return x < y
 	}
 	if x, y := a.worker.Free.Accelerators, b.worker.Free.Accelerators; x != y {
@@ -181,7 +207,7 @@
 func exhaust(candidates []candidate, each roster.Resources, ruled *Ruled) {
 	for i := range candidates {
 		c := &candidates[i]
-		rest := ledger.Difference(c.worker.Free, ledger.Times(each, c.fits))
+		rest := ledger.Difference(c.worker.Free, ledger.Times(each, int(c.fits)))
 		constraint, out := lacks(each, rest)
 		if !out {
 			constraint = IsHeld
--- a/entry/sched/commands.go
+++ b/entry/sched/commands.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tanagerstack.org/core/api/caller"
 	"tanagerstack.org/core/api/worker"
 	"tanagerstack.org/core/ledger"
 	"tanagerstack.org/core/roster"
@@ -94,7 +95,7 @@
 	if !l.listed && !h.valid(now) {
 		return nil
 	}
-	l.renewAt = now.Add(renewEvery)
+	l.renewAt = h.nextRenewal(l, now)
 	// A holder that is cut off goes on renewing: a new holder counts on that until
 	// it has listed the worker, or knows that this holder has ended.
 	request := &worker.RenewRequest{
@@ -115,6 +116,26 @@
 	return request
 }
 
+// nextRenewal is when a worker should be renewed again: soon if a task is expected
+// to end, so that its end is noticed, else often enough for the leases. The lock
+// must be held.
+func (h *holder) nextRenewal(l *link, now time.Time) time.Time {
+	next := now.Add(max(renewEvery, h.s.taskLease()/renewFraction))
+	for _, c := range h.ledger.ChargesOf(l.name) {
+		j := h.jobs[c.Task.Job]
+		if j == nil || c.State != ledger.Running {
+			return now.Add(renewEvery)
+		}
+		if j.row.Spec.Kind == caller.JobSpecKindService && j.row.Spec.ExpectedRun == 0 {
+			continue
+		}
+		learned := h.learned[workload{j.row.Caller, j.row.Spec.Work}]
+		run := learned.expectedRun(j.row.Spec.ExpectedRun)
+		next = earliest(next, j.tasks[c.Task.Index].startedAt.Add(run))
+	}
+	return latest(next, now.Add(renewEvery))
+}
+
 // orderStop asks a worker's link to stop a task. The lock must be held.
 func (h *holder) orderStop(l *link, key ledger.Task, checkpoint bool) {
 	if _, ok := l.stops[key]; ok {
--- a/entry/sched/displace.go
+++ b/entry/sched/displace.go
@@ -26,10 +26,10 @@
 		return
 	}
 	found := place.Displace(&h.ledger, d, h.victims())
+	j.displaceAt = now.Add(displaceAgain)
 	if len(found) == 0 {
-		return
+		j.displaceAt = now.Add(placeEvery)
 	}
-	j.displaceAt = now.Add(displaceAgain)
 	for _, displacement := range found {
 		for _, victim := range displacement.Victims {
 			h.displace(h.links[displacement.Worker], victim.Task, "displaced by urgent job "+j.row.ID)
--- a/entry/sched/link.go
+++ b/entry/sched/link.go
@@ -28,8 +28,9 @@
 	client  *worker.Client
 	// listed: the worker accepted this epoch and listed its tasks.
 	listed bool
-	// heardAt is when the worker last answered.
-	heardAt time.Time
+	// failingSince is when the first of the calls failed that have failed since the
+	// worker last answered; zero if the last one did not fail.
+	failingSince time.Time
 	// recorded: the fleet's row names the worker.
 	recorded bool
 	member   membership
--- a/entry/sched/options.go
+++ b/entry/sched/options.go
@@ -13,12 +13,15 @@
 
 // Times of the controllers.
 const (
-	// renewEvery is the time between messages to one worker.
-	renewEvery = time.Second
+	// renewEvery is the time between messages to a worker on which a task is
+	// expected to end. A worker where none is hears less often, but renewFraction
+	// times in each task lease.
+	renewEvery    = time.Second
+	renewFraction = 4
 	// workerCallTimeout bounds one call to a worker.
 	workerCallTimeout = 800 * time.Millisecond
-	// silenceLimit is the silence after which a worker gets no new tasks.
-	silenceLimit = 2500 * time.Millisecond
+	// silenceLimit is how long calls to a worker may fail before it gets no new tasks.
+	silenceLimit = 1500 * time.Millisecond
 	// startLimit is how long a start command is valid at most.
 	startLimit = time.Second
 	// placeEvery is the time between passes over the queue that nothing asked for.
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -26,7 +26,7 @@
 		}
 		return
 	}
-	l.heardAt = now
+	l.failingSince = time.Time{}
 	refused := false
 	for _, result := range reply.Results {
 		if result.Started {
@@ -37,7 +37,7 @@
 		h.voidStart(l, result.TaskID, result.Reason.Value)
 	}
 	if !refused {
-		l.renewAt = now.Add(renewEvery)
+		l.renewAt = h.nextRenewal(l, now)
 	}
 }
 
@@ -86,6 +86,10 @@
 	now := h.now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if l.failingSince.IsZero() {
+		l.failingSince = now
+	}
+	l.renewAt = earliest(l.renewAt, now.Add(renewEvery))
 	h.refresh(l, now)
 	proof := ledger.LeaseLapsed{Now: now, Skew: h.skew()}
 	for _, c := range h.ledger.Lapsed(l.name, now, h.skew()) {
@@ -100,7 +104,7 @@
 	now := h.now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l.heardAt = now
+	l.failingSince = time.Time{}
 	if list.Epoch == h.grant.Epoch {
 		l.listed = true
 	}
--- a/entry/sched/watch.go
+++ b/entry/sched/watch.go
@@ -103,7 +103,9 @@
 	switch {
 	case l.member == leavingMember:
 		return ledger.Leaving
-	case !l.listed || !l.recorded || l.member == gone || now.Sub(l.heardAt) > silenceLimit:
+	case !l.listed || !l.recorded || l.member == gone:
+		return ledger.Unreachable
+	case !l.failingSince.IsZero() && now.Sub(l.failingSince) > silenceLimit:
 		return ledger.Unreachable
 	case !l.health.usable(now):
 		return ledger.Quarantined
