--- a/stand/load/report.go
+++ b/stand/load/report.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	api "tanagerstack.org/core/api/caller"
 )
 
@@ -105,9 +107,12 @@
 	p := &printer{w: w}
 	p.line("requests: %d sent by %d callers, %d sent again, %d held back by the load's own limit",
 		len(r.tally.outcomes), len(r.opts.Callers), r.tally.resends, r.tally.heldBack)
-	p.line("latency of completed requests: p50 %s, p99 %s, longest %s",
-		microseconds(r.tally.latency.ValueAtQuantile(50)), microseconds(r.tally.latency.ValueAtQuantile(99)),
-		microseconds(r.tally.latency.Max()))
+	p.latency("idempotent", r.tally.idempotent)
+	p.latency("non-idempotent", r.tally.once)
+	for _, one := range r.tally.slowest {
+		p.line("  slow: %s of %s took %s through %s, sent at %s", one.id, one.caller,
+			one.took.Round(time.Millisecond), one.via, one.sentAt.Format("15:04:05.000"))
+	}
 	p.line("jobs: %d submitted", len(r.tally.jobs))
 	p.counts(r.jobs)
 	p.line("answers other than completed:")
@@ -145,6 +150,12 @@
 	}
 }
 
+func (p *printer) latency(kind string, h *hdrhistogram.Histogram) {
+	p.line("latency of completed %s requests: p50 %s, p90 %s, p99 %s, longest %s", kind,
+		microseconds(h.ValueAtQuantile(50)), microseconds(h.ValueAtQuantile(90)),
+		microseconds(h.ValueAtQuantile(99)), microseconds(h.Max()))
+}
+
 func microseconds(n int64) time.Duration {
 	return (time.Duration(n) * time.Microsecond).Round(10 * time.Microsecond)
 }
--- a/stand/load/request.go
+++ b/stand/load/request.go
@@ -110,7 +110,9 @@
 		result.resent = true
 		r.driver.tally.resent()
 	}
-	r.driver.tally.request(result, time.Since(started))
+	r.driver.tally.request(result, slow{
+		id: r.id, caller: r.caller, sentAt: started, took: time.Since(started), via: last.address,
+	})
 }
 
 // send sends the request once, and reports whether it was answered.
--- a/stand/load/tally.go
+++ b/stand/load/tally.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,18 @@
 	answer  []byte
 }
 
+// slow is a completed request, for people.
+type slow struct {
+	id     string
+	caller string
+	sentAt time.Time
+	took   time.Duration
+	via    netip.AddrPort
+}
+
+// slowestKept is how many of the slowest requests are shown.
+const slowestKept = 5
+
 // breach is a broken promise, for people.
 type breach struct {
 	ID     string
@@ -49,7 +62,10 @@
 	jobs     []*jobOutcome
 	breaches []breach
 	refusals map[string]int64
-	latency  *hdrhistogram.Histogram
+	// latency of completed requests, idempotent ones and others.
+	idempotent, once *hdrhistogram.Histogram
+	// slowest are the slowest completed requests.
+	slowest  []slow
 	changes  []time.Duration
 	heldBack int64
 	resends  int64
@@ -62,19 +78,28 @@
 
 func newTally() *tally {
 	return &tally{
-		outcomes: make(map[string][]outcome),
-		refusals: make(map[string]int64),
-		latency:  hdrhistogram.New(1, latencyMaxMicroseconds, latencyDigits),
+		outcomes:   make(map[string][]outcome),
+		refusals:   make(map[string]int64),
+		idempotent: hdrhistogram.New(1, latencyMaxMicroseconds, latencyDigits),
+		once:       hdrhistogram.New(1, latencyMaxMicroseconds, latencyDigits),
 	}
 }
 
-func (t *tally) request(o outcome, took time.Duration) {
+func (t *tally) request(o outcome, s slow) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.outcomes[o.id] = append(t.outcomes[o.id], o)
-	if o.verdict == completed {
-		_ = t.latency.RecordValue(took.Microseconds())
+	if o.verdict != completed {
+		return
+	}
+	latency := t.idempotent
+	if o.once {
+		latency = t.once
 	}
+	_ = latency.RecordValue(s.took.Microseconds())
+	t.slowest = append(t.slowest, s)
+	slices.SortFunc(t.slowest, func(a, b slow) int { return int(b.took - a.took) })
+	t.slowest = t.slowest[:min(len(t.slowest), slowestKept)]
 }
 
 func (t *tally) refusal(kind, reason string) {
