Never call a request refused after a try that may have run

Change: the router and the relay remember a try that may have run; a later refusal then ends as unknown. Before and after: the new test fails without the check (a cut first try, then a leaving target: refused) and passes with it; go test -race ./entry/front passes.

--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -201,6 +201,19 @@
 	}
 }
 
+func TestRefusedRetryIsNotARefusal(t *testing.T) {
+	f := newFleet(t, 1)
+	f.targets[0].wrong = func(http.ResponseWriter, string, []byte) { panic(http.ErrAbortHandler) }
+	f.targets[1].leaving = true
+	for i := range 3 {
+		id := fmt.Sprint("cut-", i)
+		got := f.send(f.vms[0], id, "x", "X-Idempotent", "true")
+		if refused := strings.Contains(got.body, `"outcome":"refused"`); refused && f.runsOf(id) > 0 {
+			t.Errorf("a request that ran got %+v", got)
+		}
+	}
+}
+
 func TestLeavingTargetGetsNothingNew(t *testing.T) {
 	f := newFleet(t, 1)
 	f.targets[0].leaving = true
--- a/entry/front/relay.go
+++ b/entry/front/relay.go
@@ -139,6 +139,7 @@
 			f.leaveAlone(vm.Name, anyService, downFor)
 			continue
 		}
+		r.note(outcome)
 		if _, again := outcome.(Refused); again {
 			f.leaveAlone(vm.Name, r.Service, fullFor)
 		} else if !f.again(r, outcome) {
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -46,6 +46,8 @@
 	claim *claim.Claim[Outcome]
 	// secured is whether the claim is safe against another dispatch.
 	secured bool
+	// mayHaveRun is the outcome of the first try that may have run.
+	mayHaveRun *Unknown
 	// joined is whether the request repeats another one and gets its outcome.
 	joined bool
 	// startedAt is when the request was first sent to a target or passed on.
@@ -67,3 +69,10 @@
 
 // remaining returns how much of the window is left at now.
 func (r *Request) remaining(now time.Time) time.Duration { return r.NotAfter.Sub(now) }
+
+// note remembers that a try may have run.
+func (r *Request) note(outcome Outcome) {
+	if unknown, ok := outcome.(Unknown); ok && r.mayHaveRun == nil {
+		r.mayHaveRun = &unknown
+	}
+}
--- a/entry/front/router.go
+++ b/entry/front/router.go
@@ -35,6 +35,17 @@
 
 // Apply implements Filter.
 func (f *router) Apply(ctx context.Context, r *Request, next Next) Outcome {
+	outcome := f.attempts(ctx, r, next)
+	if refused, ok := outcome.(Refused); ok && r.mayHaveRun != nil {
+		// A later try was refused; an earlier one may have run all the same.
+		return Unknown{Detail: r.mayHaveRun.Detail + "; another try was refused: " + refused.Detail}
+	}
+	return outcome
+}
+
+// attempts tries until the request is done, may not be tried again, or nobody
+// has a slot for it.
+func (f *router) attempts(ctx context.Context, r *Request, next Next) Outcome {
 	f.firstTry(r.version.Document.Retry)
 	var query route.Query
 	query.Careful = !r.Idempotent
@@ -48,6 +59,7 @@
 		r.slot = taken
 		last = f.try(ctx, r, next, attempt)
 		p.finish(taken, r.attempt)
+		r.note(last)
 		if !f.mayRetry(r, last, attempt) {
 			return last
 		}
