End process tests and policy watches sooner

Each policy change was watched for 8 s because the killed VM never answered, and at the end each process was stopped gracefully, one after the other. Change: a VM that has refused connections for 1 s counts as dead; a VM that hangs is still watched to the limit. Tests kill their processes at the end; a planned stop is what stop() is for.

--- a/stand/load/change.go
+++ b/stand/load/change.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -21,6 +22,8 @@
 	watchEvery = 25 * time.Millisecond
 	// operatorCallTimeout bounds one call; a VM that does not answer is not live.
 	operatorCallTimeout = 2 * time.Second
+	// deadAfter is how long an entry VM must refuse connections to count as dead.
+	deadAfter = time.Second
 	// watchMargin is how far past the limit a change is still watched.
 	watchMargin = 4 * time.Second
 )
@@ -161,6 +164,7 @@
 
 func (w *watcher) run() {
 	defer w.all.Done()
+	answeredAt := time.Now()
 	for {
 		present, err := w.client.GetPolicy(context.Background())
 		now := time.Now()
@@ -168,6 +172,12 @@
 			w.inForceAt = now
 			return
 		}
+		if !refusedConnection(err) {
+			answeredAt = now
+		}
+		if now.Sub(answeredAt) > deadAfter {
+			return
+		}
 		if now.After(w.until) {
 			if err == nil {
 				w.inForceAt = now
@@ -177,3 +187,9 @@
 		time.Sleep(watchEvery)
 	}
 }
+
+// refusedConnection reports whether nobody listens at the address.
+func refusedConnection(err error) bool {
+	failed := new(net.OpError)
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
--- a/stand/proof/process_test.go
+++ b/stand/proof/process_test.go
@@ -9,15 +9,10 @@
 	"sync"
 	"syscall"
 	"testing"
-	"time"
 )
 
-const (
-	// stopPatience is how long a process may take to stop at the end of a test.
-	stopPatience = 5 * time.Second
-	// logTail is how much of each log is printed when a test fails.
-	logTail = 3000
-)
+// logTail is how much of each log is printed when a test fails.
+const logTail = 3000
 
 // build builds the three programs once for all tests.
 var build = sync.OnceValues(func() (string, error) {
@@ -69,7 +64,8 @@
 	}
 	p.start(t)
 	t.Cleanup(func() {
-		p.end()
+		// A test that is about planned stops calls stop itself.
+		p.kill()
 		if t.Failed() {
 			t.Logf("log of %s:\n%s", p.name, p.tail())
 		}
@@ -120,17 +116,6 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
-// end stops the process however it is.
-func (p *process) end() {
-	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGTERM)
-	select {
-	case <-p.done:
-	case <-time.After(stopPatience):
-		p.kill()
-	}
-}
-
 // tail returns the end of the process's log.
 func (p *process) tail() string {
 	text, err := os.ReadFile(p.log)
