--- a/core/conf/fields.go
+++ b/core/conf/fields.go
@@ -41,12 +41,6 @@
 	}
 }
 
-// optional lets a setting be empty.
-func optional(f field) field {
-	f.optional = true
-	return f
-}
-
 func parseAddress(text string) (netip.AddrPort, bool) {
 	addr, err := netip.ParseAddrPort(text)
 	return addr, err == nil && addr.Port() != 0
--- a/core/conf/load.go
+++ b/core/conf/load.go
@@ -46,9 +46,6 @@
 			faults = append(faults, err)
 		}
 	}
-	if !s.PeersAdvertised.IsValid() {
-		s.PeersAdvertised = s.Peers
-	}
 	return s, errors.Join(append(faults, s.check()...)...)
 }
 
--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -29,15 +29,12 @@
 	Region string
 
 	// Callers, Operators and Debug are where the HTTP listeners are; Peers is
-	// where the QUIC listener is, and PeersAdvertised where other VMs reach it,
-	// which is the same unless something forwards to it.
+	// where the QUIC listener is.
 	Callers   netip.AddrPort
 	Operators netip.AddrPort
 	Debug     netip.AddrPort
 	Peers     netip.AddrPort
 
-	PeersAdvertised netip.AddrPort
-
 	// Tables, Objects and Members are the platform's services, over HTTP.
 	Tables  netip.AddrPort
 	Objects netip.AddrPort
@@ -106,7 +103,6 @@
 		addressField("operators-address", "where to listen for operators", func(s *Settings) *netip.AddrPort { return &s.Operators }),
 		addressField("debug-address", "where to listen for /livez, /readyz and /debug/vars", func(s *Settings) *netip.AddrPort { return &s.Debug }),
 		addressField("peers-address", "where to listen for other entry VMs (UDP)", func(s *Settings) *netip.AddrPort { return &s.Peers }),
-		optional(addressField("peers-advertised-address", "where other entry VMs reach this one, if not at its peers-address", func(s *Settings) *netip.AddrPort { return &s.PeersAdvertised })),
 		addressField("tables-address", "the platform's table service", func(s *Settings) *netip.AddrPort { return &s.Tables }),
 		addressField("objects-address", "the platform's object store", func(s *Settings) *netip.AddrPort { return &s.Objects }),
 		addressField("members-address", "the platform's membership list", func(s *Settings) *netip.AddrPort { return &s.Members }),
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -122,7 +122,7 @@
 		Domain:        s.Domain,
 		Region:        s.Region,
 		Callers:       s.Callers,
-		Peer:          s.PeersAdvertised,
+		Peer:          s.Peers,
 		Members:       members,
 		Seeds:         s.Seeds,
 		Peers:         n.peers,
