--- /dev/null
+++ b/core/policy/bench_test.go
@@ -0,0 +1,73 @@
+package policy_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"tanagerstack.org/core/policy"
+)
+
+// largeText returns the sample document with so many more teams, and two
+// callers in each.
+func largeText(teams int) string {
+	var callers, quotas strings.Builder
+	for i := range 2 * teams {
+		fmt.Fprintf(&callers, "  caller-%d: {token-sha256: \"%064x\", team: team-%d, domain: zurich-a}\n", i, i, i/2)
+	}
+	for i := range teams {
+		fmt.Fprintf(&quotas, "  team-%d: {share: 1, quota: {millicores: 400000, memory-bytes: 1600000000000}}\n", i)
+	}
+	text := strings.Replace(policy.DefaultText(), "callers:\n", "callers:\n"+callers.String(), 1)
+	return strings.Replace(text, "teams:\n", "teams:\n"+quotas.String(), 1)
+}
+
+// BenchmarkSlopeDecode reports what one change costs an entry VM. make slopes runs it.
+func BenchmarkSlopeDecode(b *testing.B) {
+	for _, teams := range []int{10, 46, 92, 184} {
+		b.Run(fmt.Sprint(teams), func(b *testing.B) {
+			text := largeText(teams)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := policy.Decode(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "text-B")
+		})
+	}
+}
+
+// BenchmarkLimits reports what the limits of one request cost, by exceptions.
+func BenchmarkLimits(b *testing.B) {
+	doc, err := policy.Decode(policy.DefaultText())
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := time.Now()
+	for _, count := range []int{1, 5, policy.MaxExceptions} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			doc.Exceptions = make([]policy.Exception, count)
+			for i := range doc.Exceptions {
+				doc.Exceptions[i] = policy.Exception{Name: "e", Caller: fmt.Sprint("caller-", i), Limits: policy.Limits{Burst: 1}}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				doc.Limits("hosts", "hold", "booking", now)
+			}
+		})
+	}
+}
+
+// TestLimitsAllocatesNothing bounds what each request pays.
+func TestLimitsAllocatesNothing(t *testing.T) {
+	doc, err := policy.Decode(policy.DefaultText())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	if got := testing.AllocsPerRun(100, func() { doc.Limits("network", "hold", "booking", now) }); got != 0 {
+		t.Errorf("limits of a request allocate %v times", got)
+	}
+}
