Measure a fleet of processes from its callers' side with make bench-requests

tanager-stand bench: added latency beside direct calls, a steady caller with and without a flooding neighbor, useful work at 1, 2 and 4 times capacity, and the targets' own record of overloads; each against its bound.

--- a/Makefile
+++ b/Makefile
@@ -65,8 +65,9 @@
 	  { echo "core/api/$$api.yaml: a date-time has no x-ogen-time-format" >&2; exit 1; }; done
 	git diff --exit-code --stat -- core/api
 
-bench-requests: ## Measure the way of a request; fails past a bound.
+bench-requests: build ## Measure the way of a request; fails past a bound.
 	TANAGER_MEASURE=1 go test -count=1 -p 1 -timeout 5m -run Measure -v ./core/route ./entry/front
+	@scripts/bench-requests
 
 ratio: ## Count hand-written code and its tests.
 	@scripts/ratio
--- a/stand/cmds/root.go
+++ b/stand/cmds/root.go
@@ -31,7 +31,7 @@
 	logFlags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(logFlags)
 	root.PersistentFlags().AddGoFlag(logFlags.Lookup("v"))
-	root.AddCommand(newTables(), newObjects(), newMembers(), newTargets(), newWorkers(), newAll(), newEnroll(),
+	root.AddCommand(newTables(), newObjects(), newMembers(), newTargets(), newWorkers(), newAll(), newEnroll(), newBench(),
 		newLoad(), newWatch(), newFit())
 	return root
 }
