Let two entry VMs share one connection, and beat less often to far ones

Each pair had two connections, each with its keep-alives, and beat each 0.5 s wherever the other was. Now both ends send on one connection, the one that nobody uses is closed after 10 s, VMs of other domains beat once a second, and keep-alives are rarer than heartbeats. A new mark or a stop sends a heartbeat to everybody at once. The platform's list is polled as often by all VMs together as by one before.

Turning off path MTU discovery made no difference and was dropped. TestTrackers runs four trackers over real peers.

--- a/core/peer/call.go
+++ b/core/peer/call.go
@@ -48,12 +48,12 @@
 	if err != nil {
 		return nil, notSent(to, err)
 	}
-	o, stream, err := l.openStream(ctx)
+	c, stream, err := l.openStream(ctx)
 	if err != nil {
 		return nil, notSent(to, err)
 	}
-	defer o.leave()
-	answer, err := o.ask(ctx, stream, data)
+	defer c.leave()
+	answer, err := c.ask(ctx, stream, data)
 	if err != nil {
 		return nil, fmt.Errorf("message %s to %s: %w: %w", q.Kind(), to.Name, ErrNoAnswer, err)
 	}
@@ -87,51 +87,51 @@
 // openStream returns a stream on a connection that is proven to be alive. One
 // that was silent for a while has to answer a ping first, so that no message
 // goes into a dead connection. The caller must leave the connection.
-func (l *link) openStream(ctx context.Context) (*outgoing, *quic.Stream, error) {
+func (l *link) openStream(ctx context.Context) (*connection, *quic.Stream, error) {
 	for {
-		o, err := l.connect(ctx)
+		c, err := l.connect(ctx)
 		if err != nil {
 			return nil, nil, err
 		}
-		stream, err := o.openProven(ctx)
+		stream, err := c.openProven(ctx)
 		if err == nil {
-			return o, stream, nil
+			return c, stream, nil
 		}
-		o.doubt()
-		o.leave()
+		c.doubt()
+		c.leave()
 		if ctx.Err() != nil {
 			return nil, nil, errors.Join(ctx.Err(), err)
 		}
 	}
 }
 
-func (o *outgoing) openProven(ctx context.Context) (*quic.Stream, error) {
-	if !o.proven() {
-		if err := o.prove(ctx); err != nil {
+func (c *connection) openProven(ctx context.Context) (*quic.Stream, error) {
+	if c.silence() > ProvenFor {
+		if err := c.prove(ctx); err != nil {
 			return nil, err
 		}
 	}
-	return o.conn.OpenStreamSync(ctx)
+	return c.conn.OpenStreamSync(ctx)
 }
 
 // prove sends a ping and waits a short while for its answer.
-func (o *outgoing) prove(ctx context.Context) error {
+func (c *connection) prove(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, SuspectAfter)
 	defer cancel()
-	data, err := o.link.node.seal(ctx, ping{})
+	data, err := c.node.seal(ctx, ping{})
 	if err != nil {
 		return err
 	}
-	stream, err := o.conn.OpenStreamSync(ctx)
+	stream, err := c.conn.OpenStreamSync(ctx)
 	if err != nil {
 		return err
 	}
-	_, err = o.ask(ctx, stream, data)
+	_, err = c.ask(ctx, stream, data)
 	return err
 }
 
 // ask writes a sealed message and reads its answer.
-func (o *outgoing) ask(ctx context.Context, stream *quic.Stream, data []byte) (reply, error) {
+func (c *connection) ask(ctx context.Context, stream *quic.Stream, data []byte) (reply, error) {
 	give := &giveUp{stream: stream}
 	stop := context.AfterFunc(ctx, give.cancel)
 	defer stop()
@@ -140,7 +140,7 @@
 			return reply{}, err
 		}
 	}
-	reader := &answerReader{ctx: ctx, connection: o, stream: stream, packets: o.packets(), patience: SuspectAfter}
+	reader := &answerReader{ctx: ctx, connection: c, stream: stream, packets: c.packets(), patience: SuspectAfter}
 	if _, err := stream.Write(data); err != nil {
 		give.cancel()
 		return reply{}, err
@@ -154,12 +154,10 @@
 		give.cancel()
 		return reply{}, err
 	}
-	o.heard()
-	return decode[reply](o.link.node.codec, answer)
+	c.heard()
+	return decode[reply](c.node.codec, answer)
 }
 
-func (o *outgoing) packets() uint64 { return o.conn.ConnectionStats().PacketsReceived }
-
 // giveUp tells the peer that nobody waits for the answer any more.
 type giveUp struct{ stream *quic.Stream }
 
@@ -174,7 +172,7 @@
 // means a dead connection.
 type answerReader struct {
 	ctx        context.Context
-	connection *outgoing
+	connection *connection
 	stream     *quic.Stream
 	// packets is how many packets had arrived when the reader last looked.
 	packets uint64
--- /dev/null
+++ b/core/peer/connection.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// connection is a QUIC connection with one peer. Both ends send messages on it,
+// whichever of them opened it.
+type connection struct {
+	node *Node
+	conn *quic.Conn
+	peer Identity
+	// transport has the socket of a connection that this node opened; nil otherwise.
+	transport *quic.Transport
+	// heardAt is when the peer last sent a message or an answer, in Unix nanoseconds.
+	heardAt atomic.Int64
+	suspect atomic.Bool
+	calls   atomic.Int64
+}
+
+func newConnection(n *Node, conn *quic.Conn, transport *quic.Transport) (*connection, error) {
+	certs := conn.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 || len(certs[0].DNSNames) == 0 {
+		return nil, errors.New("peer certificate has no DNS name")
+	}
+	c := &connection{node: n, conn: conn, peer: Identity{Name: certs[0].DNSNames[0]}, transport: transport}
+	c.heard()
+	return c, nil
+}
+
+// run answers the peer's messages until the connection ends, and frees it.
+func (c *connection) run(ctx context.Context) {
+	defer c.end()
+	if !c.node.track(c) {
+		return
+	}
+	for {
+		stream, err := c.conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		if !c.node.enter() {
+			stream.CancelRead(0)
+			stream.CancelWrite(0)
+			continue
+		}
+		c.heard()
+		go (&exchange{node: c.node, from: c.peer, stream: stream}).run(ctx)
+	}
+}
+
+func (c *connection) end() {
+	_ = c.conn.CloseWithError(0, "end")
+	c.node.untrack(c)
+	if c.transport != nil {
+		_ = c.transport.Close()
+		_ = c.transport.Conn.Close()
+	}
+}
+
+// usable reports whether new messages may take the connection.
+func (c *connection) usable() bool {
+	return c != nil && !c.suspect.Load() && c.conn.Context().Err() == nil
+}
+
+func (c *connection) heard() { c.heardAt.Store(time.Now().UnixNano()) }
+
+// silence is the time since the peer was last heard.
+func (c *connection) silence() time.Duration { return time.Since(time.Unix(0, c.heardAt.Load())) }
+
+// doubt makes later messages take a new connection. Messages that wait on this
+// one keep waiting: their answers may still come.
+func (c *connection) doubt() {
+	if !c.suspect.Swap(true) {
+		c.node.stats.Suspects.Add(1)
+	}
+}
+
+// leave ends a call's use of the connection and closes a suspect one with its
+// last call.
+func (c *connection) leave() {
+	if c.calls.Add(-1) == 0 && c.suspect.Load() {
+		_ = c.conn.CloseWithError(0, "replaced")
+	}
+}
+
+func (c *connection) packets() uint64 { return c.conn.ConnectionStats().PacketsReceived }
+
+func (c *connection) traffic() uint64 {
+	stats := c.conn.ConnectionStats()
+	return stats.BytesSent + stats.BytesReceived
+}
+
+// sweeper closes connections that this node opened and nobody uses any more,
+// such as one of two that both ends opened at the same time.
+type sweeper struct{ node *Node }
+
+func (s *sweeper) loop(ctx context.Context) {
+	ticker := time.NewTicker(unusedFor / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *sweeper) sweep() {
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	for c := range s.node.connections {
+		if c.transport != nil && c.calls.Load() == 0 && c.silence() > unusedFor {
+			_ = c.conn.CloseWithError(0, "unused")
+		}
+	}
+}
--- a/core/peer/link.go
+++ b/core/peer/link.go
@@ -7,39 +7,27 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
-	"time"
 
 	"github.com/quic-go/quic-go"
 )
 
-// link is the way to one peer: a connection, and at most one dial under way.
+// link is the way to one peer: the connection that messages take, and at most
+// one dial under way.
 type link struct {
 	node *Node
 	to   Address
 
 	mu      sync.Mutex
-	current *outgoing
+	current *connection
 	dialing *dial
 }
 
-// outgoing is a connection that this node opened.
-type outgoing struct {
-	link      *link
-	conn      *quic.Conn
-	transport *quic.Transport
-	// heardAt is when the peer last proved to be alive, in Unix nanoseconds.
-	heardAt atomic.Int64
-	suspect atomic.Bool
-	calls   atomic.Int64
-}
-
 // dial opens a connection for all the calls that wait for it.
 type dial struct {
 	link *link
 	done chan struct{}
 	// result and err may be read once done is closed.
-	result *outgoing
+	result *connection
 	err    error
 }
 
@@ -57,10 +45,13 @@
 	return l, nil
 }
 
-// connect returns a connection that is not known to be dead, dialing if there
-// is none.
-func (l *link) connect(ctx context.Context) (*outgoing, error) {
+// connect returns a connection that is not known to be dead: the one that was
+// used last, or one that the peer has opened, or a new one.
+func (l *link) connect(ctx context.Context) (*connection, error) {
 	l.mu.Lock()
+	if !l.current.usable() {
+		l.current = l.node.opened(l.to.Name)
+	}
 	if l.current.usable() {
 		defer l.mu.Unlock()
 		l.current.calls.Add(1)
@@ -84,10 +75,22 @@
 	return pending.result, nil
 }
 
+// opened returns a usable connection with the peer, whoever opened it, or nil.
+func (n *Node) opened(name string) *connection {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.connections {
+		if c.peer.Name == name && c.usable() {
+			return c
+		}
+	}
+	return nil
+}
+
 func (d *dial) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	dialing, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	d.result, d.err = d.link.open(ctx)
+	d.result, d.err = d.link.open(dialing)
 	d.link.mu.Lock()
 	d.link.dialing = nil
 	if d.err == nil {
@@ -95,17 +98,16 @@
 	}
 	d.link.mu.Unlock()
 	close(d.done)
-	if d.err != nil {
-		d.link.forget()
-		return
+	if d.err == nil {
+		d.result.run(ctx)
 	}
-	d.result.run()
+	d.link.forget()
 }
 
 // open dials from a socket of its own: what lies between may have lost track
 // of the path that an older connection used, and would lose a new connection on
 // the same pair of ports too.
-func (l *link) open(ctx context.Context) (*outgoing, error) {
+func (l *link) open(ctx context.Context) (*connection, error) {
 	l.node.stats.Dials.Add(1)
 	local := net.UDPAddrFromAddrPort(netip.AddrPortFrom(l.node.local.Addr(), 0))
 	socket, err := net.ListenUDP("udp", local)
@@ -117,58 +119,20 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("dial of peer %s: %w", l.to.Name, err), transport.Close(), socket.Close())
 	}
-	o := &outgoing{link: l, conn: conn, transport: transport}
-	o.heard()
-	if !l.node.track(conn) {
-		_ = conn.CloseWithError(0, "shutdown")
+	c, err := newConnection(l.node, conn, transport)
+	if err != nil {
+		return nil, errors.Join(err, transport.Close(), socket.Close())
 	}
-	return o, nil
-}
-
-// run waits for the end of the connection and frees its socket.
-func (o *outgoing) run() {
-	<-o.conn.Context().Done()
-	o.link.node.untrack(o.conn)
-	_ = o.transport.Close()
-	_ = o.transport.Conn.Close()
-	o.link.forget()
+	return c, nil
 }
 
 // forget drops a link without a connection from the node.
 func (l *link) forget() {
-	l.node.mu.Lock()
-	defer l.node.mu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
 	if l.dialing == nil && !l.current.usable() && l.node.links[l.to] == l {
 		delete(l.node.links, l.to)
 	}
 }
-
-// usable reports whether new messages may take the connection.
-func (o *outgoing) usable() bool {
-	return o != nil && !o.suspect.Load() && o.conn.Context().Err() == nil
-}
-
-func (o *outgoing) heard() { o.heardAt.Store(time.Now().UnixNano()) }
-
-// proven reports whether the peer was heard of a short while ago.
-func (o *outgoing) proven() bool {
-	return time.Since(time.Unix(0, o.heardAt.Load())) < ProvenFor
-}
-
-// doubt makes later messages take a new connection. Messages that wait on this
-// one keep waiting: their answers may still come.
-func (o *outgoing) doubt() {
-	if !o.suspect.Swap(true) {
-		o.link.node.stats.Suspects.Add(1)
-	}
-}
-
-// leave ends a call's use of the connection and closes a suspect one with its
-// last call.
-func (o *outgoing) leave() {
-	if o.calls.Add(-1) == 0 && o.suspect.Load() {
-		_ = o.conn.CloseWithError(0, "replaced")
-	}
-}
--- a/core/peer/node.go
+++ b/core/peer/node.go
@@ -19,17 +19,21 @@
 
 const (
 	// IdleTimeout is how long a silent connection lasts.
-	IdleTimeout = 2 * time.Second
+	IdleTimeout = 3 * time.Second
 	// SuspectAfter is how long a message may go without any packet from the
 	// peer before its connection is suspect: later messages then take a new one.
 	SuspectAfter = 400 * time.Millisecond
 	// ProvenFor is how long a connection counts as alive after an answer. A
 	// message that finds it older waits for a ping first.
-	ProvenFor = time.Second
+	ProvenFor = 1500 * time.Millisecond
 	// CallTimeout ends a call whose context has no deadline.
 	CallTimeout = 10 * time.Second
 
-	keepAlivePeriod  = 800 * time.Millisecond
+	// keepAlivePeriod is longer than the time between heartbeats, so that they
+	// need no keep-alives beside them.
+	keepAlivePeriod = 1400 * time.Millisecond
+	// unusedFor is how long a connection stays open that no message takes.
+	unusedFor        = 10 * time.Second
 	handshakeTimeout = 2 * time.Second
 	maxStreams       = 4096
 	protocolName     = "tanager-peer-1"
@@ -79,7 +83,7 @@
 	mu          sync.Mutex
 	closed      bool
 	links       map[Address]*link
-	connections map[*quic.Conn]struct{}
+	connections map[*connection]struct{}
 }
 
 // NewNode opens the socket and starts to answer messages.
@@ -104,7 +108,7 @@
 		transport:   &quic.Transport{Conn: socket},
 		local:       localAddress(socket),
 		links:       make(map[Address]*link),
-		connections: make(map[*quic.Conn]struct{}),
+		connections: make(map[*connection]struct{}),
 	}
 	n.listener, err = n.transport.Listen(n.serverTLS(), quicConfig())
 	if err != nil {
@@ -112,6 +116,7 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	go (&acceptor{node: n}).run(n.ctx)
+	go (&sweeper{node: n}).loop(n.ctx)
 	return n, nil
 }
 
@@ -126,8 +131,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	total := n.stats.endedBytes.Load()
-	for conn := range n.connections {
-		total += trafficOf(conn)
+	for c := range n.connections {
+		total += c.traffic()
 	}
 	return total
 }
@@ -146,8 +151,8 @@
 	}
 	n.cancel()
 	n.mu.Lock()
-	for conn := range n.connections {
-		_ = conn.CloseWithError(0, "shutdown")
+	for c := range n.connections {
+		_ = c.conn.CloseWithError(0, "shutdown")
 	}
 	n.mu.Unlock()
 	return errors.Join(n.listener.Close(), n.transport.Close(), n.transport.Conn.Close())
@@ -166,18 +171,18 @@
 
 // track adds a connection to those that Close ends and Bytes counts. It reports
 // whether the node is still open.
-func (n *Node) track(conn *quic.Conn) bool {
+func (n *Node) track(c *connection) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.connections[conn] = struct{}{}
+	n.connections[c] = struct{}{}
 	return !n.closed
 }
 
-func (n *Node) untrack(conn *quic.Conn) {
+func (n *Node) untrack(c *connection) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.connections, conn)
-	n.stats.endedBytes.Add(trafficOf(conn))
+	delete(n.connections, c)
+	n.stats.endedBytes.Add(c.traffic())
 }
 
 // serverTLS demands a certificate from each peer. It reads the keys anew for
@@ -242,8 +247,3 @@
 	}
 	return netip.AddrPort{}
 }
-
-func trafficOf(conn *quic.Conn) uint64 {
-	stats := conn.ConnectionStats()
-	return stats.BytesSent + stats.BytesReceived
-}
--- a/core/peer/node_test.go
+++ b/core/peer/node_test.go
@@ -19,11 +19,11 @@
 func (note) Kind() string { return "note" }
 
 type fleet struct {
-	t   *testing.T
+	t   testing.TB
 	dir string
 }
 
-func newFleet(t *testing.T, names ...string) *fleet {
+func newFleet(t testing.TB, names ...string) *fleet {
 	t.Helper()
 	dir := t.TempDir()
 	if err := keys.Make(dir, names, time.Now()); err != nil {
@@ -40,7 +40,7 @@
 	}
 }
 
-func copyFile(t *testing.T, from, to string) {
+func copyFile(t testing.TB, from, to string) {
 	t.Helper()
 	data, err := os.ReadFile(from)
 	if err != nil {
@@ -103,7 +103,7 @@
 		"handler's":    {to: b, message: note{Text: "fail"}, check: remoteCode(CodeFailed)},
 		"unknown kind": {to: b, message: stray{}, check: remoteCode(CodeUnknownKind)},
 		"wrong name":   {to: Address{Name: "c", Addr: b.Addr}, message: note{}, check: isError(ErrNotSent)},
-		"no listener":  {to: Address{Name: "b", Addr: netip.MustParseAddrPort("127.0.0.1:9")}, message: note{}, check: isError(ErrNotSent)},
+		"no listener":  {to: Address{Name: "d", Addr: netip.MustParseAddrPort("127.0.0.1:9")}, message: note{}, check: isError(ErrNotSent)},
 		"no answer":    {to: b, message: note{Text: "wait"}, check: isError(ErrNoAnswer)},
 	}
 	for name, c := range cases {
--- a/core/peer/serve.go
+++ b/core/peer/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"time"
 
@@ -19,48 +18,14 @@
 		if err != nil {
 			return
 		}
-		go (&incoming{node: a.node, conn: conn}).run(ctx)
-	}
-}
-
-// incoming is a connection that a peer opened.
-type incoming struct {
-	node *Node
-	conn *quic.Conn
-}
-
-func (i *incoming) run(ctx context.Context) {
-	if !i.node.track(i.conn) {
-		_ = i.conn.CloseWithError(0, "shutdown")
-	}
-	defer i.node.untrack(i.conn)
-	from, err := identify(i.conn)
-	if err != nil {
-		klog.ErrorS(err, "Refused a peer connection", "address", i.conn.RemoteAddr())
-		_ = i.conn.CloseWithError(1, "no name in the certificate")
-		return
-	}
-	for {
-		stream, err := i.conn.AcceptStream(ctx)
+		c, err := newConnection(a.node, conn, nil)
 		if err != nil {
-			return
-		}
-		if !i.node.enter() {
-			stream.CancelRead(0)
-			stream.CancelWrite(0)
+			klog.ErrorS(err, "Refused a peer connection", "address", conn.RemoteAddr())
+			_ = conn.CloseWithError(1, "no name in the certificate")
 			continue
 		}
-		go (&exchange{node: i.node, from: from, stream: stream}).run(ctx)
-	}
-}
-
-// identify reads the peer's name from its verified certificate.
-func identify(conn *quic.Conn) (Identity, error) {
-	certs := conn.ConnectionState().TLS.PeerCertificates
-	if len(certs) == 0 || len(certs[0].DNSNames) == 0 {
-		return Identity{}, errors.New("peer certificate has no DNS name")
+		go c.run(ctx)
 	}
-	return Identity{Name: certs[0].DNSNames[0]}, nil
 }
 
 // enter counts a new exchange, unless the node is closing.
--- a/core/roster/beat.go
+++ b/core/roster/beat.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// BeatPeriod is the time between heartbeats of two entry VMs.
+	// BeatPeriod is the time between heartbeats of two entry VMs of one failure domain.
 	BeatPeriod = 500 * time.Millisecond
+	// FarBeatPeriod is that of two entry VMs of different failure domains.
+	FarBeatPeriod = time.Second
 	// LiveFor is how long a VM counts as live after a heartbeat.
 	LiveFor = 2 * time.Second
 
@@ -124,19 +126,24 @@
 type beater struct {
 	tracker *Tracker
 	to      peer.Address
-	kick    chan struct{}
-	cancel  context.CancelFunc
+	// startedAt is when the beater began to wait for the other VM's part.
+	startedAt time.Time
+	kick      chan struct{}
+	cancel    context.CancelFunc
 }
 
 func (b *beater) loop(ctx context.Context) {
+	kicked := false
 	for {
-		if b.due(time.Now()) {
+		if kicked || b.due(time.Now()) {
 			b.exchange(ctx)
 		}
-		timer := time.NewTimer(jitter(BeatPeriod))
+		timer := time.NewTimer(jitter(b.period()))
+		kicked = false
 		select {
 		case <-timer.C:
 		case <-b.kick:
+			kicked = true
 		case <-ctx.Done():
 			timer.Stop()
 			return
@@ -145,6 +152,16 @@
 	}
 }
 
+func (b *beater) period() time.Duration {
+	b.tracker.mu.Lock()
+	defer b.tracker.mu.Unlock()
+	h, known := b.tracker.heard[b.to.Name]
+	if known && h.beat.Domain != b.tracker.opts.Domain {
+		return FarBeatPeriod
+	}
+	return BeatPeriod
+}
+
 // due leaves the exchange to the VM whose name comes first, as long as it does
 // its part.
 func (b *beater) due(now time.Time) bool {
@@ -152,8 +169,9 @@
 		return true
 	}
 	b.tracker.mu.Lock()
-	defer b.tracker.mu.Unlock()
-	return now.Sub(b.tracker.heard[b.to.Name].at) > 2*BeatPeriod
+	last := latest(b.startedAt, b.tracker.heard[b.to.Name].at)
+	b.tracker.mu.Unlock()
+	return now.Sub(last) > 3*b.period()/2
 }
 
 func (b *beater) exchange(ctx context.Context) {
--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	listPeriod  = time.Second
-	listTimeout = 3 * time.Second
+	// listPeriod is the time between polls of one of the entry VMs, and
+	// longestListPeriod bounds the time between two of the same VM.
+	listPeriod        = time.Second
+	longestListPeriod = 10 * time.Second
+	listTimeout       = 3 * time.Second
 )
 
 // Lister reads the platform's membership list. The generated client is one.
@@ -132,7 +135,16 @@
 	}
 }
 
-func (p *poller) period() time.Duration { return listPeriod }
+// period grows with the number of VMs that poll as well.
+func (p *poller) period() time.Duration {
+	live := 0
+	for _, vm := range p.tracker.View().VMs {
+		if vm.State == Live {
+			live++
+		}
+	}
+	return min(longestListPeriod, time.Duration(max(1, live))*listPeriod)
+}
 
 func (p *poller) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
--- a/core/roster/tracker.go
+++ b/core/roster/tracker.go
@@ -138,9 +138,7 @@
 func (t *Tracker) SetLeaving() {
 	t.mu.Lock()
 	t.leaving = true
-	for _, b := range t.beaters {
-		nudge(b.kick)
-	}
+	t.kickBeaters()
 	t.mu.Unlock()
 	t.publish()
 }
@@ -151,12 +149,22 @@
 	return t.seater.release(ctx, time.Now())
 }
 
+// kickBeaters sends a heartbeat to all other entry VMs now. It needs t.mu.
+func (t *Tracker) kickBeaters() {
+	for _, b := range t.beaters {
+		nudge(b.kick)
+	}
+}
+
 // NoteTargetLeaving keeps new requests away from a target that was seen to be
 // leaving, here at once and on all entry VMs with the next heartbeat.
 func (t *Tracker) NoteTargetLeaving(name string) {
 	now := time.Now()
 	t.mu.Lock()
 	changed := t.mark([]leaver{{Name: name, Until: now.Add(markFor)}}, now)
+	if changed {
+		t.kickBeaters()
+	}
 	t.mu.Unlock()
 	if changed {
 		t.publish()
@@ -217,7 +225,9 @@
 		return
 	}
 	t.list = l
-	t.mark(t.list.leavers(now), now)
+	if t.mark(t.list.leavers(now), now) {
+		t.kickBeaters()
+	}
 	t.mu.Unlock()
 	t.publish()
 	t.follow()
@@ -275,7 +285,7 @@
 // startBeater needs t.mu.
 func (t *Tracker) startBeater(to peer.Address) *beater {
 	ctx, cancel := context.WithCancel(t.running)
-	b := &beater{tracker: t, to: to, kick: make(chan struct{}, 1), cancel: cancel}
+	b := &beater{tracker: t, to: to, startedAt: time.Now(), kick: make(chan struct{}, 1), cancel: cancel}
 	go b.loop(ctx)
 	return b
 }
--- /dev/null
+++ b/core/roster/tracker_test.go
@@ -0,0 +1,204 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"tanagerstack.org/core/api/member"
+	"tanagerstack.org/core/keys"
+	"tanagerstack.org/core/peer"
+	"tanagerstack.org/core/store"
+)
+
+// platform is the membership list and the tables of a fleet in one process.
+type platform struct {
+	*store.Memory
+	mu      sync.Mutex
+	members []member.Member
+}
+
+func (p *platform) ListMembers(context.Context) (*member.MemberList, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &member.MemberList{AsOf: time.Now(), Members: append([]member.Member(nil), p.members...)}, nil
+}
+
+func (p *platform) add(m member.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.State = member.MemberStateLive
+	m.Region = "r"
+	p.members = append(p.members, m)
+}
+
+// fleet has running trackers, three to a failure domain.
+type fleet struct {
+	tb       testing.TB
+	platform *platform
+	trackers []*Tracker
+	peers    []*peer.Node
+	stops    []context.CancelFunc
+}
+
+func newFleet(tb testing.TB, vms, targets, workers int) *fleet {
+	tb.Helper()
+	f := &fleet{tb: tb, platform: &platform{Memory: store.NewMemory()}}
+	for i := range targets {
+		f.platform.add(member.Member{Name: fmt.Sprintf("target-%d", i), Kind: member.MemberKindTarget, Domain: "d0", Address: "127.0.0.1:1", Slots: member.NewOptInt(8)})
+	}
+	for i := range workers {
+		f.platform.add(member.Member{Name: fmt.Sprintf("worker-%d", i), Kind: member.MemberKindWorker, Domain: "d0", Address: "127.0.0.1:1", Rack: member.NewOptString("r1")})
+	}
+	dir := tb.TempDir()
+	for i := range vms {
+		f.start(dir, fmt.Sprintf("vm-%02d", i), fmt.Sprintf("d%d", i/3))
+	}
+	return f
+}
+
+func (f *fleet) start(dir, name, domain string) {
+	f.tb.Helper()
+	if err := keys.Make(dir, []string{name}, time.Now()); err != nil {
+		f.tb.Fatal(err)
+	}
+	source, err := keys.NewSource(keys.Files{CA: dir + "/" + keys.AuthorityCert, Cert: keys.CertFile(dir, name), Key: keys.KeyFile(dir, name)})
+	if err != nil {
+		f.tb.Fatal(err)
+	}
+	mux := peer.NewMux()
+	node, err := peer.NewNode(peer.Options{Name: name, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Keys: source, Mux: mux})
+	if err != nil {
+		f.tb.Fatal(err)
+	}
+	f.platform.add(member.Member{Name: name, Kind: member.MemberKindEntry, Domain: domain, Address: "127.0.0.1:1", PeerAddress: member.NewOptString(node.Addr().String())})
+	tracker, err := NewTracker(Options{
+		Name: name, Domain: domain, Region: "r", Peer: node.Addr(), Members: f.platform, Peers: node,
+		Tables: f.platform, Seats: 4, Window: func() time.Duration { return time.Second },
+	})
+	if err != nil {
+		f.tb.Fatal(err)
+	}
+	tracker.Register(mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	tracker.Start(ctx)
+	f.trackers, f.peers, f.stops = append(f.trackers, tracker), append(f.peers, node), append(f.stops, cancel)
+	f.tb.Cleanup(func() { f.kill(node, cancel) })
+}
+
+func (f *fleet) kill(node *peer.Node, cancel context.CancelFunc) {
+	cancel()
+	ctx, done := context.WithTimeout(context.Background(), time.Second)
+	defer done()
+	_ = node.Close(ctx)
+}
+
+// await polls until all views of the trackers satisfy the condition.
+func (f *fleet) await(what string, trackers []*Tracker, holds func(*View) bool) {
+	f.tb.Helper()
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		missing := ""
+		for _, t := range trackers {
+			if !holds(t.View()) {
+				missing = t.View().Self
+			}
+		}
+		if missing == "" {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.tb.Fatalf("%s: not so on %s", what, missing)
+		}
+	}
+}
+
+func (v *View) count(state State) int {
+	count := 0
+	for i := range v.VMs {
+		if v.VMs[i].State == state {
+			count++
+		}
+	}
+	return count
+}
+
+// TestTrackers runs four VMs through what happens to a fleet: all are live and
+// seated, a target is seen to leave by one of them, one says that it leaves, and
+// one dies.
+func TestTrackers(t *testing.T) {
+	f := newFleet(t, 4, 2, 1)
+	f.await("all live", f.trackers, func(v *View) bool { return v.count(Live) == 4 })
+	f.await("all seated", f.trackers, func(v *View) bool {
+		_, usable := v.OwnSeat(time.Now())
+		return usable && len(v.FreeSeats("d0")) == 1 && len(v.FreeSeats("d1")) == 3 && v.FreeSeats("d9") == nil
+	})
+	seats := make(map[int]string)
+	for _, s := range f.trackers[3].View().SeatsOf("d0") {
+		seats[s.Number] = s.VM
+	}
+	for _, tracker := range f.trackers[:3] {
+		if seat, _ := tracker.View().OwnSeat(time.Now()); seats[seat] != tracker.View().Self {
+			t.Fatalf("%s has seat %d, which the stored roster gives to %q", tracker.View().Self, seat, seats[seat])
+		}
+	}
+	f.trackers[2].NoteTargetLeaving("target-1")
+	f.await("target-1 alone leaves", f.trackers, func(v *View) bool {
+		return v.Targets[0].State == Live && v.Targets[1].State == Leaving
+	})
+	f.trackers[3].SetLeaving()
+	f.await("vm-03 leaves", f.trackers, func(v *View) bool { vm, _ := v.VM("vm-03"); return vm.State == Leaving })
+	f.kill(f.peers[0], f.stops[0])
+	f.await("vm-00 is not heard", f.trackers[1:], func(v *View) bool { vm, _ := v.VM("vm-00"); return vm.State == Unknown && vm.Seat >= 0 })
+}
+
+// BenchmarkHeartbeats measures the bytes that one entry VM sends and receives a
+// second, at three sizes of the fleet.
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, vms := range []int{9, 25, 45} {
+		b.Run(fmt.Sprintf("%d-vms", vms), func(b *testing.B) {
+			f := newFleet(b, vms, 0, 0)
+			f.await("all live", f.trackers, func(v *View) bool { return v.count(Live) == vms })
+			// Handshakes and the duplicates of simultaneous dials are over by then.
+			time.Sleep(15 * time.Second)
+			var total uint64
+			b.ResetTimer()
+			for range b.N {
+				before := f.bytes()
+				time.Sleep(time.Second)
+				total += f.bytes() - before
+			}
+			b.ReportMetric(float64(total)/float64(b.N)/float64(vms), "bytes/s/vm")
+		})
+	}
+}
+
+func (f *fleet) bytes() uint64 {
+	total := uint64(0)
+	for _, node := range f.peers {
+		total += node.Bytes()
+	}
+	return total
+}
+
+// BenchmarkPublish measures one View of a fleet: its time, and its memory.
+func BenchmarkPublish(b *testing.B) {
+	for _, workers := range []int{150, 560} {
+		for _, marks := range []int{0, 1} {
+			b.Run(fmt.Sprintf("%d-workers-%d-leaving", workers, marks), func(b *testing.B) {
+				f := newFleet(b, 1, 150, workers)
+				f.await("listed", f.trackers, func(v *View) bool { return len(v.Workers) == workers })
+				f.stops[0]()
+				if marks > 0 {
+					f.trackers[0].NoteTargetLeaving("target-0")
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					f.trackers[0].publish()
+				}
+			})
+		}
+	}
+}
