Make the proofs of drain, shutdown and refusal fail without their protection

Cause: with the protection switched off three of the five proofs still passed: the stand-in's leaving target told the platform's list as well; requests of 150 ms ended within the one second in which a stopping VM still serves; a lost try and a refused retry rarely met. Change: targets behind links do not tell the list, and a second part lists one as leaving that says nothing itself; requests of 1.4 s; a fifth of the targets' answers are lost. The first sample no longer makes an attempt look three times as long (a spread of an eighth of it).

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -227,7 +227,7 @@
 
 func (t *Table) observe(took time.Duration) {
 	if t.mean == 0 {
-		t.mean, t.spread = took, took/2
+		t.mean, t.spread = took, took/8
 		return
 	}
 	off := took - t.mean
--- a/stand/proof/requests_test.go
+++ b/stand/proof/requests_test.go
@@ -24,6 +24,8 @@
 	f := startFleet(t, options{domains: 2, entries: 3, targets: 2, slots: 4, targetLinks: true, policy: shortWindows})
 	s := newStorm(f)
 	s.body, s.every = "work=40ms", 4*time.Millisecond
+	// Tries that ran without an answer, and too few slots for another one.
+	f.targets.setFault(faultapi.Fault{Kind: faultapi.FaultKindLostAnswer, Probability: faultapi.NewOptFloat64(0.2)})
 	s.blow(6)
 	v := s.judge(t)
 	if v.refused < 50 {
@@ -59,29 +61,50 @@
 }
 
 func TestInvariantDrain(t *testing.T) {
-	f := startFleet(t, options{domains: 2, entries: 3, targets: 4, policy: shortWindows})
+	// With links of their own the targets do not tell the platform that they leave.
+	f := startFleet(t, options{domains: 2, entries: 3, targets: 4, targetLinks: true, policy: shortWindows})
 	s := newStorm(f)
 	go s.run()
 	time.Sleep(500 * time.Millisecond)
-	// The target says that it leaves; the list does not know. One entry VM is
-	// cut off from the platform and one from its peers meanwhile.
 	f.cutPlatform(f.entries[0])
 	f.cutPeers(f.entries[1], f.entries[2])
 	f.targets.setFault(faultapi.Fault{Kind: faultapi.FaultKindLeaving, Member: faultapi.NewOptString(f.targetVMs[0].Name)})
-	time.Sleep(4500 * time.Millisecond)
-	f.mendPlatform(f.entries[0])
-	// Another one leaves by the list.
-	leaving := f.targetVMs[1]
-	leaving.State = memberapi.MemberStateLeaving
-	f.list(leaving)
-	time.Sleep(4500 * time.Millisecond)
+	time.Sleep(8 * time.Second)
 	s.stopped.Store(true)
 	s.wait.Wait()
+	f.mendPlatform(f.entries[0])
 	s.judge(t)
 	record := f.targets.record()
+	t.Logf("%d requests were rejected", record.Rejected)
 	if after := record.AfterLeaving.Or(-1); after != 0 {
 		t.Errorf("%d requests reached a target 3 s or more after it said that it was leaving", after)
 	}
+	f.drainByList(t)
+}
+
+// drainByList has the platform list a target as leaving, which itself says
+// nothing. One entry VM is cut off from the platform and learns it from peers.
+func (f *fleet) drainByList(t *testing.T) {
+	t.Helper()
+	f.targets.fault(faultapi.FaultKindNone)
+	leaving := f.targetVMs[1]
+	f.cutPlatform(f.entries[0])
+	leaving.State = memberapi.MemberStateLeaving
+	f.list(leaving)
+	time.Sleep(3 * time.Second)
+	after := newStorm(f)
+	go after.run()
+	time.Sleep(2 * time.Second)
+	after.stopped.Store(true)
+	after.wait.Wait()
+	after.judge(t)
+	for id, answers := range after.told {
+		for _, a := range answers {
+			if strings.Contains(string(a.body), "run-by="+leaving.Name) {
+				t.Errorf("%s ran on %s, which was listed as leaving 3 s before", id, leaving.Name)
+			}
+		}
+	}
 }
 
 // station sends requests to one entry VM as a balancer does, which leaves out a
@@ -110,7 +133,7 @@
 			continue
 		}
 		id := fmt.Sprint(target.OncePrefix, name, "-", i)
-		got := s.vm.send(request{caller: "hosts", id: id, once: true, body: "work=150ms", window: 2 * time.Second})
+		got := s.vm.send(request{caller: "hosts", id: id, once: true, body: "work=1400ms", window: 2 * time.Second})
 		switch {
 		case got.outcome == "completed":
 			s.done.Add(1)
@@ -135,14 +158,14 @@
 			senders.Go(func() { s.send(t, fmt.Sprint(vm.name, i)) })
 		}
 	}
-	time.Sleep(time.Second)
+	time.Sleep(2 * time.Second)
 	for _, i := range f.random.Perm(len(f.entries))[:2] {
 		if code := f.entries[i].stop(); code != 0 {
 			t.Errorf("%s ended with code %d", f.entries[i].name, code)
 		}
 		f.entries[i].restart()
 		f.entries[i].awaitReady()
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(1200 * time.Millisecond)
 	}
 	for _, s := range stations {
 		s.stopped.Store(true)
--- a/stand/proof/storm_test.go
+++ b/stand/proof/storm_test.go
@@ -25,6 +25,8 @@
 	// body is the work that each request asks for.
 	body string
 	wait sync.WaitGroup
+	// name tells the requests of this storm from those of others.
+	name string
 
 	mu   sync.Mutex
 	told map[string][]answer
@@ -33,7 +35,7 @@
 func newStorm(f *fleet) *storm {
 	return &storm{
 		f: f, random: rand.New(rand.NewSource(f.random.Int63())), every: 8 * time.Millisecond,
-		body: "work=5ms&answer-bytes=3000", told: make(map[string][]answer),
+		name: fmt.Sprint(f.random.Intn(1_000_000)), body: "work=5ms&answer-bytes=3000", told: make(map[string][]answer),
 	}
 }
 
@@ -55,12 +57,12 @@
 	callers := []string{"hosts", "partners", "farms"}
 	for serial := 0; !s.stopped.Load(); serial++ {
 		r := request{
-			caller: callers[s.random.Intn(len(callers))], id: fmt.Sprint("idem-", serial), body: s.body,
+			caller: callers[s.random.Intn(len(callers))], id: fmt.Sprint("idem-", s.name, "-", serial), body: s.body,
 			window: time.Duration(600+s.random.Intn(1300)) * time.Millisecond,
 		}
 		copies := 1
 		if s.random.Intn(4) > 0 {
-			r.once, r.id = true, fmt.Sprint(target.OncePrefix, serial)
+			r.once, r.id = true, fmt.Sprint(target.OncePrefix, s.name, "-", serial)
 			copies = 1 + 2*s.random.Intn(2)
 		}
 		for range copies {
