--- a/core/roster/tracker_test.go
+++ b/core/roster/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -22,6 +23,9 @@
 }
 
 func (p *platform) ListMembers(context.Context) (*member.MemberList, error) {
+	if !p.Reachable() {
+		return nil, errors.New("platform is down")
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return &member.MemberList{AsOf: time.Now(), Members: append([]member.Member(nil), p.members...)}, nil
@@ -126,8 +130,8 @@
 }
 
 // TestTrackers runs four VMs through what happens to a fleet: all are live and
-// seated, a target is seen to leave by one of them, one says that it leaves, and
-// one dies.
+// seated; then, without the platform, a target is seen to leave by one of them,
+// one says that it leaves, and one dies. The others keep their seats.
 func TestTrackers(t *testing.T) {
 	f := newFleet(t, 4, 2, 1)
 	f.await("all live", f.trackers, func(v *View) bool { return v.count(Live) == 4 })
@@ -144,6 +148,7 @@
 			t.Fatalf("%s has seat %d, which the stored roster gives to %q", tracker.View().Self, seat, seats[seat])
 		}
 	}
+	f.platform.SetFaults(store.Faults{Down: true})
 	f.trackers[2].NoteTargetLeaving("target-1")
 	f.await("target-1 alone leaves", f.trackers, func(v *View) bool {
 		return v.Targets[0].State == Live && v.Targets[1].State == Leaving
@@ -152,6 +157,7 @@
 	f.await("vm-03 leaves", f.trackers, func(v *View) bool { vm, _ := v.VM("vm-03"); return vm.State == Leaving })
 	f.kill(f.peers[0], f.stops[0])
 	f.await("vm-00 is not heard", f.trackers[1:], func(v *View) bool { vm, _ := v.VM("vm-00"); return vm.State == Unknown && vm.Seat >= 0 })
+	f.await("the others keep their seats", f.trackers[1:3], func(v *View) bool { _, usable := v.OwnSeat(time.Now()); return usable })
 }
 
 // BenchmarkHeartbeats measures the bytes that one entry VM sends and receives a
