Close connections while draining, and ask again when rosters disagree

Cause: an idle kept connection outlived the drain; in the demo two requests were refused with claim-owner-changed right after the start.

--- a/entry/front/api.go
+++ b/entry/front/api.go
@@ -160,7 +160,8 @@
 }
 
 // boundReading wraps the generated server: a body must arrive within one longest
-// window, and its declared length goes to the limits filter.
+// window, and its declared length goes to the limits filter. Connections end
+// with the drain.
 func (f *Front) boundReading(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		longest := f.claims.longestWindow()
@@ -168,6 +169,10 @@
 			// Not all writers have deadlines; those of tests do without.
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(longest))
 		}
+		if f.gate.isDraining() {
+			// The caller's next request goes to another entry VM.
+			w.Header().Set("Connection", "close")
+		}
 		ctx := context.WithValue(r.Context(), bodyLengthKey{}, r.ContentLength)
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
--- a/entry/front/claims.go
+++ b/entry/front/claims.go
@@ -17,6 +17,9 @@
 	"tanagerstack.org/core/store"
 )
 
+// rosterDelay is how long a change of the roster takes to be seen by most VMs.
+const rosterDelay = 300 * time.Millisecond
+
 // claims is the filter that lets only one dispatch of a non-idempotent request
 // happen in the fleet. The protocol is described in package claim.
 type claims struct {
@@ -48,6 +51,27 @@
 	if r.Idempotent || r.origin == fromOwner {
 		return next(ctx, r)
 	}
+	outcome := f.toKeeper(ctx, r, next)
+	if refused, ok := outcome.(Refused); ok && refused.Reason == reasonOwnerChanged && r.origin == fromCaller {
+		// Rosters differ for a moment after a change. Nothing was done yet.
+		f.pause(ctx, r)
+		outcome = f.toKeeper(ctx, r, next)
+	}
+	return outcome
+}
+
+// pause waits until rosters agree again, or the window ends.
+func (f *claims) pause(ctx context.Context, r *Request) {
+	timer := time.NewTimer(min(rosterDelay, r.remaining(f.now())))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// toKeeper brings a request to an entry VM that keeps its claim.
+func (f *claims) toKeeper(ctx context.Context, r *Request, next Next) Outcome {
 	home := r.version.Document.Callers[r.Caller].Domain
 	order := claim.Order(f.roster(), home, r.key())
 	if len(order) == 0 {
--- a/entry/front/drain.go
+++ b/entry/front/drain.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// isDraining reports whether the gate is closed.
+func (g *inFlight) isDraining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
 // drain closes the gate and waits until nothing is in flight.
 func (g *inFlight) drain(ctx context.Context) error {
 	empty := g.shut()
