Charge requests and answers of other regions to one budget

Cause: only the bodies of requests that were placed elsewhere were counted, not their answers, nor requests on their way to the owner of their claim. Change: each message to another region is charged; only placing asks whether the budget has room. After: go test -race ./entry/front passes, with TestRegionBudget.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -96,7 +96,7 @@
 	}
 	opts := f.opts
 	place := route.Place{Name: opts.Name, Domain: opts.Domain, Region: opts.Region}
-	passing := &relay{place: place, peers: opts.Peers, roster: opts.Roster, now: f.now, metrics: f.metrics}
+	passing := &relay{place: place, peers: opts.Peers, policy: opts.Policy, roster: opts.Roster, now: f.now, metrics: f.metrics}
 	f.claims = &claims{
 		place:     place,
 		policy:    opts.Policy,
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -305,3 +305,22 @@
 		t.Errorf("a new request got %+v", got)
 	}
 }
+
+func TestRegionBudget(t *testing.T) {
+	f := newFleet(t, 1)
+	relay := f.vms[0].claims.relay
+	abroad, near := roster.VM{Region: "r1"}, roster.VM{Region: "r0"}
+	half := &Request{Body: make([]byte, 1_000_000)}
+	relay.charge(near, 10_000_000)
+	if !relay.affords(half) {
+		t.Error("traffic within the region was charged")
+	}
+	relay.charge(abroad, 1_500_000)
+	if relay.affords(half) {
+		t.Error("a budget of 2 MB at once affords 2.5 MB")
+	}
+	f.later(time.Second)
+	if !relay.affords(half) {
+		t.Error("the budget of 1 MB a second did not recover in a second")
+	}
+}
--- a/entry/front/relay.go
+++ b/entry/front/relay.go
@@ -11,6 +11,7 @@
 
 	"tanagerstack.org/core/claim"
 	"tanagerstack.org/core/peer"
+	"tanagerstack.org/core/policy"
 	"tanagerstack.org/core/roster"
 	"tanagerstack.org/core/route"
 )
@@ -37,6 +38,7 @@
 type relay struct {
 	place   route.Place
 	peers   *peer.Node
+	policy  *policy.Keeper
 	roster  func() *roster.View
 	now     func() time.Time
 	metrics *metrics
@@ -90,6 +92,9 @@
 		Body:       r.Body,
 		Acting:     r.acting,
 	})
+	if err == nil || !notHandled(err) {
+		f.charge(vm, len(r.Body)+len(result.Body))
+	}
 	switch {
 	case err == nil:
 		return result.outcome(), nil
@@ -128,7 +133,7 @@
 		if tried++; tried > placesTried {
 			break
 		}
-		if vm.Region != f.place.Region && !f.spend(r) {
+		if vm.Region != f.place.Region && !f.affords(r) {
 			break
 		}
 		if outcome := f.claims.secure(ctx, r); outcome != nil {
@@ -177,25 +182,44 @@
 	return unknown && r.Idempotent && f.retry()
 }
 
-// spend takes the bytes of a request from the budget for other regions.
-func (f *relay) spend(r *Request) bool {
+// affords reports whether the budget for other regions has room for the
+// request's body. Requests on their way to the owner of their claim do not ask:
+// they must go there, and are only charged.
+func (f *relay) affords(r *Request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	return f.budget(now).TokensAt(now) >= float64(len(r.Body))
+}
+
+// charge takes bytes that went to or came from another region off the budget.
+func (f *relay) charge(vm roster.VM, bytes int) {
+	if vm.Region == f.place.Region {
+		return
+	}
+	f.metrics.regionBytes.Add(int64(bytes))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	budget := r.version.Document.Regions.BytesPerSecond
-	limit, burst := rate.Limit(budget), int(budget*regionBurst)
+	now := f.now()
+	budget := f.budget(now)
+	budget.ReserveN(now, min(bytes, budget.Burst()))
+}
+
+// budget returns the byte budget as the policy has it now. f.mu is held.
+func (f *relay) budget(now time.Time) *rate.Limiter {
+	perSecond := int64(0)
+	if version := f.policy.Current(); version != nil {
+		perSecond = version.Document.Regions.BytesPerSecond
+	}
+	limit, burst := rate.Limit(perSecond), int(perSecond*regionBurst)
 	if f.bytes == nil {
 		f.bytes = rate.NewLimiter(limit, burst)
 	}
-	now := f.now()
 	if f.bytes.Limit() != limit {
 		f.bytes.SetLimitAt(now, limit)
 		f.bytes.SetBurstAt(now, burst)
 	}
-	allowed := f.bytes.AllowN(now, len(r.Body))
-	if allowed {
-		f.metrics.regionBytes.Add(int64(len(r.Body)))
-	}
-	return allowed
+	return f.bytes
 }
 
 // lookup asks for the outcome of a request that another entry VM has claimed.
