Use free slots of neighbors before waiting

Cause: a caller that reaches one entry VM waits there for its few slots while other entry VMs of the failure domain have slots free. Ruled out: granting slots to a VM that asks (needs deadlines that hold through pauses and cuts; the slots of a seat stay with its VM). Change: a request that finds no slot is passed on to an entry VM of the same failure domain, which runs it at once or refuses; then it waits here.

--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -254,6 +254,27 @@
 	}
 }
 
+func TestSlotsOfNeighborsAreUsed(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, target := range f.targets {
+		target.run = 200 * time.Millisecond
+	}
+	var wait sync.WaitGroup
+	for i := range 12 {
+		wait.Go(func() {
+			id := fmt.Sprint("borrow-", i)
+			if got := f.send(f.vms[0], id, "x", "X-Idempotent", fmt.Sprint(i%2 == 0)); got.status != http.StatusOK {
+				t.Errorf("%s: got %+v", id, got)
+			}
+		})
+	}
+	wait.Wait()
+	own, _ := f.vms[0].router.pool("booking").table.Slots()
+	if most := f.targets[0].most + f.targets[1].most; most <= own {
+		t.Errorf("%d requests ran at once although neighbors had slots beside the own %d", most, own)
+	}
+}
+
 func TestOwnerGone(t *testing.T) {
 	f := newFleet(t, 3)
 	gone := f.vms[0]
--- a/entry/front/message.go
+++ b/entry/front/message.go
@@ -21,6 +21,8 @@
 	Body       []byte    `cbor:"8,keyasint"`
 	// Acting asks the receiver to stand in for the owner of the claim.
 	Acting bool `cbor:"9,keyasint,omitempty"`
+	// Immediate asks the receiver to refuse unless a slot is free right now.
+	Immediate bool `cbor:"10,keyasint,omitempty"`
 }
 
 // The stages of a Pass.
--- a/entry/front/pool.go
+++ b/entry/front/pool.go
@@ -39,15 +39,12 @@
 	return &pool{service: service, place: place, roster: view, now: now, lanes: make(map[string]*lanes)}
 }
 
-// acquire takes a slot for the request, waiting for one if the window allows it.
+// acquire waits for a slot for the request, if the window allows it.
 func (p *pool) acquire(ctx context.Context, r *Request, query route.Query) (slot, *Refused) {
-	w, taken, refused := p.enter(r, query)
+	w, refused := p.enter(r, query)
 	if refused != nil {
 		return slot{}, refused
 	}
-	if w == nil {
-		return taken, nil
-	}
 	select {
 	case name, ok := <-w.Value.turn:
 		if !ok {
@@ -59,6 +56,22 @@
 	}
 }
 
+// acquireNow takes a slot if one is free and nobody waits for it.
+func (p *pool) acquireNow(query route.Query) (slot, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.follow(now)
+	if p.queue.Len() > 0 {
+		return slot{}, false
+	}
+	name, ok := p.table.Pick(now, query)
+	if !ok {
+		return slot{}, false
+	}
+	return p.slot(name), true
+}
+
 // finish gives a slot back and lets waiting requests have it.
 func (p *pool) finish(s slot, result route.Result) {
 	p.mu.Lock()
@@ -88,24 +101,19 @@
 	p.serve(now)
 }
 
-// enter takes a slot at once, or queues the request, or refuses it.
-func (p *pool) enter(r *Request, query route.Query) (*admit.Waiter[waiting], slot, *Refused) {
+// enter queues the request, or refuses it.
+func (p *pool) enter(r *Request, query route.Query) (*admit.Waiter[waiting], *Refused) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	p.follow(now)
-	if p.queue.Len() == 0 {
-		if name, ok := p.table.Pick(now, query); ok {
-			return nil, p.slot(name), nil
-		}
-	}
 	w := p.waiter(r, query)
 	if refused := p.judge(now, r, w); refused != nil {
-		return nil, slot{}, refused
+		return nil, refused
 	}
 	p.queue.Push(w)
 	p.serve(now)
-	return w, slot{}, nil
+	return w, nil
 }
 
 func (p *pool) waiter(r *Request, query route.Query) *admit.Waiter[waiting] {
--- a/entry/front/relay.go
+++ b/entry/front/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,6 +92,7 @@
 		NotAfter:   r.NotAfter,
 		Body:       r.Body,
 		Acting:     r.acting,
+		Immediate:  r.immediate,
 	})
 	if err == nil || !notHandled(err) {
 		f.charge(vm, len(r.Body)+len(result.Body))
@@ -123,7 +125,17 @@
 // placeElsewhere passes the request on to where the service has targets. It returns nil
 // if no entry VM could take it.
 func (f *relay) placeElsewhere(ctx context.Context, r *Request) Outcome {
-	candidates := route.Elsewhere(f.roster(), f.place, r.Service, r.ID, f.now())
+	return f.placeAmong(ctx, r, route.Elsewhere(f.roster(), f.place, r.Service, r.ID, f.now()))
+}
+
+// neighbors returns the entry VMs of the own failure domain that may have a slot.
+func (f *relay) neighbors(r *Request) []roster.VM {
+	elsewhere := route.Elsewhere(f.roster(), f.place, r.Service, r.ID, f.now())
+	return slices.DeleteFunc(elsewhere, func(vm roster.VM) bool { return vm.Domain != f.place.Domain })
+}
+
+// placeAmong passes the request on to the first of the candidates that takes it.
+func (f *relay) placeAmong(ctx context.Context, r *Request, candidates []roster.VM) Outcome {
 	var refused Outcome
 	tried := 0
 	for _, vm := range candidates {
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -46,6 +46,8 @@
 	claim *claim.Claim[Outcome]
 	// secured is whether the claim is safe against another dispatch.
 	secured bool
+	// immediate is whether the request may not wait for a slot here.
+	immediate bool
 	// mayHaveRun is the outcome of the first try that may have run.
 	mayHaveRun *Unknown
 	// joined is whether the request repeats another one and gets its outcome.
--- a/entry/front/router.go
+++ b/entry/front/router.go
@@ -52,7 +52,16 @@
 	var last Outcome
 	for attempt := 1; ; attempt++ {
 		p := f.pool(r.Service)
-		taken, refused := p.acquire(ctx, r, query)
+		taken, free := p.acquireNow(query)
+		if !free && attempt == 1 {
+			if outcome := f.borrow(ctx, r); outcome != nil {
+				return outcome
+			}
+		}
+		var refused *Refused
+		if !free {
+			taken, refused = f.await(ctx, r, p, query)
+		}
 		if refused != nil {
 			return f.elsewhere(ctx, r, last, *refused)
 		}
@@ -67,6 +76,32 @@
 	}
 }
 
+// borrow passes a request that would have to wait here on to an entry VM of the
+// same failure domain that has a slot free. It returns nil if none took it.
+func (f *router) borrow(ctx context.Context, r *Request) Outcome {
+	if r.origin == fromOwner {
+		return nil
+	}
+	passed := *r
+	passed.immediate = true
+	outcome := f.relay.placeAmong(ctx, &passed, f.relay.neighbors(r))
+	r.secured, r.startedAt = passed.secured, passed.startedAt
+	r.note(outcome)
+	if _, refused := outcome.(Refused); refused {
+		return nil
+	}
+	return outcome
+}
+
+// await waits for a slot, unless the request may not.
+func (f *router) await(ctx context.Context, r *Request, p *pool, query route.Query) (slot, *Refused) {
+	if r.immediate {
+		refused := unavailable("no-free-slot", f.now(), "entry VM %s has no slot free right now", f.place.Name)
+		return slot{}, &refused
+	}
+	return p.acquire(ctx, r, query)
+}
+
 // try has the request dispatched once.
 func (f *router) try(ctx context.Context, r *Request, next Next, attempt int) Outcome {
 	deadline := r.NotAfter
--- a/entry/front/serve.go
+++ b/entry/front/serve.go
@@ -25,6 +25,7 @@
 		NotAfter:   m.NotAfter,
 		Body:       m.Body,
 		acting:     m.Acting,
+		immediate:  m.Immediate,
 		version:    f.opts.Policy.Current(),
 	}
 	if r.version == nil {
