--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"tanagerstack.org/core/roster"
 	"tanagerstack.org/core/store"
 )
 
