--- a/admin/burn.go
+++ b/admin/burn.go
@@ -77,7 +77,7 @@
 	table := p.table("CALLER", "CLASS", "OBJECTIVE", "TARGET", "REQUESTS", "BAD", "BUDGET LEFT", "BURN 5M/1H/6H", "WAIT P50", "WAIT P99")
 	for i := range report.Rows {
 		r := &report.Rows[i]
-		table.row(r.Caller, r.Class, r.Objective, percent(r.Target), r.Total, r.Bad, percent(r.BudgetLeft), rates(r), r.P50.Value, r.P99.Value)
+		table.row(r.Caller, r.Class, r.Objective, percent(r.Target), r.Total, r.Bad, percent(r.BudgetLeft), rates(r), waitText(r.P50), waitText(r.P99))
 	}
 	table.end()
 	p.printf("\nwho burns the budget:\n")
@@ -114,6 +114,14 @@
 	return strings.Join(texts, " / ")
 }
 
+// waitText is empty for objectives that are not about waiting.
+func waitText(wait api.OptDuration) string {
+	if d, ok := wait.Get(); ok {
+		return shortDuration(d)
+	}
+	return ""
+}
+
 func percent(share float64) string {
 	return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.3f", 100*share), "0"), ".") + "%"
 }
--- a/admin/page.go
+++ b/admin/page.go
@@ -124,8 +124,8 @@
 		Left:      percent(r.BudgetLeft),
 		LeftWidth: 100 * max(0, min(1, r.BudgetLeft)),
 		Kind:      budgetKind(r.BudgetLeft),
-		P50:       shortDuration(r.P50.Value),
-		P99:       shortDuration(r.P99.Value),
+		P50:       waitText(r.P50),
+		P99:       waitText(r.P99),
 	}
 	for _, rate := range r.Rates {
 		row.Rates = append(row.Rates, rateCell{Text: fmt.Sprintf("%.2f", rate.Rate), Kind: rateKind(rate.Rate)})
--- a/admin/template.go
+++ b/admin/template.go
@@ -29,7 +29,7 @@
 .fill { display: block; height: 100%; background: currentColor; }
 .bar { display: grid; grid-template-columns: 110px 1fr; gap: 10px; align-items: center; margin: 5px 0; }
 .bar .name { text-align: right; overflow: hidden; text-overflow: ellipsis; }
-.bar .body { display: flex; align-items: center; gap: 8px; } .bar .fill { height: 14px; min-width: 2px; flex: none; }
+.bar .body { display: flex; align-items: center; gap: 8px; } .bar .fill { height: 14px; min-width: 2px; flex: none; } .bar .body span { white-space: nowrap; }
 .panel { background: var(--panel); border: 1px solid var(--line); padding: 12px 14px; margin: 10px 0; }
 .plots { display: flex; flex-wrap: wrap; gap: 16px 40px; }
 svg { font: 11px system-ui, sans-serif; overflow: visible; } svg text { fill: var(--soft); }
--- a/entry/oper/burn.go
+++ b/entry/oper/burn.go
@@ -81,8 +81,9 @@
 		Total:      r.Total,
 		Bad:        r.Bad,
 		BudgetLeft: r.BudgetLeft,
-		P50:        api.NewOptDuration(r.P50),
-		P99:        api.NewOptDuration(r.P99),
+	}
+	if r.Objective == burn.Waiting {
+		row.P50, row.P99 = api.NewOptDuration(r.P50), api.NewOptDuration(r.P99)
 	}
 	for i, window := range burn.Windows() {
 		row.Rates = append(row.Rates, api.BurnRate{Window: window, Rate: r.Rates[i]})
