--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 # Process tests start real daemons; the time limit covers a slow machine.
 TEST_TIMEOUT := 20m
 
-.PHONY: bench-requests help build demo test test-short lint format generate generate-check ratio tools fuzz
+.PHONY: slopes bench-requests help build demo test test-short lint format generate generate-check ratio tools fuzz
 
 help: ## List the commands.
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 20
@@ -68,5 +68,9 @@
 bench-requests: ## Measure the way of a request; fails past a bound.
 	TANAGER_MEASURE=1 go test -count=1 -p 1 -timeout 5m -run Measure -v ./core/route ./entry/front
 
+slopes: ## Measure how each role's use of a machine grows with its size; about ten minutes. docs/CAPACITY.md rests on it.
+	scripts/slopes
+	go test ./core/policy ./core/burn -count=1 -run '^$$' -bench Slope -benchtime 0.5s
+
 ratio: ## Count hand-written code and its tests.
 	@scripts/ratio
