Start processes of a proof without the test's own TANAGER_ variables

Ruled out: a fault of the daemon; refusing unknown variables is what it is to do. Before: TestLinks with TANAGER_SEED=5 fails at start; after: passes.

--- a/stand/proof/process_test.go
+++ b/stand/proof/process_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -81,6 +82,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	p.cmd = exec.Command(p.program, p.args...)
+	p.cmd.Env = environment()
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	// A test that is itself killed leaves no process behind.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -91,6 +93,15 @@
 	go p.run(p.cmd, p.done)
 }
 
+// environment is this process's own without the settings of the product, which
+// a test gives by flags. A daemon ends at a variable that it does not know, such
+// as the test's own TANAGER_SEED.
+func environment() []string {
+	return slices.DeleteFunc(os.Environ(), func(variable string) bool {
+		return strings.HasPrefix(variable, "TANAGER_")
+	})
+}
+
 // run waits for the process, so that done tells when it has ended.
 func (p *process) run(cmd *exec.Cmd, done chan struct{}) {
 	_ = cmd.Wait()
