--- a/stand/cmds/enroll.go
+++ b/stand/cmds/enroll.go
@@ -58,9 +58,11 @@
 // member returns the VM as the list takes it, or all errors of the flags.
 func (e *entryVM) member() (memberapi.Member, error) {
 	var failed []error
-	for name, text := range map[string]string{"name": e.vm.Name, "domain": e.vm.Domain, "region": e.vm.Region} {
-		if text == "" {
-			failed = append(failed, fmt.Errorf("--%s is empty", name))
+	for _, given := range []flags.Pair{
+		{Name: "name", Value: e.vm.Name}, {Name: "domain", Value: e.vm.Domain}, {Name: "region", Value: e.vm.Region},
+	} {
+		if given.Value == "" {
+			failed = append(failed, fmt.Errorf("--%s is empty", given.Name))
 		}
 	}
 	if !e.address.IsValid() || !e.peers.IsValid() {
--- /dev/null
+++ b/stand/proof/entry_test.go
@@ -0,0 +1,135 @@
+package proof
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"time"
+
+	memberapi "tanagerstack.org/core/api/member"
+	operapi "tanagerstack.org/core/api/oper"
+)
+
+// entryVM is one entry VM with its links.
+type entryVM struct {
+	*process
+	fleet                            *fleet
+	domain, region                   string
+	ip                               netip.Addr
+	callers, operators, debug, peers netip.AddrPort
+	peerLink                         *udpLink
+	platform                         []*tcpLink
+}
+
+func entryName(d, n int) string { return fmt.Sprintf("%s-%d", domainNames[d], n+1) }
+
+func (f *fleet) startEntry(d, n int) {
+	vm := &entryVM{
+		fleet: f, domain: domainNames[d], region: regionNames[d], ip: f.address(1+d, 1+n, 0).Addr(),
+		callers: f.address(1+d, 1+n, 8080), operators: f.address(1+d, 1+n, 8090),
+		debug: f.address(1+d, 1+n, 8099), peers: f.address(1+d, 1+n, 7400),
+	}
+	front := f.address(11+d, 1+n, 7400)
+	vm.peerLink = newUDPLink(f.t, front, vm.peers)
+	args := vm.settings(entryName(d, n), f.seeds())
+	for _, service := range []struct {
+		flag string
+		port uint16
+	}{{"--tables-address", 7001}, {"--objects-address", 7002}, {"--members-address", 7003}} {
+		at := f.address(21+d, 1+n, service.port)
+		vm.platform = append(vm.platform, newTCPLink(f.t, at, f.address(0, 1, service.port)))
+		args = append(args, service.flag, at.String())
+	}
+	vm.process = startProcess(f.t, f.directory, entryName(d, n), "tanager-entry", append(args, f.opts.settings...)...)
+	f.entries = append(f.entries, vm)
+	f.list(vm.member(memberapi.MemberStateLive))
+}
+
+// seeds names the first entry VM of each failure domain.
+func (f *fleet) seeds() string {
+	var seeds []string
+	for d := range f.opts.domains {
+		seeds = append(seeds, entryName(d, 0)+"="+f.address(11+d, 1, 7400).String())
+	}
+	return strings.Join(seeds, ",")
+}
+
+func (vm *entryVM) settings(name, seeds string) []string {
+	sum := sha256.Sum256([]byte(operatorToken))
+	keys := filepath.Join(vm.fleet.directory, "keys")
+	return []string{
+		"--name", name, "--domain", vm.domain, "--region", vm.region,
+		"--callers-address", vm.callers.String(), "--operators-address", vm.operators.String(),
+		"--debug-address", vm.debug.String(), "--peers-address", vm.peers.String(), "--seeds", seeds,
+		"--ca-file", filepath.Join(keys, "ca.pem"), "--cert-file", filepath.Join(keys, name+".pem"),
+		"--key-file", filepath.Join(keys, name+"-key.pem"),
+		"--operator-tokens", "proof=" + hex.EncodeToString(sum[:]),
+	}
+}
+
+// member returns the VM as the platform lists it.
+func (vm *entryVM) member(state memberapi.MemberState) memberapi.Member {
+	front := vm.peerLink.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return memberapi.Member{
+		Name: vm.name, Kind: memberapi.MemberKindEntry, State: state, Address: vm.callers.String(),
+		PeerAddress: memberapi.NewOptString(front.String()), Domain: vm.domain, Region: vm.region,
+	}
+}
+
+// list puts a VM on the platform's list, or changes it.
+func (f *fleet) list(vm memberapi.Member) {
+	f.t.Helper()
+	client, err := memberapi.NewClient("http://" + f.address(0, 1, 7003).String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := client.PutMember(context.Background(), &vm, memberapi.PutMemberParams{Name: vm.Name}); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// gone makes the platform drop an entry VM from its list.
+func (f *fleet) gone(vm *entryVM) { f.list(vm.member(memberapi.MemberStateGone)) }
+
+// restart starts a new process of a VM that was killed or stopped.
+func (vm *entryVM) restart() { vm.start(vm.fleet.t) }
+
+// operatorBearer gives the operator's token to the generated client.
+type operatorBearer struct{}
+
+func (operatorBearer) Token(context.Context, operapi.OperationName) (operapi.Token, error) {
+	return operapi.Token{Token: operatorToken}, nil
+}
+
+// operatorsClient returns a client of the VM's operators' API.
+func (vm *entryVM) operatorsClient() *operapi.Client {
+	client, err := operapi.NewClient("http://"+vm.operators.String(), operatorBearer{},
+		operapi.WithClient(&http.Client{Timeout: 3 * time.Second}))
+	if err != nil {
+		vm.fleet.t.Fatal(err)
+	}
+	return client
+}
+
+// ready reports whether the VM says that it is ready.
+func (vm *entryVM) ready() bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + vm.debug.String() + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// awaitReady waits until the VM is ready.
+func (vm *entryVM) awaitReady() {
+	vm.fleet.t.Helper()
+	vm.fleet.await(vm.process, readyPatience, vm.ready)
+}
