--- a/entry/front/relay.go
+++ b/entry/front/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"tanagerstack.org/core/claim"
 	"tanagerstack.org/core/peer"
+	"tanagerstack.org/core/policy"
 	"tanagerstack.org/core/roster"
 	"tanagerstack.org/core/route"
 )
@@ -37,6 +39,7 @@
 type relay struct {
 	place   route.Place
 	peers   *peer.Node
+	policy  *policy.Keeper
 	roster  func() *roster.View
 	now     func() time.Time
 	metrics *metrics
@@ -89,7 +92,11 @@
 		NotAfter:   r.NotAfter,
 		Body:       r.Body,
 		Acting:     r.acting,
+		Immediate:  r.immediate,
 	})
+	if err == nil || !notHandled(err) {
+		f.charge(vm, len(r.Body)+len(result.Body))
+	}
 	switch {
 	case err == nil:
 		return result.outcome(), nil
@@ -118,7 +125,17 @@
 // placeElsewhere passes the request on to where the service has targets. It returns nil
 // if no entry VM could take it.
 func (f *relay) placeElsewhere(ctx context.Context, r *Request) Outcome {
-	candidates := route.Elsewhere(f.roster(), f.place, r.Service, r.ID, f.now())
+	return f.placeAmong(ctx, r, route.Elsewhere(f.roster(), f.place, r.Service, r.ID, f.now()))
+}
+
+// neighbors returns the entry VMs of the own failure domain that may have a slot.
+func (f *relay) neighbors(r *Request) []roster.VM {
+	elsewhere := route.Elsewhere(f.roster(), f.place, r.Service, r.ID, f.now())
+	return slices.DeleteFunc(elsewhere, func(vm roster.VM) bool { return vm.Domain != f.place.Domain })
+}
+
+// placeAmong passes the request on to the first of the candidates that takes it.
+func (f *relay) placeAmong(ctx context.Context, r *Request, candidates []roster.VM) Outcome {
 	var refused Outcome
 	tried := 0
 	for _, vm := range candidates {
@@ -128,7 +145,7 @@
 		if tried++; tried > placesTried {
 			break
 		}
-		if vm.Region != f.place.Region && !f.spend(r) {
+		if vm.Region != f.place.Region && !f.affords(r) {
 			break
 		}
 		if outcome := f.claims.secure(ctx, r); outcome != nil {
@@ -177,25 +194,44 @@
 	return unknown && r.Idempotent && f.retry()
 }
 
-// spend takes the bytes of a request from the budget for other regions.
-func (f *relay) spend(r *Request) bool {
+// affords reports whether the budget for other regions has room for the
+// request's body. Requests on their way to the owner of their claim do not ask:
+// they must go there, and are only charged.
+func (f *relay) affords(r *Request) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	budget := r.version.Document.Regions.BytesPerSecond
-	limit, burst := rate.Limit(budget), int(budget*regionBurst)
+	now := f.now()
+	return f.budget(now).TokensAt(now) >= float64(len(r.Body))
+}
+
+// charge takes bytes that went to or came from another region off the budget.
+func (f *relay) charge(vm roster.VM, bytes int) {
+	if vm.Region == f.place.Region {
+		return
+	}
+	f.metrics.regionBytes.Add(int64(bytes))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	budget := f.budget(now)
+	budget.ReserveN(now, min(bytes, budget.Burst()))
+}
+
+// budget returns the byte budget as the policy has it now. f.mu is held.
+func (f *relay) budget(now time.Time) *rate.Limiter {
+	perSecond := int64(0)
+	if version := f.policy.Current(); version != nil {
+		perSecond = version.Document.Regions.BytesPerSecond
+	}
+	limit, burst := rate.Limit(perSecond), int(perSecond*regionBurst)
 	if f.bytes == nil {
 		f.bytes = rate.NewLimiter(limit, burst)
 	}
-	now := f.now()
 	if f.bytes.Limit() != limit {
 		f.bytes.SetLimitAt(now, limit)
 		f.bytes.SetBurstAt(now, burst)
 	}
-	allowed := f.bytes.AllowN(now, len(r.Body))
-	if allowed {
-		f.metrics.regionBytes.Add(int64(len(r.Body)))
-	}
-	return allowed
+	return f.bytes
 }
 
 // lookup asks for the outcome of a request that another entry VM has claimed.
