--- a/stand/load/change.go
+++ b/stand/load/change.go
@@ -80,7 +80,8 @@
 			return
 		}
 		if err != nil {
-			klog.InfoS("policy change was not applied; the next one follows", "err", err)
+			klog.V(1).InfoS("policy change was not applied; the next one follows", "err", err)
+			d.tally.refusal("policy change not applied", whyNotApplied(err))
 			continue
 		}
 		d.watch(version, began)
@@ -100,6 +101,14 @@
 	return 0, errors.Join(failed...)
 }
 
+// whyNotApplied shortens the reasons of all entry VMs to that of the first.
+func whyNotApplied(err error) string {
+	if problem := new(api.ProblemStatusCode); errors.As(err, &problem) {
+		return problem.Response.Reason.Or(problem.Response.Title)
+	}
+	return brief(err)
+}
+
 // change raises the default burst by one.
 func change(ctx context.Context, client *api.Client, number int) (int64, error) {
 	current, err := client.GetPolicy(ctx)
--- a/stand/load/job.go
+++ b/stand/load/job.go
@@ -57,6 +57,8 @@
 type jobFollower struct {
 	driver  *jobDriver
 	outcome *jobOutcome
+	// open tells that an earlier answer left open whether the job was accepted.
+	open bool
 }
 
 // run submits new jobs until ctx ends, and then waits for their outcomes.
@@ -111,7 +113,7 @@
 	}
 }
 
-// submit submits the job until it is answered, each time with the same key.
+// submit submits the job until it is accepted or refused, each time with the same key.
 func (f *jobFollower) submit() bool {
 	for range maxSends {
 		answered := f.call(func(ctx context.Context, client *api.Client) error {
@@ -121,27 +123,30 @@
 			}
 			return err
 		})
-		if answered != nil {
-			f.notAccepted(answered)
-			return false
-		}
 		if f.outcome.accepted {
 			return true
 		}
+		if answered != nil && f.refused(answered) {
+			return false
+		}
+		time.Sleep(followEvery)
 	}
 	return false
 }
 
-// notAccepted notes the answer to a job that was not accepted.
-func (f *jobFollower) notAccepted(answer *api.ProblemStatusCode) {
+// refused notes the answer to a job that was not accepted, and reports whether
+// it was refused. A refusal after an answer that left it open does not settle it.
+func (f *jobFollower) refused(answer *api.ProblemStatusCode) bool {
 	problem := answer.Response
 	reason := problem.Reason.Or(problem.Title)
 	if problem.Outcome.Or("") == api.ProblemOutcomeUnknown {
 		f.driver.tally.refusal("job unknown", reason)
-		return
+		f.open = true
+		return false
 	}
-	f.outcome.refused = true
+	f.outcome.refused = !f.open
 	f.driver.tally.refusal("job refused", reason)
+	return true
 }
 
 // look asks for the job once.
