Take only blocks of addresses on which nobody listens in process tests

Cause: one start of about 25 failed with 'address already in use' (seen by req); fleets that a script starts take no lock. Change: the ports that a fleet needs first are probed before a block is taken.

--- a/stand/proof/fleet_test.go
+++ b/stand/proof/fleet_test.go
@@ -132,6 +132,10 @@
 		if err != nil {
 			continue
 		}
+		if !isFree(block) {
+			_ = lock.Close()
+			continue
+		}
 		t.Cleanup(func() { _ = lock.Close() })
 		return block
 	}
@@ -139,6 +143,19 @@
 	return 0
 }
 
+// isFree reports whether nobody listens on the ports that each fleet of a block
+// needs first; fleets that were not started by tests take no lock.
+func isFree(block int) bool {
+	for _, address := range []string{"0.1:7001", "0.1:7002", "0.1:7003", "1.1:8080", "100.1:8080", "150.1:8081"} {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%s", block, address))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
 // address returns 127.BLOCK.third.fourth:port.
 func (f *fleet) address(third, fourth int, port uint16) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(f.block), byte(third), byte(fourth)}), port)
