Give no seat to a VM that divides targets by another number

--seats had to be the same on all VMs, and nothing noticed where it was not: two VMs would then use the same slots. The stored roster records the number now; a VM with another one gets no seat and says so, unless no request of the others can run any more.

--- a/core/peer/node_test.go
+++ b/core/peer/node_test.go
@@ -70,13 +70,15 @@
 }
 
 // echo answers a note with the sender's name before its text; it fails on "fail"
-// and waits for the end of its context on "wait".
+// and outlasts its context on "wait".
 func echo(ctx context.Context, from Identity, message note) (note, error) {
 	switch message.Text {
 	case "fail":
 		return note{}, errors.New("asked to")
 	case "wait":
+		// The answer must not race with the caller's own deadline.
 		<-ctx.Done()
+		time.Sleep(time.Second)
 		return note{}, ctx.Err()
 	}
 	return note{Text: from.Name + ":" + message.Text, At: message.At}, nil
--- a/core/roster/seat.go
+++ b/core/roster/seat.go
@@ -30,9 +30,20 @@
 
 // seatRow is the stored roster of one failure domain.
 type seatRow struct {
+	// Count is the number of seats that the slots of targets are divided among.
+	// VMs that divide by different numbers would overlap.
+	Count int    `json:"count"`
 	Seats []seat `json:"seats"`
 }
 
+// CountError reports a VM whose setting differs from that of its failure domain.
+type CountError struct{ Domain, Setting int }
+
+// Error names both numbers.
+func (e *CountError) Error() string {
+	return fmt.Sprintf("the failure domain is divided into %d seats, but this VM is set to %d: it gets no seat", e.Domain, e.Setting)
+}
+
 func decodeSeats(value []byte) (seatRow, error) {
 	var row seatRow
 	if len(value) == 0 {
@@ -61,10 +72,18 @@
 
 // next returns the row as the VM wants it, and whether that differs from r. It
 // takes or keeps the VM's own seat, and starts or ends the wait for the seats of
-// VMs that the list has dropped.
-func (r seatRow) next(in seatInput) (seatRow, bool) {
-	row := seatRow{Seats: slices.Clone(r.Seats)}
-	changed := false
+// VMs that the list has dropped. The error is a *CountError where the VM may not
+// have a seat; the row it comes with only ages the seats of others.
+func (r seatRow) next(in seatInput) (seatRow, bool, error) {
+	row := seatRow{Count: r.Count, Seats: slices.Clone(r.Seats)}
+	if !r.fits(in) {
+		changed := false
+		for i := range row.Seats {
+			changed = row.Seats[i].VM != in.vm && row.Seats[i].age(in) || changed
+		}
+		return row, changed, &CountError{Domain: r.Count, Setting: in.seats}
+	}
+	changed := row.recount(in)
 	for i := range row.Seats {
 		if row.Seats[i].VM == in.vm {
 			changed = row.Seats[i].keep(in) || changed
@@ -75,7 +94,32 @@
 	if row.of(in.vm) == nil {
 		changed = row.take(in) || changed
 	}
-	return row, changed
+	return row, changed, nil
+}
+
+// recount divides the failure domain anew, if the VM's setting asks for it. The
+// VM keeps a seat, and with it the wait for its earlier instance.
+func (r *seatRow) recount(in seatInput) bool {
+	if r.Count == in.seats {
+		return false
+	}
+	if r.Count != 0 {
+		r.Seats = slices.DeleteFunc(r.Seats, func(s seat) bool { return s.VM != in.vm })
+		for i := range r.Seats {
+			r.Seats[i].Seat = 0
+		}
+	}
+	r.Count = in.seats
+	return true
+}
+
+// fits reports whether the VM divides targets as its failure domain does. A
+// domain in which no request of another VM can run may be divided anew.
+func (r seatRow) fits(in seatInput) bool {
+	if r.Count == 0 || r.Count == in.seats {
+		return true
+	}
+	return !slices.ContainsFunc(r.Seats, func(s seat) bool { return s.VM != in.vm && !s.idle(in) && !s.free(in) })
 }
 
 // of returns the seat of a VM, or nil.
@@ -157,6 +201,11 @@
 	return false
 }
 
+// idle reports whether the holder was shut down gracefully.
+func (s *seat) idle(in seatInput) bool {
+	return s.Instance == "" && in.now.After(s.UsableAt.Add(in.skew))
+}
+
 func (s *seat) free(in seatInput) bool {
 	return !s.FreeAt.IsZero() && in.now.After(s.FreeAt.Add(in.skew))
 }
--- a/core/roster/seat_test.go
+++ b/core/roster/seat_test.go
@@ -305,3 +305,46 @@
 		t.Fatal("no seat passed from one instance to another in any run")
 	}
 }
+
+// TestSeatCount checks that VMs which divide targets by different numbers never
+// hold seats at the same time, and that a stopped domain can be divided anew.
+func TestSeatCount(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	input := func(vm, instance string, seats int) seatInput {
+		return seatInput{
+			now: now, vm: vm, instance: instance, seats: seats, window: modelWindow, skew: modelSkew,
+			listed: map[string]bool{"a": true, "b": true}, listedAt: now,
+		}
+	}
+	held := seat{Seat: 3, VM: "a", Instance: "a1", TakenAt: now.Add(-time.Hour), UsableAt: now.Add(-time.Hour)}
+	stopped, dropped := held, held
+	stopped.Instance = ""
+	dropped.FreeAt = now.Add(-time.Minute)
+	cases := map[string]struct {
+		others   seat
+		vm       string
+		refused  bool
+		usableAt time.Time
+	}{
+		"another's seat":         {others: held, vm: "b", refused: true},
+		"another's, stopped":     {others: stopped, vm: "b", usableAt: now},
+		"another's, dropped":     {others: dropped, vm: "b", usableAt: now},
+		"own after a kill":       {others: held, vm: "a", usableAt: now.Add(modelWindow + modelSkew)},
+		"own after a clean stop": {others: stopped, vm: "a", usableAt: now},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			row, _, err := seatRow{Count: 4, Seats: []seat{c.others}}.next(input(c.vm, "new", 2))
+			mine := row.of(c.vm)
+			if c.refused {
+				if err == nil || mine != nil || row.Count != 4 {
+					t.Fatalf("row is %+v, error %v", row, err)
+				}
+				return
+			}
+			if err != nil || row.Count != 2 || len(row.Seats) != 1 || mine.Seat >= 2 || mine.Instance != "new" || !mine.UsableAt.Equal(c.usableAt) {
+				t.Fatalf("row is %+v, error %v", row, err)
+			}
+		})
+	}
+}
--- a/core/roster/seater.go
+++ b/core/roster/seater.go
@@ -93,11 +93,11 @@
 		return err
 	}
 	in.vm, in.instance = s.vm, s.instance
-	wanted, changed := present.next(in)
-	if !changed {
-		return nil
+	wanted, changed, fault := present.next(in)
+	if changed {
+		return errors.Join(fault, s.write(ctx, own, wanted, in.now))
 	}
-	return s.write(ctx, own, wanted, in.now)
+	return fault
 }
 
 // own picks the row of the VM's failure domain.
@@ -218,9 +218,7 @@
 		refreshing, cancel := context.WithTimeout(ctx, seatTimeout)
 		err := k.tracker.seater.refresh(refreshing, k.tracker.seatInput())
 		cancel()
-		if err != nil && ctx.Err() == nil {
-			klog.V(1).ErrorS(err, "Stored roster not refreshed")
-		}
+		k.report(ctx, err)
 		k.tracker.publish()
 		wait := jitter(seatPeriod)
 		if k.tracker.View().Seat < 0 {
@@ -232,6 +230,18 @@
 	}
 }
 
+// report logs what an operator has to mend, and the rest only where asked for.
+func (k *keeper) report(ctx context.Context, err error) {
+	var wrongCount *CountError
+	switch {
+	case err == nil || ctx.Err() != nil:
+	case errors.As(err, &wrongCount):
+		klog.ErrorS(err, "Set --seats to the same number on all VMs")
+	default:
+		klog.V(1).ErrorS(err, "Stored roster not refreshed")
+	}
+}
+
 // wait reports whether ctx still holds when the next refresh is due.
 func (k *keeper) wait(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
