--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"tanagerstack.org/core/roster"
 	"tanagerstack.org/core/store"
 )
 
@@ -254,6 +255,27 @@
 	}
 }
 
+func TestSlotsOfNeighborsAreUsed(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, target := range f.targets {
+		target.run = 200 * time.Millisecond
+	}
+	var wait sync.WaitGroup
+	for i := range 12 {
+		wait.Go(func() {
+			id := fmt.Sprint("borrow-", i)
+			if got := f.send(f.vms[0], id, "x", "X-Idempotent", fmt.Sprint(i%2 == 0)); got.status != http.StatusOK {
+				t.Errorf("%s: got %+v", id, got)
+			}
+		})
+	}
+	wait.Wait()
+	own, _ := f.vms[0].router.pool("booking").table.Slots()
+	if most := f.targets[0].most + f.targets[1].most; most <= own {
+		t.Errorf("%d requests ran at once although neighbors had slots beside the own %d", most, own)
+	}
+}
+
 func TestOwnerGone(t *testing.T) {
 	f := newFleet(t, 3)
 	closing, done := context.WithTimeout(t.Context(), time.Second)
@@ -305,3 +327,22 @@
 		t.Errorf("a new request got %+v", got)
 	}
 }
+
+func TestRegionBudget(t *testing.T) {
+	f := newFleet(t, 1)
+	relay := f.vms[0].claims.relay
+	abroad, near := roster.VM{Region: "r1"}, roster.VM{Region: "r0"}
+	half := &Request{Body: make([]byte, 1_000_000)}
+	relay.charge(near, 10_000_000)
+	if !relay.affords(half) {
+		t.Error("traffic within the region was charged")
+	}
+	relay.charge(abroad, 1_500_000)
+	if relay.affords(half) {
+		t.Error("a budget of 2 MB at once affords 2.5 MB")
+	}
+	f.later(time.Second)
+	if !relay.affords(half) {
+		t.Error("the budget of 1 MB a second did not recover in a second")
+	}
+}
