--- a/entry/sched/options.go
+++ b/entry/sched/options.go
@@ -36,9 +36,10 @@
 	retryDelay = 500 * time.Millisecond
 	// defaultTaskLease is used where the policy names none.
 	defaultTaskLease = 10 * time.Second
-	// maxTaskLease bounds what a policy may ask for.
+	// minTaskLease and maxTaskLease bound what a policy may ask for. A lease must
+	// outlast a renewal gap and a takeover, or running tasks would lapse with each.
+	minTaskLease = 5 * time.Second
 	maxTaskLease = 30 * time.Second
-	minTaskLease = 3 * time.Second
 )
 
 // Options configure a Scheduler. All but HTTP, Trace and Now are needed.
--- a/entry/sched/scheduler_test.go
+++ b/entry/sched/scheduler_test.go
@@ -229,6 +229,16 @@
 	}
 }
 
+func tasksOn(job *caller.Job, worker string) int {
+	count := 0
+	for _, task := range job.Tasks {
+		if task.Worker.Value == worker {
+			count++
+		}
+	}
+	return count
+}
+
 func TestTakeoverFindsRunningTasks(t *testing.T) {
 	tests := map[string]struct{ workerDown bool }{
 		"all workers answer": {false},
@@ -241,13 +251,13 @@
 			// Each worker has room for all tasks, so that nothing but proof keeps the
 			// new holder from starting those of a silent worker again.
 			id := r.submit(first, jobSpec(caller.JobSpecKindService, 8, 500, "run", "1h")).ID
-			r.await(first, id, runningTasks(8))
+			before := r.await(first, id, runningTasks(8))
 			r.workers[0].set(func(w *fakeWorker) { w.down = test.workerDown })
 			kill()
 			second, _ := r.scheduler("entry-2")
 			want := 8
 			if test.workerDown {
-				want = 4
+				want = tasksOn(before, r.workers[1].name)
 				r.changeWorkers(func(workers []roster.Worker) []roster.Worker { return workers[1:] })
 			}
 			r.await(second, id, func(*caller.Job) bool { return second.current() != nil })
--- a/entry/sched/usage.go
+++ b/entry/sched/usage.go
@@ -12,7 +12,7 @@
 
 const (
 	// usageEvery is the time between usage reports of one worker.
-	usageEvery = 2 * time.Second
+	usageEvery = 5 * time.Second
 	// defaultOversizeRatio is used where the policy names none.
 	defaultOversizeRatio = 1.2
 	// oversizeLimit is the number of reports in a row over the ratio after which
