Fail a process test when a process panics or races

Cause: a daemon that died of a panic looked like one that the test had killed, and a race in it went unseen, since only the tests themselves had the race detector.

--- a/stand/proof/doc.go
+++ b/stand/proof/doc.go
@@ -30,5 +30,8 @@
 // seeded; the seed is logged, and TANAGER_SEED repeats it. What happens at which
 // instant still differs between two runs with one seed.
 //
+// A panic or data race in any process fails the test. TANAGER_RACE=1 builds the
+// programs with the race detector; they are slower then.
+//
 // All tests are skipped with -short. Each is to end within a minute.
 package proof
--- a/stand/proof/harness_test.go
+++ b/stand/proof/harness_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -81,3 +83,26 @@
 		t.Errorf("executions = %d, record %+v", got, f.targets.record())
 	}
 }
+
+// TestCrashIsSeen shows that a panic or race in a process's log fails its test, and other lines do not.
+func TestCrashIsSeen(t *testing.T) {
+	tests := map[string]struct {
+		log   string
+		crash string
+	}{
+		"panic":  {"I1204 started\npanic: boom\ngoroutine 1\n", "panic: boom"},
+		"race":   {"WARNING: DATA RACE\nRead at\n", "WARNING: DATA RACE"},
+		"a word": {"I1204 no panic here\n", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			log := filepath.Join(t.TempDir(), "log")
+			if err := os.WriteFile(log, []byte(test.log), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if got := (&process{log: log}).crash(); got != test.crash {
+				t.Errorf("crash() = %q, want %q", got, test.crash)
+			}
+		})
+	}
+}
--- a/stand/proof/process_test.go
+++ b/stand/proof/process_test.go
@@ -15,14 +15,19 @@
 // logTail is how much of each log is printed when a test fails.
 const logTail = 3000
 
-// build builds the three programs once for all tests.
+// build builds the three programs once for all tests, with the race detector if
+// TANAGER_RACE is set.
 var build = sync.OnceValues(func() (string, error) {
 	root, err := filepath.Abs("../..")
 	if err != nil {
 		return "", err
 	}
 	for name, module := range map[string]string{"tanager-entry": "entry", "tanager-stand": "stand", "tanager": "admin"} {
-		cmd := exec.Command("go", "build", "-o", filepath.Join(programs, name), "./"+module)
+		arguments := []string{"build", "-o", filepath.Join(programs, name)}
+		if os.Getenv("TANAGER_RACE") != "" {
+			arguments = append(arguments, "-race")
+		}
+		cmd := exec.Command("go", append(arguments, "./"+module)...)
 		cmd.Dir = root
 		if output, err := cmd.CombinedOutput(); err != nil {
 			return "", fmt.Errorf("building %s: %w\n%s", name, err, output)
@@ -67,6 +72,9 @@
 	t.Cleanup(func() {
 		// A test that is about planned stops calls stop itself.
 		p.kill()
+		if line := p.crash(); line != "" {
+			t.Errorf("%s logged %q", p.name, line)
+		}
 		if t.Failed() {
 			t.Logf("log of %s:\n%s", p.name, p.tail())
 		}
@@ -127,6 +135,23 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// crash returns the line that tells of a panic or a data race, if there was one.
+// A process that died of itself would else look like one that the test killed.
+func (p *process) crash() string {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(string(text)) {
+		for _, sign := range []string{"panic: ", "fatal error: ", "WARNING: DATA RACE", "http: panic serving"} {
+			if strings.Contains(line, sign) {
+				return strings.TrimSpace(line)
+			}
+		}
+	}
+	return ""
+}
+
 // tail returns the end of the process's log.
 func (p *process) tail() string {
 	text, err := os.ReadFile(p.log)
