Count the calls of the platform's stand-ins in one place

The table service, object store and membership list each had the same counters and record; they embed faults.Calls now. No change of what they answer.

--- a/stand/member/service.go
+++ b/stand/member/service.go
@@ -5,19 +5,18 @@
 	"fmt"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
-	faultapi "tanagerstack.org/core/api/fault"
 	api "tanagerstack.org/core/api/member"
+	"tanagerstack.org/stand/faults"
 	"tanagerstack.org/stand/reply"
 )
 
 // Service serves a List.
 type Service struct {
-	list   *List
-	writes atomic.Int64
-	reads  atomic.Int64
+	faults.Calls
+
+	list *List
 }
 
 // NewService returns an empty membership list with a lag.
@@ -36,14 +35,14 @@
 
 // ListMembers returns the list as it was a lag ago.
 func (s *Service) ListMembers(context.Context) (*api.MemberList, error) {
-	s.reads.Add(1)
+	s.CountRead()
 	list := s.list.At(time.Now())
 	return &list, nil
 }
 
 // PutMember registers a VM or changes it.
 func (s *Service) PutMember(_ context.Context, req *api.Member, params api.PutMemberParams) error {
-	s.writes.Add(1)
+	s.CountWrite()
 	if req.Name != params.Name {
 		return reply.New(http.StatusBadRequest, "wrong-name", "the body names %q, the path %q", req.Name, params.Name)
 	}
@@ -56,7 +55,7 @@
 
 // DeleteMember removes a VM; one that is not listed is no error.
 func (s *Service) DeleteMember(_ context.Context, params api.DeleteMemberParams) error {
-	s.writes.Add(1)
+	s.CountWrite()
 	s.list.Remove(params.Name, time.Now())
 	return nil
 }
@@ -68,14 +67,3 @@
 		Title: e.Title(), Status: e.Status, Detail: e.Detail, Reason: api.NewOptString(e.Reason),
 	}}
 }
-
-// Record returns the numbers of calls.
-func (s *Service) Record() faultapi.Record {
-	return faultapi.Record{
-		Writes: faultapi.NewOptInt64(s.writes.Load()),
-		Reads:  faultapi.NewOptInt64(s.reads.Load()),
-	}
-}
-
-// Executions is always zero: the list runs nothing.
-func (s *Service) Executions(string) int64 { return 0 }
--- a/stand/object/service.go
+++ b/stand/object/service.go
@@ -7,10 +7,9 @@
 	"io"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
-	faultapi "tanagerstack.org/core/api/fault"
 	api "tanagerstack.org/core/api/object"
+	"tanagerstack.org/stand/faults"
 	"tanagerstack.org/stand/reply"
 )
 
@@ -19,10 +18,10 @@
 
 // Service is the object store with its records.
 type Service struct {
+	faults.Calls
+
 	mu      sync.Mutex
 	objects map[string][]byte
-	writes  atomic.Int64
-	reads   atomic.Int64
 }
 
 // NewService returns an object store without objects.
@@ -41,7 +40,7 @@
 
 // PutObject stores an object.
 func (s *Service) PutObject(_ context.Context, req api.PutObjectReq, params api.PutObjectParams) error {
-	s.writes.Add(1)
+	s.CountWrite()
 	body, err := io.ReadAll(io.LimitReader(req, maxBytes+1))
 	if err != nil {
 		return reply.New(http.StatusBadRequest, "short-body", "reading object %q: %v", params.Key, err)
@@ -57,7 +56,7 @@
 
 // GetObject reads an object.
 func (s *Service) GetObject(_ context.Context, params api.GetObjectParams) (api.GetObjectOK, error) {
-	s.reads.Add(1)
+	s.CountRead()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	body, found := s.objects[params.Key]
@@ -69,7 +68,7 @@
 
 // DeleteObject deletes an object; one that does not exist is no error.
 func (s *Service) DeleteObject(_ context.Context, params api.DeleteObjectParams) error {
-	s.writes.Add(1)
+	s.CountWrite()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.objects, params.Key)
@@ -83,14 +82,3 @@
 		Title: e.Title(), Status: e.Status, Detail: e.Detail, Reason: api.NewOptString(e.Reason),
 	}}
 }
-
-// Record returns the numbers of calls.
-func (s *Service) Record() faultapi.Record {
-	return faultapi.Record{
-		Writes: faultapi.NewOptInt64(s.writes.Load()),
-		Reads:  faultapi.NewOptInt64(s.reads.Load()),
-	}
-}
-
-// Executions is always zero: the object store runs nothing.
-func (s *Service) Executions(string) int64 { return 0 }
--- a/stand/table/service.go
+++ b/stand/table/service.go
@@ -4,10 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync/atomic"
 
-	faultapi "tanagerstack.org/core/api/fault"
 	api "tanagerstack.org/core/api/tables"
+	"tanagerstack.org/stand/faults"
 	"tanagerstack.org/stand/reply"
 )
 
@@ -16,9 +15,9 @@
 
 // Service is the table service with its records.
 type Service struct {
-	store  *Store
-	writes atomic.Int64
-	reads  atomic.Int64
+	faults.Calls
+
+	store *Store
 }
 
 // NewService returns a table service without rows.
@@ -37,7 +36,7 @@
 
 // Commit applies each transaction of one call; the call counts as one write.
 func (s *Service) Commit(_ context.Context, req *api.CommitRequest) (*api.CommitReply, error) {
-	s.writes.Add(1)
+	s.CountWrite()
 	for i := range req.Transactions {
 		if err := checkTransaction(i, req.Transactions[i].Operations); err != nil {
 			return nil, err
@@ -52,7 +51,7 @@
 
 // Read returns the rows that exist; the call counts as one read.
 func (s *Service) Read(_ context.Context, req *api.ReadRequest) (*api.RowList, error) {
-	s.reads.Add(1)
+	s.CountRead()
 	rows := []api.Row{}
 	for _, key := range req.Keys {
 		if found, exists := s.store.Get(key.Table, key.Key); exists {
@@ -64,7 +63,7 @@
 
 // Scan lists rows in key order; the call counts as one read.
 func (s *Service) Scan(_ context.Context, params api.ScanParams) (*api.RowList, error) {
-	s.reads.Add(1)
+	s.CountRead()
 	rows, more := s.store.Scan(params.Table, params.Prefix.Or(""), params.After.Or(""), params.Limit.Or(scanLimit))
 	return &api.RowList{Rows: rows, More: more}, nil
 }
@@ -77,17 +76,6 @@
 	}}
 }
 
-// Record returns the numbers of calls.
-func (s *Service) Record() faultapi.Record {
-	return faultapi.Record{
-		Writes: faultapi.NewOptInt64(s.writes.Load()),
-		Reads:  faultapi.NewOptInt64(s.reads.Load()),
-	}
-}
-
-// Executions is always zero: the table service runs nothing.
-func (s *Service) Executions(string) int64 { return 0 }
-
 // checkTransaction refuses what could not be applied whole.
 func checkTransaction(index int, operations []api.Operation) error {
 	written := make(map[api.RowKey]bool, len(operations))
