Release a seat only from when lost requests must have ended

A drain counts requests whose callers were answered; one answered as unknown may still run at its target, and the next instance would have used its slot. The front now says until when such slots are held, and the released seat is usable from then on. With that in the model it found another fault: a VM that the list had dropped while it was paused took the mark on its seat back by itself, and was then cut off.

--- a/core/roster/seat.go
+++ b/core/roster/seat.go
@@ -26,6 +26,9 @@
 	// FreeAt is set once the list has dropped the VM. Another VM may take the
 	// seat from then on.
 	FreeAt time.Time `json:"free-at,omitzero"`
+	// DroppedAsOf is the instant of the list that lacked the VM. Only a younger
+	// list that shows the VM again takes FreeAt back.
+	DroppedAsOf time.Time `json:"dropped-as-of,omitzero"`
 }
 
 // seatRow is the stored roster of one failure domain.
@@ -134,13 +137,12 @@
 
 // keep makes a seat that the VM has the seat of its present instance.
 func (s *seat) keep(in seatInput) bool {
-	if s.Instance == in.instance {
-		dropped := !s.FreeAt.IsZero()
-		s.FreeAt = time.Time{}
-		return dropped
+	relisted := s.relist(in)
+	if s.Instance == in.instance || !s.FreeAt.IsZero() {
+		return relisted
 	}
 	if s.Instance != "" && in.window == 0 {
-		return false
+		return relisted
 	}
 	switch {
 	case s.Instance == "":
@@ -152,7 +154,15 @@
 	}
 	s.Instance = in.instance
 	s.TakenAt = in.now
-	s.FreeAt = time.Time{}
+	return true
+}
+
+// relist takes FreeAt back where the list shows the VM again.
+func (s *seat) relist(in seatInput) bool {
+	if s.FreeAt.IsZero() || !in.listed[s.VM] || !in.listedAt.After(s.DroppedAsOf) {
+		return false
+	}
+	s.FreeAt, s.DroppedAsOf = time.Time{}, time.Time{}
 	return true
 }
 
@@ -161,22 +171,19 @@
 // nothing, since a VM takes its seat only after it was listed.
 func (s *seat) age(in seatInput) bool {
 	switch {
-	case !in.listedAt.After(s.TakenAt.Add(in.skew)):
-		return false
-	case in.listed[s.VM] && !s.FreeAt.IsZero():
-		s.FreeAt = time.Time{}
-		return true
-	case in.listed[s.VM] || !s.FreeAt.IsZero():
+	case !s.FreeAt.IsZero():
+		return s.relist(in)
+	case in.listed[s.VM] || !in.listedAt.After(s.TakenAt.Add(in.skew)):
 		return false
 	case s.Instance == "":
 		s.FreeAt = latest(in.now, s.UsableAt)
-		return true
 	case in.window == 0:
 		return false
 	default:
 		s.FreeAt = in.now.Add(noticeFor + in.window + in.skew)
-		return true
 	}
+	s.DroppedAsOf = in.listedAt
+	return true
 }
 
 // take gives the VM a seat that nobody has, or one whose wait has ended.
--- a/core/roster/seat_test.go
+++ b/core/roster/seat_test.go
@@ -250,17 +250,24 @@
 	}
 }
 
-// stop shuts a process down after its last request has ended.
+// stop shuts a process down. Its last request has ended, or may run until its
+// window has passed.
 func (m *seatModel) stop(p *process) {
 	delete(m.processes, p.vm)
+	ended := m.clock(p)
+	lost := rapid.Bool().Draw(m.t, "lost")
 	for number, uses := range m.uses {
-		if len(uses) > 0 && uses[0].instance == p.seater.instance {
+		switch {
+		case len(uses) == 0 || uses[0].instance != p.seater.instance:
+		case lost:
+			ended = latest(ended, uses[0].endsAt.Add(p.offset))
+		default:
 			delete(m.uses, number)
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
 	defer cancel()
-	_ = p.seater.release(ctx, m.clock(p))
+	_ = p.seater.release(ctx, m.clock(p), ended)
 }
 
 // drop takes a VM off the list that is dead, or has been paused for long.
--- a/core/roster/seater.go
+++ b/core/roster/seater.go
@@ -149,9 +149,9 @@
 	}
 }
 
-// release gives up the use of the seat after the VM's last request has ended.
-// The VM keeps the seat, and its next instance may use it at once.
-func (s *seater) release(ctx context.Context, now time.Time) error {
+// release gives up the use of the seat. The VM's last request ends at ended; the
+// VM keeps the seat, and its next instance may use it from then on.
+func (s *seater) release(ctx context.Context, now, ended time.Time) error {
 	s.mu.Lock()
 	s.released = true
 	s.mu.Unlock()
@@ -167,7 +167,7 @@
 	if mine == nil || mine.Instance != s.instance {
 		return nil
 	}
-	mine.Instance, mine.UsableAt = "", latest(mine.UsableAt, now)
+	mine.Instance, mine.UsableAt = "", latest(mine.UsableAt, latest(ended, now))
 	return s.write(ctx, row, present, now)
 }
 
--- a/core/roster/tracker.go
+++ b/core/roster/tracker.go
@@ -143,10 +143,11 @@
 	t.publish()
 }
 
-// Release gives up the use of the seat. It is called once no request is in
-// flight any more; the VM's next instance may then use the seat at once.
-func (t *Tracker) Release(ctx context.Context) error {
-	return t.seater.release(ctx, time.Now())
+// Release gives up the use of the seat, once the VM starts no more requests. No
+// request that it has started runs after the instant ended; the VM's next
+// instance may use the seat from then on.
+func (t *Tracker) Release(ctx context.Context, ended time.Time) error {
+	return t.seater.release(ctx, time.Now(), ended)
 }
 
 // kickBeaters sends a heartbeat to all other entry VMs now. It needs t.mu.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -180,6 +180,18 @@
 	return changed
 }
 
+// HeldUntil returns the instant by which all requests that were lost must have
+// ended; zero if there are none.
+func (t *Table) HeldUntil() time.Time {
+	var last time.Time
+	for _, h := range t.held {
+		if h.until.After(last) {
+			last = h.until
+		}
+	}
+	return last
+}
+
 // Slots returns how many slots this entry VM may use, and how many are taken.
 func (t *Table) Slots() (usable, busy int) { return t.slots, t.busy }
 
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -157,6 +157,18 @@
 	return err
 }
 
+// SlotsHeldUntil returns the instant by which no request that this VM has sent
+// can run any more, once Drain has ended.
+func (f *Front) SlotsHeldUntil() time.Time {
+	last := f.now()
+	for _, p := range f.router.all() {
+		if until := p.heldUntil(); until.After(last) {
+			last = until
+		}
+	}
+	return last
+}
+
 // noteLeaving spreads the word that a target is leaving.
 func (f *Front) noteLeaving(service, name string) {
 	f.router.pool(service).setLeaving(name)
--- a/entry/front/pool.go
+++ b/entry/front/pool.go
@@ -72,6 +72,13 @@
 	return p.slot(name), true
 }
 
+// heldUntil returns when the last slot of a lost request is free again.
+func (p *pool) heldUntil() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.HeldUntil()
+}
+
 // finish gives a slot back and lets waiting requests have it.
 func (p *pool) finish(s slot, result route.Result) {
 	p.mu.Lock()
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -282,9 +282,10 @@
 	return drained
 }
 
-// releaseSeat may only be called once no request is in flight any more.
+// releaseSeat may only be called once no request is in flight any more. Those
+// whose answer was lost may still run at their targets for a while.
 func (n *Node) releaseSeat(ctx context.Context) {
-	if err := n.roster.Release(ctx); err != nil {
+	if err := n.roster.Release(ctx, n.front.SlotsHeldUntil()); err != nil {
 		klog.ErrorS(err, "Seat not released; the next start waits for it")
 	}
 }
