--- a/core/peer/doc.go
+++ b/core/peer/doc.go
@@ -2,6 +2,11 @@
 //
 // The model: one message and its answer use one stream of their own, so that an
 // answer cannot be matched to another message. Messages and answers are CBOR.
+// Two entry VMs share one connection, whichever of them opened it; it is found by
+// the name that the peer's certificate proves. A connection from which nothing
+// comes is suspect: later messages take a new one, from another port, and what
+// was silent for a while has to answer a ping before a message goes into it.
+//
 // A Mux maps the kind of a message to its typed handler; Call sends a message
 // and waits for the typed answer. Errors say whether the message may have been
 // handled:
