Remember that a neighbor may have run a request

Cause: found by reading: of two neighbors that were asked for a slot, the first could lose an idempotent request and the second refuse it; the copy that was passed on remembered the first, the request did not, and its refusal would have been called one. Before and after: TestNeighborThatMayHaveRunIt fails without the change and passes with it; go test -race ./entry/front passes.

--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -276,6 +276,32 @@
 	}
 }
 
+// TestNeighborThatMayHaveRunIt has one neighbor that loses the request and one
+// that refuses it: the caller must not be told that it was refused.
+func TestNeighborThatMayHaveRunIt(t *testing.T) {
+	f := newFleet(t, 3)
+	r := &Request{
+		Caller: "hosts", Service: "booking", ID: "lost", Class: "hold", Idempotent: true,
+		NotAfter: time.Now().Add(300 * time.Millisecond), version: f.vms[0].opts.Policy.Current(),
+	}
+	for _, target := range f.targets {
+		target.wrong = func(http.ResponseWriter, string, []byte) { panic(http.ErrAbortHandler) }
+	}
+	second := f.vms[0].claims.relay.neighbors(r)[1].Name
+	for _, v := range f.vms {
+		if v.opts.Name == second {
+			v.gate.shut()
+		}
+	}
+	outcome := f.vms[0].router.borrow(t.Context(), r)
+	if f.runsOf("lost") == 0 {
+		t.Fatal("no neighbor ran the request")
+	}
+	if _, unknown := outcome.(Unknown); !unknown && r.mayHaveRun == nil {
+		t.Errorf("got %+v, and the request does not remember that it may have run", outcome)
+	}
+}
+
 func TestOwnerGone(t *testing.T) {
 	f := newFleet(t, 3)
 	closing, done := context.WithTimeout(t.Context(), time.Second)
--- a/entry/front/pool.go
+++ b/entry/front/pool.go
@@ -11,16 +11,6 @@
 	"tanagerstack.org/core/route"
 )
 
-const (
-	// reserveShare is the part of the slots, as one in so many, that one caller
-	// leaves free for others, at least one slot.
-	reserveShare = 16
-	// fewSlots is the number of slots below which none is left free.
-	fewSlots = 8
-	// seenFor is how long a caller counts as sending after its last request.
-	seenFor = 2 * time.Second
-)
-
 // pool is the targets of one service that this entry VM has slots of, and the
 // requests that wait for one.
 type pool struct {
@@ -89,34 +79,6 @@
 	return p.slot(name, r.Caller), true
 }
 
-// othersWait reports whether a waiting request may start before a new one.
-func (p *pool) othersWait() bool {
-	return p.queue.Len() > 0 && p.queue.Any(func(caller string) bool { return p.blocked(p.now(), caller) })
-}
-
-// blocked reports whether a caller must leave the last free slots to others. A
-// caller has to only while others send requests too.
-func (p *pool) blocked(now time.Time, caller string) bool {
-	slots, _ := p.table.Slots()
-	if slots < fewSlots || p.busy[caller] < slots-max(1, slots/reserveShare) {
-		return false
-	}
-	for other, at := range p.seen {
-		if other != caller && now.Sub(at) < seenFor {
-			return true
-		}
-	}
-	return false
-}
-
-// release counts a slot of a caller back.
-func (p *pool) release(caller string) {
-	p.busy[caller]--
-	if p.busy[caller] <= 0 {
-		delete(p.busy, caller)
-	}
-}
-
 // finish gives a slot back and lets waiting requests have it.
 func (p *pool) finish(s slot, result route.Result) {
 	p.mu.Lock()
@@ -242,69 +204,3 @@
 		p.queue.Push(w)
 	}
 }
-
-// follow sets the table from the roster if that has changed. The pool is locked.
-func (p *pool) follow(now time.Time) {
-	view := p.roster()
-	if view == nil {
-		return
-	}
-	seat, usable := view.OwnSeat(now)
-	if view == p.view && usable == p.usable {
-		return
-	}
-	p.view, p.usable = view, usable
-	var shares []route.Share
-	listed := make(map[string]bool)
-	for i := range view.Targets {
-		t := &view.Targets[i]
-		if t.Service != p.service || t.Domain != p.place.Domain {
-			continue
-		}
-		listed[t.Name] = true
-		p.connect(t)
-		if usable && t.State == roster.Live {
-			shares = append(shares, route.Share{Name: t.Name, Slots: route.FloorSlots(t.Name, t.Slots, seat, view.Seats)})
-		}
-	}
-	p.table.Set(shares)
-	p.disconnect(listed)
-}
-
-// connect makes the lanes of a target, anew if its address has changed.
-func (p *pool) connect(t *roster.Target) {
-	present := p.lanes[t.Name]
-	if present != nil && present.address == t.Address {
-		return
-	}
-	if present != nil {
-		present.close()
-	}
-	p.lanes[t.Name] = &lanes{address: t.Address}
-}
-
-// disconnect closes the lanes of targets that are not listed.
-func (p *pool) disconnect(listed map[string]bool) {
-	for name, l := range p.lanes {
-		if !listed[name] {
-			l.close()
-			delete(p.lanes, name)
-		}
-	}
-}
-
-func (p *pool) slotOf(name, caller string) slot {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.slot(name, caller)
-}
-
-// slot returns the slot of a target. A target that has just left the list gets
-// lanes without an address, so that dialing it fails.
-func (p *pool) slot(name, caller string) slot {
-	l := p.lanes[name]
-	if l == nil {
-		l = &lanes{}
-	}
-	return slot{target: name, caller: caller, lanes: l, expected: p.table.ExpectedDuration()}
-}
--- a/entry/front/relay.go
+++ b/entry/front/relay.go
@@ -31,8 +31,6 @@
 	downFor = 500 * time.Millisecond
 	// fullFor is how long an entry VM that refused a request is left alone.
 	fullFor = 100 * time.Millisecond
-	// regionBurst is how many seconds of the byte budget may be used at once.
-	regionBurst = 2
 )
 
 // relay passes requests and claims on to other entry VMs.
@@ -194,46 +192,6 @@
 	return unknown && r.Idempotent && f.retry()
 }
 
-// affords reports whether the budget for other regions has room for the
-// request's body. Requests on their way to the owner of their claim do not ask:
-// they must go there, and are only charged.
-func (f *relay) affords(r *Request) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.now()
-	return f.budget(now).TokensAt(now) >= float64(len(r.Body))
-}
-
-// charge takes bytes that went to or came from another region off the budget.
-func (f *relay) charge(vm roster.VM, bytes int) {
-	if vm.Region == f.place.Region {
-		return
-	}
-	f.metrics.regionBytes.Add(int64(bytes))
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.now()
-	budget := f.budget(now)
-	budget.ReserveN(now, min(bytes, budget.Burst()))
-}
-
-// budget returns the byte budget as the policy has it now. f.mu is held.
-func (f *relay) budget(now time.Time) *rate.Limiter {
-	perSecond := int64(0)
-	if version := f.policy.Current(); version != nil {
-		perSecond = version.Document.Regions.BytesPerSecond
-	}
-	limit, burst := rate.Limit(perSecond), int(perSecond*regionBurst)
-	if f.bytes == nil {
-		f.bytes = rate.NewLimiter(limit, burst)
-	}
-	if f.bytes.Limit() != limit {
-		f.bytes.SetLimitAt(now, limit)
-		f.bytes.SetBurstAt(now, burst)
-	}
-	return f.bytes
-}
-
 // lookup asks for the outcome of a request that another entry VM has claimed.
 func (f *relay) lookup(ctx context.Context, r *Request, vm roster.VM) Outcome {
 	ctx, cancel := context.WithDeadline(ctx, r.NotAfter)
--- a/entry/front/router.go
+++ b/entry/front/router.go
@@ -85,8 +85,7 @@
 	passed := *r
 	passed.immediate = true
 	outcome := f.relay.placeAmong(ctx, &passed, f.relay.neighbors(r))
-	r.secured, r.startedAt = passed.secured, passed.startedAt
-	r.note(outcome)
+	r.secured, r.startedAt, r.mayHaveRun = passed.secured, passed.startedAt, passed.mayHaveRun
 	if _, refused := outcome.(Refused); refused {
 		return nil
 	}
