Change fake targets under their lock in tests

Cause: the race detector found TestNeighborThatMayHaveRunIt setting a target's behavior beside the target's own reads; other tests did the same. Change: fakeTarget.set.

--- a/entry/front/fleet_test.go
+++ b/entry/front/fleet_test.go
@@ -74,6 +74,13 @@
 	answer(w, id, body)
 }
 
+// set changes how the target behaves.
+func (f *fakeTarget) set(change func(*fakeTarget)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
 // answer writes a whole good answer.
 func answer(w http.ResponseWriter, id string, body []byte) {
 	w.Header().Set("Content-Type", "application/octet-stream")
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -124,15 +124,13 @@
 func TestRefusedRequestMayBeSentAgain(t *testing.T) {
 	f := newFleet(t, 2)
 	for _, target := range f.targets {
-		target.leaving = true
+		target.set(func(t *fakeTarget) { t.leaving = true })
 	}
 	if got := f.send(f.vms[0], "again", "x"); got.status != http.StatusServiceUnavailable {
 		t.Fatalf("got %+v while all targets leave", got)
 	}
 	for i, target := range f.targets {
-		target.mu.Lock()
-		target.leaving = false
-		target.mu.Unlock()
+		target.set(func(t *fakeTarget) { t.leaving = false })
 		fresh := newTarget(t, fmt.Sprintf("fresh%d", i), &f.firsts)
 		f.targets = append(f.targets, fresh)
 	}
@@ -174,7 +172,7 @@
 			t.Parallel()
 			f := newFleet(t, 1)
 			for _, target := range f.targets {
-				target.wrong = wrong
+				target.set(func(t *fakeTarget) { t.wrong = wrong })
 			}
 			for _, idempotent := range []string{"true", "false"} {
 				got := f.send(f.vms[0], "wrong-"+idempotent, "x", "X-Idempotent", idempotent)
@@ -191,7 +189,9 @@
 
 func TestRetryOnAnotherTarget(t *testing.T) {
 	f := newFleet(t, 1)
-	f.targets[0].wrong = func(w http.ResponseWriter, _ string, _ []byte) { w.WriteHeader(http.StatusInternalServerError) }
+	f.targets[0].set(func(t *fakeTarget) {
+		t.wrong = func(w http.ResponseWriter, _ string, _ []byte) { w.WriteHeader(http.StatusInternalServerError) }
+	})
 	for i := range 20 {
 		if got := f.send(f.vms[0], fmt.Sprint(i), "x", "X-Idempotent", "true"); got.status != http.StatusOK {
 			t.Errorf("request %d: got %+v with one good target", i, got)
@@ -204,8 +204,10 @@
 
 func TestRefusedRetryIsNotARefusal(t *testing.T) {
 	f := newFleet(t, 1)
-	f.targets[0].wrong = func(http.ResponseWriter, string, []byte) { panic(http.ErrAbortHandler) }
-	f.targets[1].leaving = true
+	f.targets[0].set(func(t *fakeTarget) {
+		t.wrong = func(http.ResponseWriter, string, []byte) { panic(http.ErrAbortHandler) }
+	})
+	f.targets[1].set(func(t *fakeTarget) { t.leaving = true })
 	for i := range 3 {
 		id := fmt.Sprint("cut-", i)
 		got := f.send(f.vms[0], id, "x", "X-Idempotent", "true")
@@ -217,7 +219,7 @@
 
 func TestLeavingTargetGetsNothingNew(t *testing.T) {
 	f := newFleet(t, 1)
-	f.targets[0].leaving = true
+	f.targets[0].set(func(t *fakeTarget) { t.leaving = true })
 	for i := range 10 {
 		if got := f.send(f.vms[0], fmt.Sprint(i), "x"); got.status != http.StatusOK {
 			t.Errorf("request %d: got %+v with one good target", i, got)
@@ -241,7 +243,7 @@
 func TestSlotsAreNeverExceeded(t *testing.T) {
 	f := newFleet(t, 3)
 	for _, target := range f.targets {
-		target.run = 5 * time.Millisecond
+		target.set(func(t *fakeTarget) { t.run = 5 * time.Millisecond })
 	}
 	var wait sync.WaitGroup
 	for i := range 300 {
@@ -258,7 +260,7 @@
 func TestSlotsOfNeighborsAreUsed(t *testing.T) {
 	f := newFleet(t, 3)
 	for _, target := range f.targets {
-		target.run = 200 * time.Millisecond
+		target.set(func(t *fakeTarget) { t.run = 200 * time.Millisecond })
 	}
 	var wait sync.WaitGroup
 	for i := range 12 {
@@ -285,7 +287,9 @@
 		NotAfter: time.Now().Add(300 * time.Millisecond), version: f.vms[0].opts.Policy.Current(),
 	}
 	for _, target := range f.targets {
-		target.wrong = func(http.ResponseWriter, string, []byte) { panic(http.ErrAbortHandler) }
+		target.set(func(t *fakeTarget) {
+			t.wrong = func(http.ResponseWriter, string, []byte) { panic(http.ErrAbortHandler) }
+		})
 	}
 	second := f.vms[0].claims.relay.neighbors(r)[1].Name
 	for _, v := range f.vms {
@@ -334,7 +338,7 @@
 func TestDrainFinishesWhatIsInFlight(t *testing.T) {
 	f := newFleet(t, 1)
 	for _, target := range f.targets {
-		target.run = 300 * time.Millisecond
+		target.set(func(t *fakeTarget) { t.run = 300 * time.Millisecond })
 	}
 	var inFlight sync.WaitGroup
 	var got reply
--- a/entry/front/history_test.go
+++ b/entry/front/history_test.go
@@ -127,7 +127,7 @@
 	f.later(5 * time.Second)
 	var serial atomic.Int64
 	for i, target := range f.targets {
-		target.wrong = func(w http.ResponseWriter, id string, _ []byte) {
+		wrong := func(w http.ResponseWriter, id string, _ []byte) {
 			run := serial.Add(1)
 			if i == 0 && run%7 == 0 {
 				w.WriteHeader(http.StatusInternalServerError)
@@ -137,6 +137,7 @@
 			w.Header().Set("X-Request-Id", id)
 			_, _ = io.WriteString(w, fmt.Sprint("run ", run))
 		}
+		target.set(func(t *fakeTarget) { t.wrong = wrong })
 	}
 	seed := time.Now().UnixNano()
 	t.Logf("seed %d", seed)
--- a/entry/front/measure_test.go
+++ b/entry/front/measure_test.go
@@ -94,7 +94,7 @@
 	measuring(t)
 	f := newFleetOf(t, 1, 4, 1)
 	for _, target := range f.targets {
-		target.run = 50 * time.Millisecond
+		target.set(func(t *fakeTarget) { t.run = 50 * time.Millisecond })
 	}
 	var alone, flooded []time.Duration
 	for round := range 3 {
@@ -153,7 +153,7 @@
 	measuring(t)
 	f := newFleetOf(t, 1, 4, 1)
 	for _, target := range f.targets {
-		target.run = 80 * time.Millisecond
+		target.set(func(t *fakeTarget) { t.run = 80 * time.Millisecond })
 	}
 	const capacity = 4 * 8 * 1000 / 80
 	f.offer("warm", capacity/2, time.Second)
@@ -171,10 +171,12 @@
 	f := newFleetOf(t, 1, 10, 1)
 	broken := make(map[string]bool)
 	for i, target := range f.targets {
-		target.run = 2 * time.Millisecond
+		target.set(func(t *fakeTarget) { t.run = 2 * time.Millisecond })
 		if i%2 == 0 {
 			broken[target.name] = true
-			target.wrong = func(w http.ResponseWriter, _ string, _ []byte) { w.WriteHeader(http.StatusInternalServerError) }
+			target.set(func(t *fakeTarget) {
+				t.wrong = func(w http.ResponseWriter, _ string, _ []byte) { w.WriteHeader(http.StatusInternalServerError) }
+			})
 		}
 	}
 	const requests = 4000
