Poll the platform's list in turn, so that leaving targets are known in time

Each VM polled at random times, on average every N seconds with N VMs, so that chance left gaps of several seconds, and a VM that is cut off made them longer. Ruled out: each VM polling each second (20 VMs with 560 workers would spend far more than 24 KB/s a node on lists). Change: VMs poll in the order of their names, by the clock, one each 500 ms; a VM that cannot reach the list costs one turn. A VM of 20 polls as often as before (each 10 s).

--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -15,7 +15,7 @@
 const (
 	// listPeriod is the time between polls of one of the entry VMs, and
 	// longestListPeriod bounds the time between two of the same VM.
-	listPeriod        = time.Second
+	listPeriod        = 500 * time.Millisecond
 	longestListPeriod = 10 * time.Second
 	listTimeout       = 3 * time.Second
 )
@@ -118,14 +118,15 @@
 }
 
 // poller reads the platform's list again and again. The entry VMs share the
-// work: each polls as often as there are few others, and what is leaving
-// travels with the heartbeats.
+// work: they poll in turn, by the clock, and what is leaving travels with the
+// heartbeats. A VM that cannot reach the list leaves a gap of one turn.
 type poller struct{ tracker *Tracker }
 
 func (p *poller) loop(ctx context.Context) {
 	for {
 		p.poll(ctx)
-		timer := time.NewTimer(jitter(p.period()))
+		rank, live := p.rank()
+		timer := time.NewTimer(untilTurn(time.Now(), rank, live))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -135,15 +136,35 @@
 	}
 }
 
-// period grows with the number of VMs that poll as well.
-func (p *poller) period() time.Duration {
-	live := 0
+// rank returns this VM's place among the live ones by name, and their number.
+func (p *poller) rank() (rank, live int) {
 	for _, vm := range p.tracker.View().VMs {
-		if vm.State == Live {
-			live++
+		if vm.State != Live {
+			continue
+		}
+		if vm.Name < p.tracker.opts.Name {
+			rank++
 		}
+		live++
+	}
+	return rank, max(1, live)
+}
+
+// untilTurn returns the time until the next turn of the VM of a rank. A turn
+// lasts for listPeriod, and a round for as many turns as VMs are live; with more
+// VMs than the longest round has turns, some of them poll together.
+func untilTurn(now time.Time, rank, live int) time.Duration {
+	turns := min(live, int(longestListPeriod/listPeriod))
+	round := time.Duration(turns) * listPeriod
+	turn := time.Duration(rank%turns) * listPeriod
+	passed := time.Duration(now.UnixNano()) % round
+	wait := (turn - passed + round) % round
+	if wait < listPeriod/2 {
+		// The turn that has just been taken, or is about to begin while the last
+		// poll has only just ended.
+		wait += round
 	}
-	return min(longestListPeriod, time.Duration(max(1, live))*listPeriod)
+	return wait
 }
 
 func (p *poller) poll(ctx context.Context) {
--- /dev/null
+++ b/core/roster/turn_test.go
@@ -0,0 +1,35 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestTurnsLeaveNoGap checks that the polls of all live VMs together are never
+// further apart than a turn and a half, nor those of one VM than two rounds.
+func TestTurnsLeaveNoGap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		live := rapid.IntRange(1, 40).Draw(t, "live")
+		start := time.Unix(0, rapid.Int64Range(1e18, 2e18).Draw(t, "start"))
+		covered := make(map[int64]bool)
+		for rank := range live {
+			now := start
+			for polls := 0; now.Before(start.Add(3 * longestListPeriod)); polls++ {
+				wait := untilTurn(now, rank, live)
+				if wait <= 0 || wait > longestListPeriod+listPeriod {
+					t.Fatalf("rank %d of %d waits %s", rank, live, wait)
+				}
+				now = now.Add(wait)
+				covered[now.UnixNano()/int64(listPeriod)] = true
+			}
+		}
+		first := start.Add(longestListPeriod+listPeriod).UnixNano()/int64(listPeriod) + 1
+		for turn := first; turn < start.Add(3*longestListPeriod).UnixNano()/int64(listPeriod); turn++ {
+			if !covered[turn] {
+				t.Fatalf("nobody of %d polls in turn %d", live, turn)
+			}
+		}
+	})
+}
