Exchange policy versions only with VMs whose heartbeats name another

Cause: the poller asked one VM each second, also in a fleet that agrees, which kept far links awake. Heartbeats carry the version in force already. Now a fleet that agrees sends no message of its own for the policy; live VMs that differ are asked each second, and one of those not heard of.

--- a/entry/oper/doc.go
+++ b/entry/oper/doc.go
@@ -5,8 +5,9 @@
 // platform's tables. A changer writes a new version by compare-and-set on the
 // head. A poller reads the head each second and takes newer versions into the
 // policy.Keeper. Whenever the version in force grows, a spreader tells all
-// other VMs, and in quiet times one of them each second, so that a VM cut off
-// from the tables still learns of it through any VM that it reaches.
+// other VMs. Each second it also asks those whose heartbeats name another
+// version, so that a VM cut off from the tables still learns of it through any
+// VM that it reaches.
 //
 // Questions about the whole fleet (status, explain, burn) are put to all VMs by
 // peer messages. A VM that does not answer is named as missing; nothing is
--- a/entry/oper/poll.go
+++ b/entry/oper/poll.go
@@ -48,7 +48,7 @@
 	for ctx.Err() == nil {
 		wait := jitter(pollPeriod)
 		p.poll(ctx)
-		p.spreader.tellOne()
+		p.spreader.tellDiffering()
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
--- a/entry/oper/spread.go
+++ b/entry/oper/spread.go
@@ -70,10 +70,23 @@
 	}
 }
 
-// tellOne begins an exchange with some other VM.
-func (s *spreader) tellOne() {
-	if others := s.opts.peers(); len(others) > 0 {
-		s.tell(others[rand.Intn(len(others))])
+// tellDiffering begins exchanges with the live VMs whose heartbeats name another
+// version, and with one of those that are not live. A fleet that agrees sends
+// nothing.
+func (s *spreader) tellDiffering() {
+	inForce := numberInForce(s.opts.Policy)
+	var silent []roster.VM
+	for _, vm := range s.opts.peers() {
+		switch {
+		case vm.PolicyVersion == inForce:
+		case vm.State == roster.Live:
+			s.tell(vm)
+		default:
+			silent = append(silent, vm)
+		}
+	}
+	if len(silent) > 0 {
+		s.tell(silent[rand.Intn(len(silent))])
 	}
 }
 
