Find a bad reason before an entry VM is asked, and take empty variables as not set

A table of nine bad commands found both: a missing reason was only reported once an entry VM was reached, and TANAGER_TIMEOUT= was an error.

--- a/admin/connection.go
+++ b/admin/connection.go
@@ -42,8 +42,8 @@
 	var faults []error
 	cmd.Root().PersistentFlags().VisitAll(func(flag *pflag.Flag) {
 		name := environmentPrefix + strings.ToUpper(strings.ReplaceAll(flag.Name, "-", "_"))
-		text, set := os.LookupEnv(name)
-		if !set || flag.Changed {
+		text := os.Getenv(name)
+		if text == "" || flag.Changed {
 			return
 		}
 		if err := flag.Value.Set(text); err != nil {
--- a/admin/exception.go
+++ b/admin/exception.go
@@ -64,7 +64,7 @@
 			if e.Author == "" {
 				return errors.New("--author: an exception needs somebody who answers for it (TANAGER_AUTHOR)")
 			}
-			if err := setEnd(&e, end); err != nil {
+			if err := errors.Join(checkReason(e.Reason), setEnd(&e, end)); err != nil {
 				return err
 			}
 			number, text, err := currentText(cmd, options)
@@ -117,6 +117,9 @@
 		Example: `  tanager exception remove archive --reason "The archive has been moved."`,
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkReason(reason); err != nil {
+				return err
+			}
 			number, text, err := currentText(cmd, options)
 			if err != nil {
 				return err
--- a/admin/policy.go
+++ b/admin/policy.go
@@ -91,6 +91,9 @@
   tanager policy apply policy.yaml --expected-version 7 --reason "Hosts book more on Fridays."`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkReason(reason); err != nil {
+				return err
+			}
 			text, err := readDocument(cmd, args[0])
 			if err != nil {
 				return err
@@ -150,6 +153,9 @@
 			if _, err := fmt.Sscan(args[0], &number); err != nil || number < 1 {
 				return fmt.Errorf("VERSION %q is not a number from 1 up", args[0])
 			}
+			if err := checkReason(reason); err != nil {
+				return err
+			}
 			expected, err := currentNumber(cmd.Context(), options)
 			if err != nil {
 				return err
@@ -229,11 +235,16 @@
 	return string(data), nil
 }
 
-// applyDocument applies a document and prints the new version's number.
-func applyDocument(cmd *cobra.Command, options *connection, expected int64, text, reason string) error {
+// checkReason finds a bad reason before an entry VM is asked.
+func checkReason(reason string) error {
 	if err := policy.CheckReason(reason); err != nil {
 		return fmt.Errorf("--reason: %w\n  accepted: %s", err, policy.AcceptedReason)
 	}
+	return nil
+}
+
+// applyDocument applies a document and prints the new version's number.
+func applyDocument(cmd *cobra.Command, options *connection, expected int64, text, reason string) error {
 	client, err := options.client()
 	if err != nil {
 		return err
