Pace the commit calls of each VM, so that the fleet stays within the platform's writes

Ruled out: a longer group window alone, which delays a quiet VM too and does not know how many VMs share. Change: a token bucket of 250 calls a second divided by the VMs of the roster; transactions that wait share the next call. Four calls go out at once after a quiet time. TestClientKeepsItsPace fails without the wait: 39 calls where 9 are allowed.

--- a/core/store/client.go
+++ b/core/store/client.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"tanagerstack.org/core/api/tables"
 )
 
@@ -23,10 +25,19 @@
 	DefaultReadTimeout   = time.Second
 )
 
+// FleetCommitsPerSecond is how many commit calls all clients of a fleet together
+// may make on the long run: the platform takes several hundred writes a second
+// from everybody.
+const FleetCommitsPerSecond = 250
+
 const (
 	dialTimeout = time.Second
 	idleTimeout = 30 * time.Second
 	queueLength = 4096
+	// paceBurst commit calls may go out without a wait after a quiet time.
+	paceBurst = 4
+	// maxPaceWait bounds the wait of a transaction for its client's turn.
+	maxPaceWait = 200 * time.Millisecond
 	scanPage    = 1000
 )
 
@@ -40,6 +51,10 @@
 	GroupSize   int
 	// Lanes is the most commit calls in flight.
 	Lanes int
+	// CommitsPerSecond returns how many commit calls this client may make on the
+	// long run; nil sets no bound. Transactions that have to wait for their turn
+	// share the next call, so a bound costs waiting time and loses nothing.
+	CommitsPerSecond func() float64
 	// CommitTimeout and ReadTimeout end calls that the service does not answer.
 	CommitTimeout time.Duration
 	ReadTimeout   time.Duration
@@ -61,6 +76,7 @@
 	remote   tables.Invoker
 	idle     interface{ CloseIdleConnections() }
 	breaker  breaker
+	pace     *rate.Limiter
 	stats    Stats
 	pending  chan *pending
 	closing  chan struct{}
@@ -90,6 +106,7 @@
 		remote:  remote,
 		idle:    transport,
 		breaker: newBreaker(),
+		pace:    rate.NewLimiter(rate.Inf, paceBurst),
 		pending: make(chan *pending, queueLength),
 		closing: make(chan struct{}),
 	}
--- a/core/store/client_test.go
+++ b/core/store/client_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -187,3 +189,37 @@
 	_, err := w.client.Commit(context.Background(), Put{Table: "t", Key: w.key})
 	writes <- err
 }
+
+// committer commits one row after another.
+type committer struct {
+	client *Client
+	table  string
+	rows   int
+	t      *testing.T
+}
+
+func (c *committer) run() {
+	for i := range c.rows {
+		if _, err := c.client.Commit(context.Background(), Put{Table: c.table, Key: strconv.Itoa(i)}); err != nil {
+			c.t.Error(err)
+		}
+	}
+}
+
+// TestClientKeepsItsPace counts calls against the time that really passed, so
+// that the bound holds on a machine of any speed.
+func TestClientKeepsItsPace(t *testing.T) {
+	const commitsPerSecond, writers, rows = 50, 16, 20
+	s := newService(t, func(int64) bool { return false })
+	client := s.client(t, Options{CommitsPerSecond: func() float64 { return commitsPerSecond }})
+	start := time.Now()
+	var done sync.WaitGroup
+	for w := range writers {
+		done.Go((&committer{client: client, table: "table-" + strconv.Itoa(w), rows: rows, t: t}).run)
+	}
+	done.Wait()
+	allowed := paceBurst + DefaultLanes + commitsPerSecond*time.Since(start).Seconds()
+	if calls := s.calls.Load(); float64(calls) > allowed {
+		t.Errorf("%d calls for %d commits; the pace allows %.0f", calls, writers*rows, allowed)
+	}
+}
--- a/core/store/lane.go
+++ b/core/store/lane.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"tanagerstack.org/core/api/tables"
 )
 
@@ -55,13 +57,24 @@
 	}
 }
 
-// collect gathers what arrives within the group window.
+// groupWait is how long the next commit call waits for transactions to share it:
+// the group window, or longer where it is not this client's turn yet.
+func (c *Client) groupWait() time.Duration {
+	if c.opts.CommitsPerSecond == nil {
+		return c.opts.GroupWindow
+	}
+	c.pace.SetLimit(rate.Limit(c.opts.CommitsPerSecond()))
+	turn := c.pace.Reserve().Delay()
+	return max(c.opts.GroupWindow, min(turn, maxPaceWait))
+}
+
+// collect gathers what arrives until the call's turn.
 func (l *lane) collect(first *pending) []*pending {
 	var group []*pending
 	if first.claim() {
 		group = append(group, first)
 	}
-	timer := time.NewTimer(l.client.opts.GroupWindow)
+	timer := time.NewTimer(l.client.groupWait())
 	defer timer.Stop()
 	for len(group) < l.client.opts.GroupSize {
 		select {
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return fmt.Errorf("keys: %w", err)
 	}
-	n.tables, err = store.New(store.Options{Address: s.Tables})
+	n.tables, err = store.New(store.Options{Address: s.Tables, CommitsPerSecond: n.commitsPerSecond})
 	if err != nil {
 		return err
 	}
@@ -187,6 +187,14 @@
 	return err
 }
 
+// commitsPerSecond is this VM's part of what the fleet may write.
+func (n *Node) commitsPerSecond() float64 {
+	if n.roster == nil {
+		return store.FleetCommitsPerSecond
+	}
+	return store.FleetCommitsPerSecond / float64(max(1, len(n.roster.View().VMs)))
+}
+
 // longestWindow is zero while no policy is in force.
 func (n *Node) longestWindow() time.Duration {
 	version := n.policy.Current()
