--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return fmt.Errorf("keys: %w", err)
 	}
-	n.tables, err = store.New(store.Options{Address: s.Tables})
+	n.tables, err = store.New(store.Options{Address: s.Tables, CommitsPerSecond: n.commitsPerSecond})
 	if err != nil {
 		return err
 	}
@@ -187,6 +187,14 @@
 	return err
 }
 
+// commitsPerSecond is this VM's part of what the fleet may write.
+func (n *Node) commitsPerSecond() float64 {
+	if n.roster == nil {
+		return store.FleetCommitsPerSecond
+	}
+	return store.FleetCommitsPerSecond / float64(max(1, len(n.roster.View().VMs)))
+}
+
 // longestWindow is zero while no policy is in force.
 func (n *Node) longestWindow() time.Duration {
 	version := n.policy.Current()
@@ -282,9 +290,10 @@
 	return drained
 }
 
-// releaseSeat may only be called once no request is in flight any more.
+// releaseSeat may only be called once no request is in flight any more. Those
+// whose answer was lost may still run at their targets for a while.
 func (n *Node) releaseSeat(ctx context.Context) {
-	if err := n.roster.Release(ctx); err != nil {
+	if err := n.roster.Release(ctx, n.front.SlotsHeldUntil()); err != nil {
 		klog.ErrorS(err, "Seat not released; the next start waits for it")
 	}
 }
