--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 # Process tests start real daemons; the time limit covers a slow machine.
 TEST_TIMEOUT := 20m
 
-.PHONY: slopes bench-requests help build demo test test-short lint format generate generate-check ratio tools fuzz
+.PHONY: slopes bench-requests help build demo test test-short lint format generate generate-check ratio tools fuzz bench-jobs
 
 help: ## List the commands.
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 20
