Name the field and what it accepts in problems of job bodies and methods

Cause: tried by hand, an unknown field of a job was reported as field "body", a wrong kind without the kinds, and a wrong method with an empty 405. Change: the field from the decoder's words, its accepted values, and a problem document for a method that a path does not have.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	server, err := caller.NewServer(api{f}, security{opts.Policy},
-		caller.WithErrorHandler(handleError), caller.WithNotFound(notFound))
+		caller.WithErrorHandler(handleError), caller.WithNotFound(notFound), caller.WithMethodNotAllowed(methodNotAllowed))
 	if err != nil {
 		return nil, fmt.Errorf("callers' API: %w", err)
 	}
--- a/entry/front/problem.go
+++ b/entry/front/problem.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-faster/jx"
@@ -90,21 +91,51 @@
 		setField(p, "Content-Type", "application/octet-stream for requests, application/json for jobs")
 	case errors.As(err, &request):
 		p = problem(http.StatusBadRequest, "bad-body", request.Error())
-		setField(p, bodyField(err), "the shape that the API document describes")
+		field := bodyField(err)
+		setField(p, field, acceptedInBody(field))
 	}
 	p.Response.Outcome.SetTo(caller.ProblemOutcomeRefused)
 	return p
 }
 
 // bodyField names the field of a JSON body that is at fault, if that is known.
+// The generated decoder tells of an unknown field in words only.
 func bodyField(err error) string {
 	var invalid *validate.Error
 	if errors.As(err, &invalid) && len(invalid.Fields) > 0 {
 		return invalid.Fields[0].Name
 	}
+	if _, rest, found := strings.Cut(err.Error(), `unexpected field "`); found {
+		name, _, _ := strings.Cut(rest, `"`)
+		return name
+	}
 	return "body"
 }
 
+// acceptedInBody says what a field of a job may be.
+func acceptedInBody(field string) string {
+	switch field {
+	case "body":
+		return "a JSON object as the API document describes it"
+	case "kind":
+		return "service, batch or gang"
+	case "tasks":
+		return "1 to 5000"
+	case "name", "key", "work":
+		return "text"
+	case "command":
+		return "a list of texts"
+	case "resources":
+		return "an object with millicores, memory-bytes and accelerators"
+	case "expected-run":
+		return "a duration such as 90s"
+	case "not-after":
+		return "an instant such as 2026-12-24T18:00:00Z"
+	default:
+		return "name, key, kind, work, urgent, tasks, resources, expected-run, not-after and command are the fields of a job"
+	}
+}
+
 // handleError is the generated server's error handler.
 func handleError(_ context.Context, w http.ResponseWriter, r *http.Request, err error) {
 	var params *ogenerrors.DecodeParamsError
@@ -125,6 +156,15 @@
 	_, _ = e.WriteTo(w)
 }
 
+// methodNotAllowed answers requests with a method that the path does not have.
+func methodNotAllowed(w http.ResponseWriter, r *http.Request, allowed string) {
+	p := problem(http.StatusMethodNotAllowed, "bad-method", r.URL.Path+" has no method "+r.Method)
+	setField(p, "method", allowed)
+	p.Response.Outcome.SetTo(caller.ProblemOutcomeRefused)
+	w.Header().Set("Allow", allowed)
+	writeProblem(w, p)
+}
+
 // notFound answers requests for paths that the API does not have.
 func notFound(w http.ResponseWriter, r *http.Request) {
 	p := problem(http.StatusNotFound, "unknown-path", "the API has no path "+r.URL.Path)
