--- a/entry/front/jobs_test.go
+++ b/entry/front/jobs_test.go
@@ -18,7 +18,7 @@
 		want   []string
 	}{
 		"malformed":     {http.MethodPost, `{"name": `, 400, []string{`"field":"body"`, "JSON object"}},
-		"unknown field": {http.MethodPost, `{` + valid + `,"colour":"red"}`, 400, []string{`"field":"colour"`, "name, key, kind"}},
+		"unknown field": {http.MethodPost, `{` + valid + `,"tint":"red"}`, 400, []string{`"field":"tint"`, "name, key, kind"}},
 		"kind":          {http.MethodPost, `{` + strings.Replace(valid, "batch", "odd", 1) + `}`, 400, []string{`"field":"kind"`, "service, batch or gang"}},
 		"tasks":         {http.MethodPost, `{` + strings.Replace(valid, `"tasks":1`, `"tasks":-1`, 1) + `}`, 400, []string{`"field":"tasks"`, "1 to 5000"}},
 		"missing field": {http.MethodPost, `{` + strings.Replace(valid, `"name":"n",`, "", 1) + `}`, 400, []string{`"field":"name"`}},
