Embed what the scheduler and both APIs share

Cause: three option structs and the node listed the same nine fields (found by duplicates: node.go against itself, front against oper and sched). Change: shared.Parts, embedded; the node builds it once.

--- a/entry/front/fleet_test.go
+++ b/entry/front/fleet_test.go
@@ -19,6 +19,7 @@
 	"tanagerstack.org/core/policy"
 	"tanagerstack.org/core/roster"
 	"tanagerstack.org/core/store"
+	"tanagerstack.org/entry/shared"
 )
 
 // fakeTarget is a target that records what it ran and misbehaves on demand.
@@ -207,11 +208,11 @@
 	keeper := &policy.Keeper{}
 	keeper.Offer(&policy.Version{Number: 1, Document: document})
 	v := &vm{}
-	v.Front, err = New(Options{
+	v.Front, err = New(Options{Parts: shared.Parts{
 		Name: name, Domain: "d0", Region: "r0", Policy: keeper, Peers: node, Tables: f.tables,
 		Roster: func() *roster.View { return v.view.Load() }, ClockSkew: 100 * time.Millisecond,
 		Now: func() time.Time { return time.Now().Add(time.Duration(f.clock.Load())) },
-	})
+	}})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -14,11 +14,8 @@
 	"tanagerstack.org/core/burn"
 	"tanagerstack.org/core/claim"
 	"tanagerstack.org/core/peer"
-	"tanagerstack.org/core/policy"
-	"tanagerstack.org/core/roster"
 	"tanagerstack.org/core/route"
-	"tanagerstack.org/core/store"
-	"tanagerstack.org/core/trace"
+	"tanagerstack.org/entry/shared"
 )
 
 // keptAnswerBytes bounds the answers kept for repeats of requests.
@@ -26,29 +23,13 @@
 
 // Options configure a Front.
 type Options struct {
-	// Name, Domain and Region are this entry VM's name and where it is.
-	Name   string
-	Domain string
-	Region string
-	// Policy holds the version in force.
-	Policy *policy.Keeper
-	// Roster returns the present picture of the fleet.
-	Roster func() *roster.View
+	shared.Parts
 	// NoteTargetLeaving, if set, is told of targets that say that they leave.
 	NoteTargetLeaving func(name string)
-	// Peers sends messages to other entry VMs; without it there are none.
-	Peers *peer.Node
-	// Tables keeps claims.
-	Tables store.Tables
-	// Trace and Burn, if set, are told how requests end.
-	Trace *trace.Log
-	Burn  *burn.Recorder
+	// Burn, if set, is told how requests end.
+	Burn *burn.Recorder
 	// Jobs handles the calls about jobs.
 	Jobs Jobs
-	// ClockSkew is the most by which clocks of two VMs may differ.
-	ClockSkew time.Duration
-	// Now is the clock; time.Now if nil.
-	Now func() time.Time
 }
 
 // Front is the callers' API. It is safe for concurrent use.
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -22,6 +22,7 @@
 	"tanagerstack.org/entry/front"
 	"tanagerstack.org/entry/oper"
 	"tanagerstack.org/entry/sched"
+	"tanagerstack.org/entry/shared"
 )
 
 const (
@@ -136,8 +137,9 @@
 	return err
 }
 
-func (n *Node) buildScheduler() (err error) {
-	n.sched, err = sched.New(sched.Options{
+// parts is what the scheduler and both APIs share.
+func (n *Node) parts() shared.Parts {
+	return shared.Parts{
 		Name:      n.settings.Name,
 		Domain:    n.settings.Domain,
 		Region:    n.settings.Region,
@@ -147,38 +149,27 @@
 		Tables:    n.tables,
 		Trace:     n.trace,
 		ClockSkew: n.settings.ClockSkew,
-	})
+	}
+}
+
+func (n *Node) buildScheduler() (err error) {
+	n.sched, err = sched.New(sched.Options{Parts: n.parts()})
 	return err
 }
 
 func (n *Node) buildFront() (err error) {
 	n.front, err = front.New(front.Options{
-		Name:              n.settings.Name,
-		Domain:            n.settings.Domain,
-		Region:            n.settings.Region,
-		Policy:            n.policy,
-		Roster:            n.roster.View,
+		Parts:             n.parts(),
 		NoteTargetLeaving: n.roster.NoteTargetLeaving,
-		Peers:             n.peers,
-		Tables:            n.tables,
-		Trace:             n.trace,
 		Burn:              n.burn,
 		Jobs:              n.sched,
-		ClockSkew:         n.settings.ClockSkew,
 	})
 	return err
 }
 
 func (n *Node) buildOperators() (err error) {
 	n.oper, err = oper.New(oper.Options{
-		Name:           n.settings.Name,
-		Domain:         n.settings.Domain,
-		Region:         n.settings.Region,
-		Policy:         n.policy,
-		Roster:         n.roster.View,
-		Peers:          n.peers,
-		Tables:         n.tables,
-		Trace:          n.trace,
+		Parts:          n.parts(),
 		Burn:           n.burn,
 		Roles:          n.sched.Roles,
 		Drain:          n.Stop,
--- a/entry/oper/oper.go
+++ b/entry/oper/oper.go
@@ -12,8 +12,7 @@
 	"tanagerstack.org/core/peer"
 	"tanagerstack.org/core/policy"
 	"tanagerstack.org/core/roster"
-	"tanagerstack.org/core/store"
-	"tanagerstack.org/core/trace"
+	"tanagerstack.org/entry/shared"
 )
 
 // maxBodyBytes bounds the body of a call: a document as JSON text, whose
@@ -22,19 +21,9 @@
 
 // Options configure an Operators.
 type Options struct {
-	// Name, Domain and Region are those of this VM.
-	Name   string
-	Domain string
-	Region string
-	// Policy is the keeper of the version in force.
-	Policy *policy.Keeper
-	// Roster returns what is known of the fleet; nil if there is no roster.
-	Roster func() *roster.View
-	// Peers sends messages to other VMs; nil on a VM that is alone.
-	Peers  *peer.Node
-	Tables store.Tables
-	Trace  *trace.Log
-	Burn   *burn.Recorder
+	shared.Parts
+	// Burn measures the service levels of this VM.
+	Burn *burn.Recorder
 	// Roles returns the roles that this VM holds now; nil if it holds none.
 	Roles func() []string
 	// Drain begins to take this VM out of service and returns at once.
@@ -42,8 +31,6 @@
 	// OperatorTokens maps the names of operators to the SHA-256 hashes of their
 	// tokens, in hexadecimal.
 	OperatorTokens map[string]string
-	// Now is the clock; time.Now if nil.
-	Now func() time.Time
 }
 
 // Operators serves the operators' API of one entry VM and keeps its policy.
--- a/entry/oper/oper_test.go
+++ b/entry/oper/oper_test.go
@@ -23,6 +23,7 @@
 	"tanagerstack.org/core/store"
 	"tanagerstack.org/core/trace"
 	"tanagerstack.org/entry/oper"
+	"tanagerstack.org/entry/shared"
 )
 
 const (
@@ -47,9 +48,9 @@
 	burn   *burn.Recorder
 }
 
-// startFleet starts VMs with a table service each, or one for all if shared is
+// startFleet starts VMs with a table service each, or one for all if common is
 // given. Each VM is reached by messages from all others.
-func startFleet(t *testing.T, names []string, shared *store.Memory) map[string]*vm {
+func startFleet(t *testing.T, names []string, common *store.Memory) map[string]*vm {
 	t.Helper()
 	dir := t.TempDir()
 	if err := keys.Make(dir, names, time.Now()); err != nil {
@@ -68,13 +69,16 @@
 	t.Cleanup(cancel)
 	fleet := make(map[string]*vm)
 	for _, name := range names {
-		v := &vm{keeper: new(policy.Keeper), tables: shared, trace: trace.NewLog(trace.Options{VM: name, Entries: 64}), burn: burn.NewRecorder(burn.Options{})}
-		if shared == nil {
+		v := &vm{keeper: new(policy.Keeper), tables: common, trace: trace.NewLog(trace.Options{VM: name, Entries: 64}), burn: burn.NewRecorder(burn.Options{})}
+		if common == nil {
 			v.tables = store.NewMemory()
 		}
 		o, err := oper.New(oper.Options{
-			Name: name, Domain: "zurich-a", Policy: v.keeper, Peers: nodes[name], Tables: v.tables, Trace: v.trace, Burn: v.burn,
-			Roster:         func() *roster.View { return view },
+			Parts: shared.Parts{
+				Name: name, Domain: "zurich-a", Policy: v.keeper, Peers: nodes[name], Tables: v.tables, Trace: v.trace,
+				Roster: func() *roster.View { return view },
+			},
+			Burn:           v.burn,
 			OperatorTokens: map[string]string{"alice": hex.EncodeToString(hash[:])},
 		})
 		if err != nil {
--- a/entry/sched/bench_test.go
+++ b/entry/sched/bench_test.go
@@ -19,6 +19,7 @@
 	"tanagerstack.org/core/place"
 	"tanagerstack.org/core/roster"
 	"tanagerstack.org/core/store"
+	"tanagerstack.org/entry/shared"
 )
 
 // The bounds come from the letter's sizes and the targets.
@@ -146,7 +147,7 @@
 // benchPasses measures whole passes: queue, quota, placement, charge and trace.
 func benchPasses(t *testing.T) {
 	r := newRig(t, 0)
-	s, err := New(Options{Name: "entry-1", Domain: "zurich-a", Policy: r.policy, Tables: r.tables, Roster: r.view.Load})
+	s, err := New(Options{Parts: shared.Parts{Name: "entry-1", Domain: "zurich-a", Policy: r.policy, Tables: r.tables, Roster: r.view.Load}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -401,8 +402,8 @@
 		return meteredConn{conn, m}, err
 	}
 	s, err := New(Options{
-		Name: "entry-1", Domain: "zurich-a", Policy: r.policy, Tables: m, Roster: r.view.Load,
-		HTTP: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2}},
+		Parts: shared.Parts{Name: "entry-1", Domain: "zurich-a", Policy: r.policy, Tables: m, Roster: r.view.Load},
+		HTTP:  &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2}},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -431,7 +432,7 @@
 	const jobs, callers = 10000, 256
 	r := newRig(t, 1)
 	m := &meter{Tables: r.tables}
-	s, err := New(Options{Name: "entry-1", Domain: "zurich-a", Policy: r.policy, Tables: m, Roster: r.view.Load})
+	s, err := New(Options{Parts: shared.Parts{Name: "entry-1", Domain: "zurich-a", Policy: r.policy, Tables: m, Roster: r.view.Load}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/sched/options.go
+++ b/entry/sched/options.go
@@ -4,11 +4,8 @@
 	"net/http"
 	"time"
 
-	"tanagerstack.org/core/peer"
-	"tanagerstack.org/core/policy"
-	"tanagerstack.org/core/roster"
-	"tanagerstack.org/core/store"
 	"tanagerstack.org/core/trace"
+	"tanagerstack.org/entry/shared"
 )
 
 // Times of the controllers.
@@ -44,23 +41,9 @@
 
 // Options configure a Scheduler. All but HTTP, Trace and Now are needed.
 type Options struct {
-	// Name, Domain and Region say where this entry VM is.
-	Name   string
-	Domain string
-	Region string
-	Policy *policy.Keeper
-	// Roster returns the present picture of the fleet.
-	Roster func() *roster.View
-	// Peers sends messages to other entry VMs; nil means that there are none.
-	Peers  *peer.Node
-	Tables store.Tables
-	Trace  *trace.Log
-	// ClockSkew is the most by which two clocks differ.
-	ClockSkew time.Duration
+	shared.Parts
 	// HTTP carries calls to workers; a client of its own if nil.
 	HTTP *http.Client
-	// Now is the clock; time.Now if nil.
-	Now func() time.Time
 }
 
 func (o Options) withDefaults() Options {
--- a/entry/sched/scheduler_test.go
+++ b/entry/sched/scheduler_test.go
@@ -12,6 +12,7 @@
 	"tanagerstack.org/core/policy"
 	"tanagerstack.org/core/roster"
 	"tanagerstack.org/core/store"
+	"tanagerstack.org/entry/shared"
 )
 
 const gibibyte = 1 << 30
@@ -55,10 +56,10 @@
 // scheduler starts an entry VM's scheduler; the function returned kills it.
 func (r *rig) scheduler(name string) (*Scheduler, func()) {
 	r.t.Helper()
-	s, err := New(Options{
+	s, err := New(Options{Parts: shared.Parts{
 		Name: name, Domain: "zurich-a", Region: "north", Policy: r.policy, Tables: r.tables,
 		Roster: r.view.Load, ClockSkew: 50 * time.Millisecond,
-	})
+	}})
 	if err != nil {
 		r.t.Fatal(err)
 	}
