Enforce a caller's limits of jobs, with its exceptions

Ruled out: counting rows of the table at each submission (a scan of all jobs); counting at the accepting VM (it sees only its own). Change: the accepting VM asks the domain's holder how many jobs of the caller have not ended.

--- a/entry/sched/check.go
+++ b/entry/sched/check.go
@@ -34,7 +34,8 @@
 	if !ok {
 		return "", "", &RefusedError{Reason: ReasonUnknown, Detail: fmt.Sprintf("the policy has no caller %q", callerName)}
 	}
-	if err := checkSpec(spec, document, now); err != nil {
+	limits, _ := document.Limits(callerName, "", "", now)
+	if err := checkSpec(spec, document, limits, now); err != nil {
 		return "", "", err
 	}
 	if err := checkQuota(spec, who.Team, document); err != nil {
@@ -49,7 +50,7 @@
 }
 
 // checkSpec validates what a job declares, field by field.
-func checkSpec(spec *caller.JobSpec, document *policy.Document, now time.Time) error {
+func checkSpec(spec *caller.JobSpec, document *policy.Document, limits policy.Limits, now time.Time) error {
 	r := spec.Resources
 	switch {
 	case spec.Name == "" || len(spec.Name) > maxName:
@@ -72,15 +73,15 @@
 			Detail: fmt.Sprintf("the policy does not list the kind of work %q", spec.Work),
 		}
 	}
-	if err := checkTasks(spec, document); err != nil {
+	if err := checkTasks(spec, limits); err != nil {
 		return err
 	}
 	return checkWindow(spec, now)
 }
 
-func checkTasks(spec *caller.JobSpec, document *policy.Document) error {
+func checkTasks(spec *caller.JobSpec, limits policy.Limits) error {
 	limit := maxTasks
-	if n := document.Defaults.JobTasks; n > 0 {
+	if n := limits.JobTasks; n > 0 {
 		limit = min(limit, n)
 	}
 	if spec.Tasks >= 1 && spec.Tasks <= limit {
--- a/entry/sched/messages.go
+++ b/entry/sched/messages.go
@@ -53,6 +53,8 @@
 	Found bool `cbor:"2,keyasint"`
 	// Job is the job as JSON of the callers' API.
 	Job []byte `cbor:"3,keyasint,omitempty"`
+	// Pending is the count that a PendingMessage asks for.
+	Pending int `cbor:"4,keyasint,omitempty"`
 }
 
 // errNoHolder means that the holder of a domain could not be asked.
@@ -66,6 +68,7 @@
 	peer.Handle(mux, s.handleNudge)
 	peer.Handle(mux, s.handleLookup)
 	peer.Handle(mux, s.handleCancel)
+	peer.Handle(mux, s.handlePending)
 	peer.Handle(mux, s.handlePromise)
 	peer.Handle(mux, s.handleFence)
 }
--- a/entry/sched/submit.go
+++ b/entry/sched/submit.go
@@ -39,6 +39,10 @@
 		State:      caller.JobStateAccepted,
 		AcceptedAt: now,
 	}
+	limits, exception := s.document().Limits(callerName, "", "", now)
+	if err := s.checkPending(ctx, row, limits, exception); err != nil {
+		return nil, err
+	}
 	existing, version, err := s.insert(ctx, row)
 	if err != nil {
 		return nil, err
