--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,7 @@
 	git diff --exit-code --stat -- core/api
 
 bench-requests: build ## Measure the way of a request; fails past a bound.
-	TANAGER_MEASURE=1 go test -count=1 -p 1 -timeout 5m -run Measure -v ./core/route ./entry/front
+	go test -tags bench -count=1 -p 1 -timeout 5m -run Measure -v ./core/route ./entry/front
 	@scripts/bench-requests
 
 slopes: ## Measure how each role's use of a machine grows with its size; about ten minutes. docs/CAPACITY.md rests on it.
--- a/core/route/measure_test.go
+++ b/core/route/measure_test.go
@@ -1,8 +1,9 @@
+//go:build bench
+
 package route
 
 import (
 	"fmt"
-	"os"
 	"testing"
 	"time"
 )
@@ -50,9 +51,6 @@
 // Its bounds: no allocation, and growth from 50 to 560 targets (11.2 times as
 // many) that is far below linear.
 func TestMeasureDecision(t *testing.T) {
-	if os.Getenv("TANAGER_MEASURE") == "" {
-		t.Skip("run by make bench-requests")
-	}
 	cost := make(map[int]float64)
 	for _, count := range []int{50, 560} {
 		var table Table
--- a/entry/front/measure_test.go
+++ b/entry/front/measure_test.go
@@ -1,3 +1,8 @@
+//go:build bench
+
+// The bounds are ratios within one run, but the run needs a machine that is not
+// overloaded, so `make bench-requests` runs it and CI does not.
+
 package front
 
 import (
@@ -5,7 +10,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,15 +17,6 @@
 	"time"
 )
 
-// measuring skips a test unless `make bench-requests` runs it: its bounds are
-// ratios within one run, but the run needs a machine that is not overloaded.
-func measuring(t *testing.T) {
-	t.Helper()
-	if os.Getenv("TANAGER_MEASURE") == "" {
-		t.Skip("run by make bench-requests")
-	}
-}
-
 // report prints a row of the table and fails past the bound.
 func report(t *testing.T, name string, value, bound float64, ok bool, detail string) {
 	t.Helper()
@@ -62,7 +57,6 @@
 }
 
 func TestMeasureAddedLatency(t *testing.T) {
-	measuring(t)
 	f := newFleetOf(t, 1, 2, 1)
 	var through, claimed, direct []time.Duration
 	for i := range 3000 {
@@ -91,7 +85,6 @@
 }
 
 func TestMeasureFloodingNeighbor(t *testing.T) {
-	measuring(t)
 	f := newFleetOf(t, 1, 4, 1)
 	for _, target := range f.targets {
 		target.set(func(t *fakeTarget) { t.run = 50 * time.Millisecond })
@@ -150,7 +143,6 @@
 }
 
 func TestMeasureOverload(t *testing.T) {
-	measuring(t)
 	f := newFleetOf(t, 1, 4, 1)
 	for _, target := range f.targets {
 		target.set(func(t *fakeTarget) { t.run = 80 * time.Millisecond })
@@ -167,7 +159,6 @@
 }
 
 func TestMeasureRetriesHalfFailed(t *testing.T) {
-	measuring(t)
 	f := newFleetOf(t, 1, 10, 1)
 	broken := make(map[string]bool)
 	for i, target := range f.targets {
