--- a/stand/proof/requests_test.go
+++ b/stand/proof/requests_test.go
@@ -39,7 +39,7 @@
 func TestInvariantResponseIntegrity(t *testing.T) {
 	f := startFleet(t, options{domains: 2, entries: 2, targets: 4, policy: shortWindows})
 	s := newStorm(f)
-	go s.run()
+	s.start()
 	for _, kind := range []faultapi.FaultKind{
 		faultapi.FaultKindShortBody, faultapi.FaultKindSwappedAnswer, faultapi.FaultKindLateAnswer, faultapi.FaultKindLostAnswer,
 	} {
@@ -55,8 +55,7 @@
 		f.targets.fault(faultapi.FaultKindNone)
 		time.Sleep(1500 * time.Millisecond)
 	}
-	s.stopped.Store(true)
-	s.wait.Wait()
+	s.stop()
 	s.judge(t)
 }
 
@@ -64,14 +63,13 @@
 	// With links of their own the targets do not tell the platform that they leave.
 	f := startFleet(t, options{domains: 2, entries: 3, targets: 4, targetLinks: true, policy: shortWindows})
 	s := newStorm(f)
-	go s.run()
+	s.start()
 	time.Sleep(500 * time.Millisecond)
 	f.cutPlatform(f.entries[0])
 	f.cutPeers(f.entries[1], f.entries[2])
 	f.targets.setFault(faultapi.Fault{Kind: faultapi.FaultKindLeaving, Member: faultapi.NewOptString(f.targetVMs[0].Name)})
 	time.Sleep(8 * time.Second)
-	s.stopped.Store(true)
-	s.wait.Wait()
+	s.stop()
 	f.mendPlatform(f.entries[0])
 	s.judge(t)
 	record := f.targets.record()
@@ -94,10 +92,9 @@
 	// The platform shows it only after its lag; nobody can know before.
 	time.Sleep(f.opts.lag + 3*time.Second)
 	after := newStorm(f)
-	go after.run()
+	after.start()
 	time.Sleep(2 * time.Second)
-	after.stopped.Store(true)
-	after.wait.Wait()
+	after.stop()
 	after.judge(t)
 	for id, answers := range after.told {
 		for _, a := range answers {
--- a/stand/proof/storm_test.go
+++ b/stand/proof/storm_test.go
@@ -17,8 +17,10 @@
 // storm sends requests through all entry VMs while faults come and go. Some are
 // sent several times, by way of several entry VMs.
 type storm struct {
-	f       *fleet
+	f *fleet
+	// random draws the faults, draws the requests: each has one user.
 	random  *rand.Rand
+	draws   *rand.Rand
 	stopped atomic.Bool
 	// every is the time between new requests.
 	every time.Duration
@@ -34,7 +36,8 @@
 
 func newStorm(f *fleet) *storm {
 	return &storm{
-		f: f, random: rand.New(rand.NewSource(f.random.Int63())), every: 8 * time.Millisecond,
+		f: f, every: 8 * time.Millisecond,
+		random: rand.New(rand.NewSource(f.random.Int63())), draws: rand.New(rand.NewSource(f.random.Int63())),
 		name: fmt.Sprint(f.random.Intn(1_000_000)), body: "work=5ms&answer-bytes=3000", told: make(map[string][]answer),
 	}
 }
@@ -52,21 +55,29 @@
 	}
 }
 
+// start begins to send requests; stop ends that and waits for all answers.
+func (s *storm) start() { s.wait.Go(s.run) }
+
+func (s *storm) stop() {
+	s.stopped.Store(true)
+	s.wait.Wait()
+}
+
 // run sends requests until the storm is stopped.
 func (s *storm) run() {
 	callers := []string{"hosts", "partners", "farms"}
 	for serial := 0; !s.stopped.Load(); serial++ {
 		r := request{
-			caller: callers[s.random.Intn(len(callers))], id: fmt.Sprint("idem-", s.name, "-", serial), body: s.body,
-			window: time.Duration(600+s.random.Intn(1300)) * time.Millisecond,
+			caller: callers[s.draws.Intn(len(callers))], id: fmt.Sprint("idem-", s.name, "-", serial), body: s.body,
+			window: time.Duration(600+s.draws.Intn(1300)) * time.Millisecond,
 		}
 		copies := 1
-		if s.random.Intn(4) > 0 {
+		if s.draws.Intn(4) > 0 {
 			r.once, r.id = true, fmt.Sprint(target.OncePrefix, s.name, "-", serial)
-			copies = 1 + 2*s.random.Intn(2)
+			copies = 1 + 2*s.draws.Intn(2)
 		}
 		for range copies {
-			vm, delay := s.f.entries[s.random.Intn(len(s.f.entries))], time.Duration(s.random.Intn(120))*time.Millisecond
+			vm, delay := s.f.entries[s.draws.Intn(len(s.f.entries))], time.Duration(s.draws.Intn(120))*time.Millisecond
 			s.wait.Go(func() {
 				time.Sleep(delay)
 				s.tell(r.id, vm.send(r))
@@ -124,7 +135,7 @@
 
 // blow lets rounds of faults come and go, every second one two at once.
 func (s *storm) blow(rounds int) {
-	go s.run()
+	s.start()
 	time.Sleep(500 * time.Millisecond)
 	for round := range rounds {
 		list := s.faults()
@@ -145,8 +156,7 @@
 		}
 		time.Sleep(400 * time.Millisecond)
 	}
-	s.stopped.Store(true)
-	s.wait.Wait()
+	s.stop()
 }
 
 // verdict is what became of the requests of a storm.
