--- /dev/null
+++ b/core/cell/node.go
@@ -0,0 +1,162 @@
+package cell
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/store"
+)
+
+// The tables of a cell.
+const (
+	jobsTable     = "jobs"
+	progressTable = "progress"
+	leaderTable   = "leader"
+	leaderKey     = "cell"
+	epochKey      = "epoch"
+	cancelSuffix  = "/cancel"
+)
+
+// Options configure a Node. All fields are needed but those with a default.
+type Options struct {
+	// Name is the name of this VM, Peers the address where other VMs reach it.
+	Name      string
+	Peers     netip.AddrPort
+	Store     *store.Client
+	Workers   Workers
+	Adviser   Adviser
+	Directory Directory
+	Logger    Logger
+	// MaxLease is the longest lease that workers grant, StopTime the longest that
+	// they take to stop a run.
+	MaxLease time.Duration
+	StopTime time.Duration
+}
+
+// Node is one VM of a cell. It is safe for concurrent use.
+type Node struct {
+	opts     Options
+	instance string
+	config   atomic.Pointer[jobs.Config]
+	elector  *elector
+	peers    *peerClient
+	metrics  Metrics
+
+	mu      sync.Mutex
+	leading *leader
+	// pending is what the leader last told of its queues.
+	pending   map[string]int
+	pendingAt time.Time
+	stopping  atomic.Bool
+}
+
+// New returns a node that does nothing before Run.
+func New(opts Options) *Node {
+	n := &Node{opts: opts, instance: rand.Text()}
+	n.peers = newPeerClient()
+	n.elector = newElector(n)
+	return n
+}
+
+// Run takes part in the cell until ctx ends, and then hands its leadership over.
+func (n *Node) Run(ctx context.Context) error {
+	server, err := newPeerServer(n)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	defer server.close()
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context){server.run, n.runConfig, n.elector.run, n.runHello} {
+		loops.Add(1)
+		go n.runLoop(ctx, &loops, loop)
+	}
+	<-ctx.Done()
+	n.stopping.Store(true)
+	n.elector.release()
+	loops.Wait()
+	return nil
+}
+
+func (n *Node) runLoop(ctx context.Context, loops *sync.WaitGroup, loop func(context.Context)) {
+	defer loops.Done()
+	loop(ctx)
+}
+
+// Config returns the configuration in force, or nil before the first.
+func (n *Node) Config() *jobs.Config { return n.config.Load() }
+
+// Ready reports whether the node can take jobs.
+func (n *Node) Ready() bool {
+	return !n.stopping.Load() && n.Config() != nil && n.opts.Store.Reachable()
+}
+
+// runConfig follows the configuration.
+func (n *Node) runConfig(ctx context.Context) {
+	watcher := &store.Watcher{
+		Feed:       n.opts.Store,
+		Table:      n.opts.Directory.ConfigTable,
+		OnSnapshot: n.configRows,
+		OnChanges:  n.configChanges,
+		OnError:    n.watchFailed("config"),
+	}
+	watcher.Run(ctx)
+}
+
+func (n *Node) configChanges(changes []store.RowChange) {
+	for _, change := range changes {
+		if !change.Removed {
+			n.configRows([]store.Row{change.Row})
+		}
+	}
+}
+
+// configRows puts a newer configuration in force. Versions never go back.
+func (n *Node) configRows(rows []store.Row) {
+	for _, row := range rows {
+		if row.Key != n.opts.Directory.ConfigKey {
+			continue
+		}
+		config, err := n.opts.Directory.Config(row)
+		if err != nil {
+			n.opts.Logger.Warn("config cannot be read", "row-version", row.Version, "error", err)
+			continue
+		}
+		n.adoptConfig(config)
+	}
+}
+
+func (n *Node) adoptConfig(config *jobs.Config) {
+	before := n.config.Load()
+	if before != nil && config.Version <= before.Version {
+		return
+	}
+	n.config.Store(config)
+	n.opts.Logger.Info("config in force", "version", config.Version, "queues", len(config.Queues))
+	if l := n.leader(); l != nil {
+		l.configChanged(config)
+	}
+}
+
+// watchFailed returns a function that logs a failed watch.
+func (n *Node) watchFailed(what string) func(error) {
+	return func(err error) { n.opts.Logger.Warn("watch failed", "table", what, "error", err) }
+}
+
+// leader returns this VM's leadership, or nil.
+func (n *Node) leader() *leader {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leading
+}
+
+func (n *Node) setLeader(l *leader) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leading = l
+}
--- /dev/null
+++ b/core/cell/order.go
@@ -0,0 +1,150 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"tanagerstack.org/core/engine"
+)
+
+const (
+	// startTimeout bounds a start, and stopTimeout a stop. A worker in another
+	// region answers in a thirtieth of it.
+	startTimeout = 900 * time.Millisecond
+	stopTimeout  = 900 * time.Millisecond
+	// lookWait is how long a worker holds a look back until a run ends.
+	lookWait = time.Second
+	// lookMargin is how long after its wait the answer to a look may take.
+	lookMargin = 600 * time.Millisecond
+	// uncertainPause is the wait between looks while ends wait for their commit:
+	// a worker answers at once while it lists any.
+	uncertainPause = 200 * time.Millisecond
+	// lookRetry is the wait after a look that failed.
+	lookRetry = 150 * time.Millisecond
+	// askMargin is how long after its cost a question may be answered.
+	askMargin = time.Second
+)
+
+// startCall sends one start.
+type startCall struct {
+	leader *leader
+	order  engine.Start
+}
+
+func (c *startCall) run() {
+	ctx, cancel := context.WithTimeout(c.leader.ctx, startTimeout)
+	defer cancel()
+	began := time.Now()
+	outcome, err := c.leader.node.opts.Workers.Start(ctx, c.order)
+	c.leader.node.metrics.Start.observe(time.Since(began))
+	if err != nil {
+		c.leader.node.opts.Logger.Warn("start failed", "task", c.order.Task, "run", c.order.Run, "worker", c.order.Worker, "outcome", outcome, "error", err)
+	}
+	c.leader.apply(engine.StartAnswered{Worker: c.order.Worker, Task: c.order.Task, Run: c.order.Run, Outcome: outcome})
+}
+
+// stopCall sends one stop.
+type stopCall struct {
+	leader *leader
+	order  engine.Stop
+}
+
+func (c *stopCall) run() {
+	ctx, cancel := context.WithTimeout(c.leader.ctx, stopTimeout)
+	defer cancel()
+	err := c.leader.node.opts.Workers.Stop(ctx, c.order)
+	c.leader.node.opts.Logger.Info("stop answered", "task", c.order.Task, "run", c.order.Run, "worker", c.order.Worker, "error", err)
+	c.leader.apply(engine.StopAnswered{Worker: c.order.Worker, Task: c.order.Task, Run: c.order.Run, Confirmed: err == nil})
+}
+
+// askCall passes one question to the adviser, through the VM that is to ask it.
+type askCall struct {
+	leader *leader
+	ask    engine.Ask
+}
+
+func (c *askCall) run() {
+	ctx, cancel := context.WithTimeout(c.leader.ctx, 2*c.ask.Cost+askMargin)
+	defer cancel()
+	answer, err := c.leader.askThrough(ctx, c.ask)
+	event := engine.AdviceAnswered{Step: c.ask.Step, Helper: c.ask.Helper, Asked: c.ask.Workers}
+	if err != nil {
+		c.leader.node.opts.Logger.Warn("advice failed", "step", c.ask.Step, "helper", c.ask.Helper, "error", err)
+		event.Failed = true
+		event.Overloaded = errors.Is(err, ErrOverloaded)
+	}
+	event.Tickets, event.Valid = answer.Tickets, answer.Valid
+	c.leader.apply(event)
+}
+
+// looker looks at one worker again and again.
+type looker struct {
+	leader *leader
+	worker string
+	// looked says that a look of this loop succeeded.
+	looked bool
+}
+
+func (k *looker) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		order, ok := k.order()
+		if !ok {
+			return
+		}
+		if order.Uncertain {
+			k.leader.records.wait(ctx, uncertainPause)
+			order, ok = k.order()
+		}
+		if !ok {
+			return
+		}
+		k.look(ctx, order)
+	}
+}
+
+// order returns the next look, and ends the loop for a worker that needs none.
+func (k *looker) order() (engine.LookOrder, bool) {
+	k.leader.mu.Lock()
+	defer k.leader.mu.Unlock()
+	order, ok := k.leader.engine.Look(time.Now(), k.worker)
+	if !ok {
+		delete(k.leader.looks, k.worker)
+	}
+	return order, ok
+}
+
+func (k *looker) look(ctx context.Context, order engine.LookOrder) {
+	wait := lookWait
+	if order.Until == 0 || order.Uncertain {
+		wait = 0
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+lookMargin)
+	defer cancel()
+	sent := time.Now()
+	report, err := k.leader.node.opts.Workers.Look(callCtx, order, wait)
+	if err == nil {
+		k.noteReached(true, nil)
+		k.leader.apply(engine.Looked{Worker: k.worker, Sent: sent, Report: report})
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	k.noteReached(false, err)
+	k.leader.apply(engine.LookFailed{Worker: k.worker, Superseded: errors.Is(err, ErrSuperseded), Err: err})
+	sleep(ctx, lookRetry)
+}
+
+// noteReached logs a worker that was lost or regained.
+func (k *looker) noteReached(reached bool, err error) {
+	if reached == k.looked {
+		return
+	}
+	k.looked = reached
+	if reached {
+		k.leader.node.opts.Logger.Info("worker reached", "worker", k.worker)
+		return
+	}
+	k.leader.node.opts.Logger.Warn("worker lost", "worker", k.worker, "error", err)
+}
--- /dev/null
+++ b/core/cell/peer.go
@@ -0,0 +1,299 @@
+package cell
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"tanagerstack.org/core/engine"
+	"tanagerstack.org/core/jobs"
+)
+
+// The paths of the exchanges between VMs. Bodies are CBOR.
+const (
+	pathHello  = "/peer/hello"
+	pathStatus = "/peer/status"
+	pathAsk    = "/peer/ask"
+)
+
+const (
+	// helloEvery is how often a VM reports to the leader.
+	helloEvery = 400 * time.Millisecond
+	// helloTimeout bounds a report; helperFresh is how old the last report of a
+	// VM may be for questions to go through it.
+	helloTimeout = 700 * time.Millisecond
+	helperFresh  = 1500 * time.Millisecond
+	// statusTimeout bounds a question about a job, after which the store is read.
+	statusTimeout = 400 * time.Millisecond
+	// peerDialTimeout bounds a new connection: a region away takes 24 ms.
+	peerDialTimeout = 400 * time.Millisecond
+	peerIdleTimeout = 20 * time.Second
+	peerConnections = 64
+	// peerBodyBytes bounds a message.
+	peerBodyBytes = 1 << 20
+)
+
+// hello is what a VM reports to the leader.
+type hello struct {
+	Name    string         `cbor:"1,keyasint"`
+	Address netip.AddrPort `cbor:"2,keyasint"`
+	// Epoch is the latest leadership that the VM has heard of.
+	Epoch int64 `cbor:"3,keyasint"`
+}
+
+// helloReply is what the leader answers.
+type helloReply struct {
+	Leading bool           `cbor:"1,keyasint"`
+	Epoch   int64          `cbor:"2,keyasint"`
+	Pending map[string]int `cbor:"3,keyasint"`
+}
+
+type statusQuestion struct {
+	Job jobs.ID `cbor:"1,keyasint"`
+}
+
+type statusReply struct {
+	Leading bool       `cbor:"1,keyasint"`
+	Known   bool       `cbor:"2,keyasint"`
+	State   jobs.State `cbor:"3,keyasint"`
+}
+
+type adviceQuestion struct {
+	Step    jobs.StepID   `cbor:"1,keyasint"`
+	Workers []string      `cbor:"2,keyasint"`
+	Timeout time.Duration `cbor:"3,keyasint"`
+}
+
+type adviceReply struct {
+	Answer     Answer `cbor:"1,keyasint"`
+	Overloaded bool   `cbor:"2,keyasint"`
+	Problem    string `cbor:"3,keyasint"`
+}
+
+// peerClient sends messages to other VMs.
+type peerClient struct {
+	http *http.Client
+}
+
+func newPeerClient() *peerClient {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	return &peerClient{http: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: peerConnections,
+		IdleConnTimeout:     peerIdleTimeout,
+		DisableCompression:  true,
+	}}}
+}
+
+// exchange sends a question and reads its reply. A call that times out closes
+// its connection, so that one that has gone silent is not used again.
+func exchange[Q, R any](ctx context.Context, c *peerClient, to netip.AddrPort, path string, question Q) (R, error) {
+	var reply R
+	body, err := cbor.Marshal(question)
+	if err != nil {
+		return reply, fmt.Errorf("encode %T: %w", question, err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return reply, fmt.Errorf("peer %s: %w", to, err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return reply, fmt.Errorf("peer %s: %w", to, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, peerBodyBytes))
+	if err != nil {
+		return reply, fmt.Errorf("peer %s: %w", to, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return reply, fmt.Errorf("peer %s answered %d", to, response.StatusCode)
+	}
+	if err := cbor.Unmarshal(data, &reply); err != nil {
+		return reply, fmt.Errorf("decode %T: %w", reply, err)
+	}
+	return reply, nil
+}
+
+// peerServer answers other VMs.
+type peerServer struct {
+	node     *Node
+	listener net.Listener
+	server   *http.Server
+}
+
+func newPeerServer(n *Node) (*peerServer, error) {
+	listener, err := net.Listen("tcp", n.opts.Peers.String())
+	if err != nil {
+		return nil, err
+	}
+	s := &peerServer{node: n, listener: listener}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathHello, handle(s.hello))
+	mux.HandleFunc("POST "+pathStatus, handle(s.status))
+	mux.HandleFunc("POST "+pathAsk, handle(s.ask))
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: peerIdleTimeout}
+	return s, nil
+}
+
+// run serves until the server is closed.
+func (s *peerServer) run(context.Context) {
+	if err := s.server.Serve(s.listener); err != nil && err != http.ErrServerClosed {
+		s.node.opts.Logger.Warn("peer server ended", "error", err)
+	}
+}
+
+func (s *peerServer) close() { _ = s.server.Close() }
+
+// handle reads a question, answers it and writes the reply.
+func handle[Q, R any](answer func(context.Context, Q) R) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var question Q
+		data, err := io.ReadAll(io.LimitReader(r.Body, peerBodyBytes))
+		if err == nil {
+			err = cbor.Unmarshal(data, &question)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		body, err := cbor.Marshal(answer(r.Context(), question))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(body)
+	}
+}
+
+func (s *peerServer) hello(_ context.Context, h hello) helloReply {
+	l := s.node.leader()
+	if l == nil {
+		return helloReply{Epoch: s.node.elector.current().Epoch}
+	}
+	if h.Epoch > l.epoch {
+		s.node.elector.abandon(l.epoch, "a peer knows a later leader")
+		return helloReply{}
+	}
+	return l.greet(h)
+}
+
+func (s *peerServer) status(_ context.Context, q statusQuestion) statusReply {
+	l := s.node.leader()
+	if l == nil {
+		return statusReply{}
+	}
+	status := l.status(q.Job)
+	return statusReply{Leading: true, Known: status.Known, State: status.State}
+}
+
+func (s *peerServer) ask(ctx context.Context, q adviceQuestion) adviceReply {
+	ctx, cancel := context.WithTimeout(ctx, q.Timeout)
+	defer cancel()
+	answer, err := s.node.opts.Adviser.Ask(ctx, q.Step, q.Workers)
+	if err != nil {
+		return adviceReply{Problem: err.Error(), Overloaded: isOverloaded(err)}
+	}
+	return adviceReply{Answer: answer}
+}
+
+// greet takes in a VM's report.
+func (l *leader) greet(h hello) helloReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.helpers[h.Name] = &helperVM{hello: h, seenAt: time.Now()}
+	return helloReply{Leading: true, Epoch: l.epoch, Pending: l.engine.Pending()}
+}
+
+func (l *leader) status(id jobs.ID) engine.Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.engine.Status(id)
+}
+
+// reportHelpers tells the engine which VMs can ask the adviser.
+func (l *leader) reportHelpers() {
+	now := time.Now()
+	names := []string{l.node.opts.Name}
+	l.mu.Lock()
+	for name, vm := range l.helpers {
+		if now.Sub(vm.seenAt) > helperFresh {
+			delete(l.helpers, name)
+			l.node.opts.Logger.Warn("vm lost", "vm", name, "last-seen", now.Sub(vm.seenAt))
+			continue
+		}
+		if name != l.node.opts.Name {
+			names = append(names, name)
+		}
+	}
+	l.mu.Unlock()
+	l.apply(engine.HelpersChanged{Names: names})
+}
+
+// askThrough passes a question to the VM that is to ask it.
+func (l *leader) askThrough(ctx context.Context, ask engine.Ask) (Answer, error) {
+	if ask.Helper == l.node.opts.Name {
+		return l.node.opts.Adviser.Ask(ctx, ask.Step, ask.Workers)
+	}
+	l.mu.Lock()
+	vm := l.helpers[ask.Helper]
+	l.mu.Unlock()
+	if vm == nil {
+		return Answer{}, fmt.Errorf("vm %s is gone", ask.Helper)
+	}
+	question := adviceQuestion{Step: ask.Step, Workers: ask.Workers, Timeout: 2*ask.Cost + askMargin}
+	reply, err := exchange[adviceQuestion, adviceReply](ctx, l.node.peers, vm.hello.Address, pathAsk, question)
+	switch {
+	case err != nil:
+		return Answer{}, err
+	case reply.Overloaded:
+		return Answer{}, ErrOverloaded
+	case reply.Problem != "":
+		return Answer{}, fmt.Errorf("vm %s: %s", ask.Helper, reply.Problem)
+	default:
+		return reply.Answer, nil
+	}
+}
+
+// runHello reports to the leader until ctx ends.
+func (n *Node) runHello(ctx context.Context) {
+	for sleep(ctx, helloEvery) {
+		row := n.elector.current()
+		if !row.Address.IsValid() || row.Released {
+			continue
+		}
+		if l := n.leader(); l != nil {
+			n.notePending(l.pending())
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
+		reply, err := exchange[hello, helloReply](callCtx, n.peers, row.Address, pathHello, hello{Name: n.opts.Name, Address: n.opts.Peers, Epoch: row.Epoch})
+		cancel()
+		if err != nil {
+			n.opts.Logger.Warn("leader not reached", "leader", row.Holder, "epoch", row.Epoch, "error", err)
+			continue
+		}
+		if reply.Leading {
+			n.notePending(reply.Pending)
+		}
+	}
+}
+
+func (l *leader) pending() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.engine.Pending()
+}
+
+func (n *Node) notePending(counts map[string]int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pending, n.pendingAt = counts, time.Now()
+}
--- /dev/null
+++ b/core/cell/record.go
@@ -0,0 +1,153 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"tanagerstack.org/core/engine"
+	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/store"
+)
+
+const (
+	// recordBatch is how many rows one commit writes: the platform takes 100
+	// entries a call, one of them the check of the epoch.
+	recordBatch = 90
+	// recordRetry is the wait after a commit that failed.
+	recordRetry = 50 * time.Millisecond
+)
+
+// recorder commits the progress of jobs, many at once. Each commit depends on
+// the epoch, so that a leader that was replaced writes nothing.
+type recorder struct {
+	leader *leader
+
+	mu      sync.Mutex
+	waiting map[jobs.ID]engine.Record
+	order   []jobs.ID
+	kick    chan struct{}
+	// committed is closed and replaced after each commit.
+	committed chan struct{}
+}
+
+func newRecorder(l *leader) *recorder {
+	return &recorder{
+		leader:    l,
+		waiting:   make(map[jobs.ID]engine.Record),
+		kick:      make(chan struct{}, 1),
+		committed: make(chan struct{}),
+	}
+}
+
+// add queues progress in place of an older one of the same job.
+func (r *recorder) add(record engine.Record) {
+	r.mu.Lock()
+	if held, ok := r.waiting[record.Mark.Job]; !ok {
+		r.order = append(r.order, record.Mark.Job)
+	} else if held.Mark.Revision > record.Mark.Revision {
+		record = held
+	}
+	r.waiting[record.Mark.Job] = record
+	r.mu.Unlock()
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// wait waits for the next commit, for as long as limit.
+func (r *recorder) wait(ctx context.Context, limit time.Duration) {
+	r.mu.Lock()
+	committed := r.committed
+	r.mu.Unlock()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-committed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (r *recorder) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.kick:
+		}
+		for batch := r.next(); len(batch) > 0; batch = r.next() {
+			if !r.store(ctx, batch) {
+				return
+			}
+		}
+	}
+}
+
+// next takes a batch out of the queue.
+func (r *recorder) next() []engine.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := min(len(r.order), recordBatch)
+	batch := make([]engine.Record, 0, n)
+	for _, id := range r.order[:n] {
+		batch = append(batch, r.waiting[id])
+		delete(r.waiting, id)
+	}
+	r.order = r.order[n:]
+	return batch
+}
+
+// store commits a batch, however often it takes. It reports false once the
+// leadership has ended.
+func (r *recorder) store(ctx context.Context, batch []engine.Record) bool {
+	changes, err := r.changes(batch)
+	if err != nil {
+		r.leader.node.opts.Logger.Warn("progress cannot be encoded", "error", err)
+		return true
+	}
+	for ctx.Err() == nil {
+		began := time.Now()
+		_, err := r.leader.node.opts.Store.Commit(ctx, changes...)
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			r.leader.node.metrics.Record.observe(time.Since(began))
+			r.done(batch)
+			return true
+		case errors.As(err, &conflict):
+			r.leader.node.elector.abandon(r.leader.epoch, "the epoch on record is a later one")
+			return false
+		}
+		r.leader.node.opts.Logger.Warn("progress not recorded", "jobs", len(batch), "error", err)
+		sleep(ctx, recordRetry)
+	}
+	return false
+}
+
+func (r *recorder) changes(batch []engine.Record) ([]store.Change, error) {
+	changes := []store.Change{store.Check{Table: leaderTable, Key: epochKey, Expected: r.leader.version}}
+	for _, record := range batch {
+		data, err := jobs.Encode(record.Progress)
+		if err != nil {
+			return nil, fmt.Errorf("progress of %s: %w", record.Mark.Job, err)
+		}
+		changes = append(changes, store.Put{Table: progressTable, Key: string(record.Mark.Job), Value: data})
+	}
+	return changes, nil
+}
+
+func (r *recorder) done(batch []engine.Record) {
+	marks := make([]engine.RecordMark, 0, len(batch))
+	for _, record := range batch {
+		marks = append(marks, record.Mark)
+	}
+	r.leader.apply(engine.Recorded{Records: marks})
+	r.mu.Lock()
+	close(r.committed)
+	r.committed = make(chan struct{})
+	r.mu.Unlock()
+}
--- /dev/null
+++ b/core/cell/submit.go
@@ -0,0 +1,223 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/store"
+)
+
+// The errors of a caller's request.
+var (
+	// ErrRefused means that the job was not accepted and will not run.
+	ErrRefused = errors.New("job refused")
+	// ErrUncertain means that it is not known whether the request took effect.
+	ErrUncertain = errors.New("outcome unknown")
+	// ErrNotFound means that there is no such job.
+	ErrNotFound = errors.New("no such job")
+	// ErrUnavailable means that there is no answer now.
+	ErrUnavailable = errors.New("no answer now")
+)
+
+// RefusedError says why a job was refused and when it makes sense to return.
+type RefusedError struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Error names the reason.
+func (e *RefusedError) Error() string { return "job refused: " + e.Reason }
+
+// Unwrap returns ErrRefused.
+func (e *RefusedError) Unwrap() error { return ErrRefused }
+
+const (
+	// settleRetry and lastSettleRetry are the waits before a write is sent again
+	// whose answer was lost.
+	settleRetry     = 20 * time.Millisecond
+	lastSettleRetry = 300 * time.Millisecond
+	// outageRetryAfter is when a caller may return after the store was away: the
+	// breaker tries the store twice in that time.
+	outageRetryAfter = time.Second
+)
+
+// Submit stores a job. It returns nil once the job is accepted, also if an
+// earlier attempt was. The error wraps ErrRefused, or ErrUncertain if the job may
+// still come to be accepted.
+func (n *Node) Submit(ctx context.Context, job jobs.Job) error {
+	data, err := jobs.Encode(job)
+	if err != nil {
+		return &RefusedError{Reason: err.Error()}
+	}
+	began := time.Now()
+	err = n.insert(ctx, store.Row{Table: jobsTable, Key: string(job.ID), Version: store.Absent}, data)
+	n.metrics.Submit.observe(time.Since(began))
+	n.opts.Logger.Info("job submitted", "job", job.ID, "queue", job.Queue.Name, "error", err, "took", time.Since(began))
+	return err
+}
+
+// insert writes a job's row where there is none, or over the mark of a refusal.
+func (n *Node) insert(ctx context.Context, row store.Row, data []byte) error {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval = settleRetry
+	waits.MaxInterval = lastSettleRetry
+	sent := false
+	for {
+		put := store.Put{Table: row.Table, Key: row.Key, Value: data, Expected: store.Expect(row.Version)}
+		_, err := n.opts.Store.Commit(ctx, put)
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &conflict):
+			next, accepted := settleInsert(row, conflict)
+			if accepted {
+				return nil
+			}
+			row = next
+			continue
+		case errors.Is(err, store.ErrUnsettled):
+			sent = true
+		case !sent:
+			return &RefusedError{Reason: "the store is away", RetryAfter: outageRetryAfter}
+		}
+		if !sleep(ctx, waits.NextBackOff()) {
+			return fmt.Errorf("%w: %w", ErrUncertain, err)
+		}
+	}
+}
+
+// settleInsert reads from a conflict whether the job is accepted already, or
+// which row to write over.
+func settleInsert(row store.Row, conflict *store.ConflictError) (next store.Row, accepted bool) {
+	for _, present := range conflict.Rows {
+		if present.Key != row.Key {
+			continue
+		}
+		if present.Version == store.Absent {
+			return present, false
+		}
+		job, err := jobs.Decode[jobs.Job](present.Value)
+		if err != nil || !job.Refused {
+			return row, true
+		}
+		return present, false
+	}
+	return row, false
+}
+
+// Cancel stores that a job is canceled. The error is ErrNotFound, or wraps
+// ErrUnavailable.
+func (n *Node) Cancel(ctx context.Context, id jobs.ID) error {
+	err := n.cancel(ctx, id)
+	n.opts.Logger.Info("job cancel", "job", id, "error", err)
+	return err
+}
+
+func (n *Node) cancel(ctx context.Context, id jobs.ID) error {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval = settleRetry
+	waits.MaxInterval = lastSettleRetry
+	for {
+		err := n.cancelOnce(ctx, id)
+		if err == nil || errors.Is(err, ErrNotFound) {
+			return err
+		}
+		if !sleep(ctx, waits.NextBackOff()) {
+			return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+	}
+}
+
+func (n *Node) cancelOnce(ctx context.Context, id jobs.ID) error {
+	if _, err := n.readJob(ctx, id); err != nil {
+		return err
+	}
+	_, err := n.opts.Store.Commit(ctx, store.Put{Table: jobsTable, Key: string(id) + cancelSuffix, Value: []byte{}})
+	return err
+}
+
+// readJob reads a job from the store.
+func (n *Node) readJob(ctx context.Context, id jobs.ID) (jobs.Job, error) {
+	row, err := n.opts.Store.Read(ctx, jobsTable, string(id))
+	if err != nil {
+		return jobs.Job{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if row.Version == store.Absent {
+		return jobs.Job{}, ErrNotFound
+	}
+	job, err := jobs.Decode[jobs.Job](row.Value)
+	if err != nil {
+		return jobs.Job{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if job.Refused {
+		return jobs.Job{}, ErrNotFound
+	}
+	return job, nil
+}
+
+// Status returns the state of a job: from the leader, or else from the store.
+func (n *Node) Status(ctx context.Context, id jobs.ID) (jobs.State, error) {
+	if reply, ok := n.askLeader(ctx, id); ok && reply.Known {
+		return reply.State, nil
+	}
+	return n.storedStatus(ctx, id)
+}
+
+func (n *Node) askLeader(ctx context.Context, id jobs.ID) (statusReply, bool) {
+	if l := n.leader(); l != nil {
+		status := l.status(id)
+		return statusReply{Leading: true, Known: status.Known, State: status.State}, true
+	}
+	row := n.elector.current()
+	if !row.Address.IsValid() || row.Released {
+		return statusReply{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	reply, err := exchange[statusQuestion, statusReply](ctx, n.peers, row.Address, pathStatus, statusQuestion{Job: id})
+	return reply, err == nil
+}
+
+// storedStatus reads what is stored of a job.
+func (n *Node) storedStatus(ctx context.Context, id jobs.ID) (jobs.State, error) {
+	if _, err := n.readJob(ctx, id); err != nil {
+		return 0, err
+	}
+	row, err := n.opts.Store.Read(ctx, progressTable, string(id))
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if row.Version != store.Absent {
+		p, err := jobs.Decode[jobs.Progress](row.Value)
+		if err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		if p.State.Final() {
+			return p.State, nil
+		}
+		return jobs.Running, nil
+	}
+	canceled, err := n.opts.Store.Read(ctx, jobsTable, string(id)+cancelSuffix)
+	if err == nil && canceled.Version != store.Absent {
+		return jobs.Canceled, nil
+	}
+	return jobs.Queued, nil
+}
+
+// Pending returns how many accepted jobs of a queue have not begun.
+func (n *Node) Pending(queue string) (int, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.pendingAt.IsZero() {
+		return 0, ErrUnavailable
+	}
+	return n.pending[queue], nil
+}
+
+func isOverloaded(err error) bool { return errors.Is(err, ErrOverloaded) }
--- /dev/null
+++ b/core/engine/advice.go
@@ -0,0 +1,299 @@
+package engine
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"tanagerstack.org/core/jobs"
+)
+
+// The load that asking for advice answers: the adviser serves one question at a
+// time for each VM, and some queues' questions take a hundred times as long as
+// others'. Questions are spread over the VMs, those of slow queues over VMs that
+// quick ones do not use, and each names about as few workers as will do.
+
+const (
+	// firstGoodShare is the share of workers taken to be allowed until answers
+	// tell more.
+	firstGoodShare = 0.4
+	// goodShareWeight is how much one answer moves the known share.
+	goodShareWeight = 0.05
+	// spareRoom is how much more room than needed a question looks for, since
+	// other steps take some of it before the answer is there.
+	spareRoom = 2.0
+	// fewestAsked is the least number of workers in a first question.
+	fewestAsked = 8
+	// mostAsked is the most that the adviser takes in a question.
+	mostAsked = 100
+	// questionsPerHelper is how many questions may be out through one VM: one
+	// that is served, and one on its way.
+	questionsPerHelper = 2
+	// askAgainAfter is the pause after a question without an answer.
+	askAgainAfter = 200 * time.Millisecond
+	// questionTimeout is how long after its cost an answer is given up.
+	questionTimeout = 3 * time.Second
+)
+
+// stepAdvice is what is known of the adviser's answers for a step.
+type stepAdvice struct {
+	// good and bad are the workers that may and may not run the step for good.
+	good, bad map[string]bool
+	tickets   map[string]heldTicket
+	// asking is set while a question is out.
+	asking   bool
+	askedAt  time.Time
+	askAfter time.Time
+}
+
+type heldTicket struct {
+	value string
+	until time.Time
+}
+
+// allows reports whether a ticket holds long enough for a start.
+func (a *stepAdvice) allows(now time.Time, worker string) bool {
+	ticket, ok := a.tickets[worker]
+	return ok && now.Add(ticketMargin).Before(ticket.until)
+}
+
+// helper is a VM that asks the adviser.
+type helper struct {
+	name string
+	// freeAt is when its questions are answered, by their cost.
+	freeAt    time.Time
+	questions int
+}
+
+// queueStats is what is learned of a queue.
+type queueStats struct {
+	goodShare float64
+}
+
+func (e *Engine) statsOf(s *step) *queueStats {
+	name := s.job.Queue.Name
+	if e.stats[name] == nil {
+		e.stats[name] = &queueStats{goodShare: firstGoodShare}
+	}
+	return e.stats[name]
+}
+
+func (e *Engine) helpersChanged(now time.Time, names []string) {
+	slices.Sort(names)
+	known := make(map[string]*helper, len(e.helpers))
+	for _, h := range e.helpers {
+		known[h.name] = h
+	}
+	e.helpers = nil
+	for _, name := range names {
+		h := known[name]
+		if h == nil {
+			h = &helper{name: name, freeAt: now}
+		}
+		e.helpers = append(e.helpers, h)
+	}
+}
+
+// releaseHelpers frees VMs whose questions were never answered.
+func (e *Engine) releaseHelpers(now time.Time) {
+	for _, h := range e.helpers {
+		if h.questions > 0 && now.Sub(h.freeAt) > questionTimeout {
+			h.questions = 0
+		}
+	}
+}
+
+// requestAdvice asks for workers that may run the step's waiting tasks.
+func (e *Engine) requestAdvice(now time.Time, s *step, missing int) {
+	a := &s.advice
+	if s.job.Queue.Advice == nil || now.Before(a.askAfter) {
+		return
+	}
+	if a.asking && now.Sub(a.askedAt) < questionTimeout {
+		return
+	}
+	workers := e.workersToAsk(now, s, missing)
+	if len(workers) == 0 {
+		return
+	}
+	cost := s.job.Queue.Advice.Decide + time.Duration(len(workers))*s.job.Queue.Advice.Each
+	h := e.helperFor(now, s.job.Queue)
+	if h == nil {
+		return
+	}
+	h.questions++
+	if h.freeAt.Before(now) {
+		h.freeAt = now
+	}
+	h.freeAt = h.freeAt.Add(cost)
+	a.asking, a.askedAt = true, now
+	e.counters.Asks++
+	e.log("advice asked", "step", s.id, "helper", h.name, "workers", len(workers), "missing", missing, "known-good", len(a.good), "cost", cost)
+	e.emit(Ask{Step: s.id, Helper: h.name, Workers: workers, Cost: cost})
+}
+
+// workersToAsk returns the workers to name in a question: known good ones with
+// room now, where they are enough, or else ones that were not asked yet.
+func (e *Engine) workersToAsk(now time.Time, s *step, missing int) []string {
+	a := &s.advice
+	var good, fresh []candidate
+	for _, w := range e.workers {
+		if !e.suits(now, s, w) || a.bad[w.ID] || a.allows(now, w.ID) {
+			continue
+		}
+		c := candidate{worker: w, room: w.free(), fits: s.fits(w, missing)}
+		switch {
+		case !a.good[w.ID]:
+			fresh = append(fresh, c)
+		case c.fits > 0:
+			good = append(good, c)
+		}
+	}
+	needed := missing
+	if !s.Gang {
+		needed = 1
+	}
+	if totalFits(good)+e.ticketedFits(now, s, missing) >= needed && len(good) > 0 {
+		return names(roomiest(good, spareRoom*float64(missing), 1, len(good)))
+	}
+	return names(e.freshToAsk(s, fresh, missing))
+}
+
+// ticketedFits returns how many tasks fit where tickets hold.
+func (e *Engine) ticketedFits(now time.Time, s *step, limit int) int {
+	return totalFits(e.candidates(now, s, limit))
+}
+
+// freshToAsk picks workers that were not asked yet.
+func (e *Engine) freshToAsk(s *step, fresh []candidate, missing int) []candidate {
+	advice := s.job.Queue.Advice
+	most := mostAsked
+	if advice.Each > 0 {
+		// Naming workers should not take longer than half of the decision.
+		most = max(fewestAsked, int(advice.Decide/(2*advice.Each)))
+	}
+	wanted := spareRoom * float64(missing) / max(e.statsOf(s).goodShare, 0.05)
+	return roomiest(fresh, wanted, fewestAsked, min(most, mostAsked))
+}
+
+// roomiest returns the candidates with the most room until they take the wanted
+// number of tasks; least and most bound how many.
+func roomiest(list []candidate, wanted float64, least, most int) []candidate {
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.room.Millicores, a.room.Millicores), cmp.Compare(a.worker.ID, b.worker.ID))
+	})
+	total := 0.0
+	for i, c := range list {
+		if i >= most || i >= least && total >= wanted {
+			return list[:i]
+		}
+		total += float64(c.fits)
+	}
+	return list
+}
+
+func names(list []candidate) []string {
+	ids := make([]string, 0, len(list))
+	for _, c := range list {
+		ids = append(ids, c.worker.ID)
+	}
+	return ids
+}
+
+// helperFor returns the VM to ask through, or nil if all that the queue may use
+// are taken. The VMs are dealt to the queues with advice by what they cost.
+func (e *Engine) helperFor(now time.Time, q jobs.Queue) *helper {
+	var best *helper
+	for _, h := range e.lane(q) {
+		if h.questions >= questionsPerHelper {
+			continue
+		}
+		if best == nil || waitOf(h, now) < waitOf(best, now) {
+			best = h
+		}
+	}
+	return best
+}
+
+func waitOf(h *helper, now time.Time) time.Duration { return max(0, h.freeAt.Sub(now)) }
+
+// lane returns the VMs that a queue may ask through.
+func (e *Engine) lane(q jobs.Queue) []*helper {
+	queues := e.advisedQueues(q)
+	if len(e.helpers) <= len(queues) {
+		return e.helpers
+	}
+	position := slices.IndexFunc(queues, func(other jobs.Queue) bool { return other.Name == q.Name })
+	share := float64(len(e.helpers)) / float64(len(queues))
+	from := int(math.Round(float64(position) * share))
+	to := int(math.Round(float64(position+1) * share))
+	return e.helpers[from:to]
+}
+
+// advisedQueues returns the queues with advice, the quickest first; q is one of
+// them even if the configuration has dropped it.
+func (e *Engine) advisedQueues(q jobs.Queue) []jobs.Queue {
+	list := []jobs.Queue{q}
+	if e.config != nil {
+		for _, other := range e.config.Queues {
+			if other.Advice != nil && other.Name != q.Name {
+				list = append(list, other)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b jobs.Queue) int {
+		return cmp.Or(cmp.Compare(a.Advice.Decide, b.Advice.Decide), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
+
+// adviceAnswered takes in an answer.
+func (e *Engine) adviceAnswered(now time.Time, ev AdviceAnswered) {
+	for _, h := range e.helpers {
+		if h.name == ev.Helper && h.questions > 0 {
+			h.questions--
+			if h.questions == 0 {
+				h.freeAt = now
+			}
+		}
+	}
+	j := e.jobs[ev.Step.Job]
+	if j == nil || ev.Step.Occurrence >= len(j.occurrences) || ev.Step.Step >= len(j.Steps) {
+		return
+	}
+	s := j.occurrences[ev.Step.Occurrence].steps[ev.Step.Step]
+	a := &s.advice
+	a.asking = false
+	e.log("advice answered", "step", ev.Step, "helper", ev.Helper, "asked", len(ev.Asked), "good", len(ev.Tickets),
+		"failed", ev.Failed, "overloaded", ev.Overloaded, "took", now.Sub(a.askedAt))
+	if ev.Failed {
+		a.askAfter = now.Add(askAgainAfter)
+		return
+	}
+	good, fresh := a.learn(now, ev)
+	if fresh > 0 {
+		stats := e.statsOf(s)
+		stats.goodShare += goodShareWeight * (float64(good)/float64(fresh) - stats.goodShare)
+	}
+}
+
+// learn takes in which workers are good and their tickets. It returns how many
+// of the workers that it had not heard of are good, and how many there were.
+func (a *stepAdvice) learn(now time.Time, ev AdviceAnswered) (good, fresh int) {
+	if a.good == nil {
+		a.good, a.bad, a.tickets = make(map[string]bool), make(map[string]bool), make(map[string]heldTicket)
+	}
+	before := len(a.good) + len(a.bad)
+	goodBefore := len(a.good)
+	for _, ticket := range ev.Tickets {
+		a.good[ticket.Worker] = true
+		a.tickets[ticket.Worker] = heldTicket{value: ticket.Value, until: now.Add(ev.Valid)}
+	}
+	for _, id := range ev.Asked {
+		if !a.good[id] {
+			a.bad[id] = true
+		}
+	}
+	return len(a.good) - goodBefore, len(a.good) + len(a.bad) - before
+}
--- /dev/null
+++ b/core/engine/command.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"net/netip"
+	"time"
+
+	"tanagerstack.org/core/jobs"
+)
+
+// Command is something that the engine wants done. The types of this file
+// implement it.
+type Command interface{ command() }
+
+// Target is where an order to a worker goes.
+type Target struct {
+	Worker  string
+	Address netip.AddrPort
+}
+
+// Start asks a worker to start a run.
+type Start struct {
+	Target
+	Task jobs.TaskID
+	Run  int
+	Spec string
+	// Until is the lease that comes with it, a reading of the worker's clock.
+	Until      time.Duration
+	Epoch      int64
+	Ticket     string
+	Checkpoint string
+}
+
+// Stop asks a worker to end a run, or to never start it.
+type Stop struct {
+	Target
+	Task  jobs.TaskID
+	Run   int
+	Epoch int64
+}
+
+// Ask asks the adviser, through a VM, which workers may run a step.
+type Ask struct {
+	Step    jobs.StepID
+	Helper  string
+	Workers []string
+	// Cost is how long the adviser takes to answer.
+	Cost time.Duration
+}
+
+// Record asks to commit a job's progress.
+type Record struct {
+	Mark     RecordMark
+	Progress jobs.Progress
+}
+
+func (Start) command()  {}
+func (Stop) command()   {}
+func (Ask) command()    {}
+func (Record) command() {}
--- /dev/null
+++ b/core/engine/engine.go
@@ -0,0 +1,182 @@
+package engine
+
+import (
+	"sort"
+	"time"
+
+	"tanagerstack.org/core/jobs"
+)
+
+// Options configure an Engine. Epoch and MaxLease are needed.
+type Options struct {
+	// Epoch is the number of this leadership; workers drop orders of lower ones.
+	Epoch int64
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// StopTime is the longest that a worker takes to stop a run.
+	StopTime time.Duration
+	// Former names the workers where runs of earlier leaders may be.
+	Former []string
+	// FormerUntil is when the leases there have lapsed at the latest.
+	FormerUntil time.Time
+	// Logger is told each decision; it may be nil.
+	Logger Logger
+}
+
+// Logger writes structured lines: a message, then keys and values in turn.
+type Logger interface {
+	Info(message string, keysAndValues ...any)
+}
+
+// Engine is the scheduler of a cell for one epoch. It is not safe for
+// concurrent use.
+type Engine struct {
+	opts    Options
+	config  *jobs.Config
+	workers map[string]*worker
+	jobs    map[jobs.ID]*job
+	// active are the jobs that are not final, in the order of their arrival.
+	active  []*job
+	former  map[string]bool
+	stats   map[string]*queueStats
+	helpers []*helper
+	// roster are the workers whose use is on record; see Roster.
+	roster     map[string]bool
+	dirty      map[jobs.ID]*job
+	commands   []Command
+	superseded bool
+	counters   Counters
+}
+
+// Counters counts decisions. All counts only grow.
+type Counters struct {
+	Starts, Stops, Asks, Records                 int64
+	EndsDone, EndsFailed, EndsLapsed, EndsBroken int64
+	NoRoom, NoTicket, Unknown                    int64
+}
+
+// New returns an engine that knows no jobs and no workers.
+func New(opts Options) *Engine {
+	e := &Engine{
+		opts:    opts,
+		workers: make(map[string]*worker),
+		jobs:    make(map[jobs.ID]*job),
+		former:  make(map[string]bool),
+		stats:   make(map[string]*queueStats),
+		roster:  make(map[string]bool),
+		dirty:   make(map[jobs.ID]*job),
+	}
+	for _, id := range opts.Former {
+		e.former[id] = true
+		e.roster[id] = true
+	}
+	return e
+}
+
+// Apply takes an event and returns what is to be done. It does not place
+// anything: Schedule does, so that events that come together share one pass.
+func (e *Engine) Apply(now time.Time, event Event) []Command {
+	switch ev := event.(type) {
+	case ConfigChanged:
+		e.configChanged(ev)
+	case WorkersListed:
+		e.workersListed(now, ev)
+	case WorkerListed:
+		e.workerListed(now, ev.Worker)
+	case WorkerUnlisted:
+		e.workerUnlisted(now, ev.ID)
+	case HelpersChanged:
+		e.helpersChanged(now, ev.Names)
+	case JobAccepted:
+		e.jobAccepted(now, ev)
+	case JobCanceled:
+		e.jobCanceled(now, ev.ID)
+	case Looked:
+		e.looked(now, ev)
+	case LookFailed:
+		e.lookFailed(now, ev)
+	case StartAnswered:
+		e.startAnswered(now, ev)
+	case StopAnswered:
+		e.stopAnswered(now, ev)
+	case AdviceAnswered:
+		e.adviceAnswered(now, ev)
+	case Recorded:
+		e.recorded(ev)
+	case Tick:
+		e.tick(now)
+	}
+	return e.take()
+}
+
+// Schedule places what can be placed and asks for advice. It does nothing once
+// a later leader is known.
+func (e *Engine) Schedule(now time.Time) []Command {
+	if !e.superseded {
+		e.schedule(now)
+	}
+	return e.take()
+}
+
+// Superseded reports whether a worker has obeyed a later leader.
+func (e *Engine) Superseded() bool { return e.superseded }
+
+// Counters returns the counts so far.
+func (e *Engine) Counters() Counters { return e.counters }
+
+// take returns the commands so far, with a record for each job that changed.
+func (e *Engine) take() []Command {
+	ids := make([]jobs.ID, 0, len(e.dirty))
+	for id := range e.dirty {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	for _, id := range ids {
+		e.counters.Records++
+		e.emit(e.dirty[id].record())
+		delete(e.dirty, id)
+	}
+	commands := e.commands
+	e.commands = nil
+	return commands
+}
+
+func (e *Engine) emit(c Command) { e.commands = append(e.commands, c) }
+
+func (e *Engine) log(message string, keysAndValues ...any) {
+	if e.opts.Logger != nil {
+		e.opts.Logger.Info(message, keysAndValues...)
+	}
+}
+
+// configChanged keeps the newest configuration.
+func (e *Engine) configChanged(ev ConfigChanged) {
+	if e.config != nil && ev.Config.Version <= e.config.Version {
+		return
+	}
+	e.config = ev.Config
+}
+
+// tick notices what only time brings: lapsed leases and stops to repeat.
+func (e *Engine) tick(now time.Time) {
+	for _, w := range e.sortedWorkers() {
+		e.checkLapse(now, w)
+		e.repeatStops(now, w)
+	}
+	if len(e.former) > 0 && now.After(e.opts.FormerUntil) {
+		e.log("leases of earlier leaders have lapsed", "workers", len(e.former))
+		clear(e.former)
+	}
+}
+
+// settled reports whether no unknown run of an earlier leader can be left.
+func (e *Engine) settled() bool { return len(e.former) == 0 }
+
+func (e *Engine) sortedWorkers() []*worker {
+	list := make([]*worker, 0, len(e.workers))
+	for _, w := range e.workers {
+		list = append(list, w)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
--- /dev/null
+++ b/core/engine/job.go
@@ -0,0 +1,431 @@
+package engine
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/roster"
+)
+
+// job is an accepted job and what became of it.
+type job struct {
+	jobs.Job
+	state      jobs.State
+	begun      bool
+	inherited  bool
+	acceptedAt time.Time
+	// deadline is when the job is late, hopeless when it is worth nothing more.
+	deadline time.Time
+	hopeless time.Time
+	// occurrences hold the steps; an occurrence is built when it is due.
+	occurrences []*occurrence
+	// revision counts changes of the progress, committed is the last one stored.
+	revision  int
+	committed int
+}
+
+// occurrence is one run through a job's steps.
+type occurrence struct {
+	index int
+	due   time.Time
+	steps []*step
+	left  int
+}
+
+// step is a step of an occurrence.
+type step struct {
+	jobs.Step
+	id    jobs.StepID
+	job   *job
+	occ   *occurrence
+	tasks []*task
+	left  int
+	// lastRun is the highest run number that was used for a task of the step.
+	lastRun  int
+	failures []jobs.Failure
+	advice   stepAdvice
+	// readyAt is when the last step that it waits for was done.
+	readyAt time.Time
+}
+
+// task is a task of a step.
+type task struct {
+	id   jobs.TaskID
+	step *step
+	done bool
+	// run is the run that may exist, or nil.
+	run       *run
+	failures  int
+	saved     string
+	startedAt time.Time
+	// avoid are workers where the task failed.
+	avoid []string
+}
+
+func (j *job) final() bool { return j.state.Final() }
+
+// room is what a task takes of a worker: fillers take no processors.
+func (s *step) room() roster.Resources {
+	if s.Filler {
+		return roster.Resources{MemoryBytes: s.Each.MemoryBytes, Accelerators: s.Each.Accelerators}
+	}
+	return s.Each
+}
+
+// ready reports whether the step's tasks may start.
+func (s *step) ready(now time.Time) bool {
+	if s.left == 0 || now.Before(s.occ.due) {
+		return false
+	}
+	for _, before := range s.After {
+		if s.occ.steps[before].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// waiting returns the tasks that have no run and are not done.
+func (s *step) waiting() []*task {
+	var list []*task
+	for _, t := range s.tasks {
+		if !t.done && t.run == nil {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// jobAccepted takes in a stored job.
+func (e *Engine) jobAccepted(now time.Time, ev JobAccepted) {
+	if e.jobs[ev.Job.ID] != nil || ev.Job.Refused {
+		return
+	}
+	j := &job{Job: ev.Job, acceptedAt: now, inherited: ev.Inherited, begun: ev.Progress.Begun}
+	objective := ev.Job.Objective()
+	j.deadline = ev.Job.Arrived.Add(objective)
+	j.hopeless = ev.Job.Arrived.Add(lateFactor * objective)
+	e.jobs[ev.Job.ID] = j
+	j.build()
+	j.restore(ev.Progress)
+	e.log("job taken in", "job", ev.Job.ID, "queue", ev.Job.Queue.Name, "steps", len(ev.Job.Steps),
+		"age", now.Sub(ev.Job.Arrived), "objective", objective, "inherited", ev.Inherited, "state", j.state)
+	if !j.final() {
+		e.active = append(e.active, j)
+	}
+}
+
+// lateFactor is how many objectives a job may take and still be worth something:
+// the users count up to three times the objective as late.
+const lateFactor = 3
+
+// build makes the steps of all occurrences.
+func (j *job) build() {
+	for k := range j.Occurrences() {
+		o := &occurrence{index: k, due: j.Due(k)}
+		for i, s := range j.Steps {
+			id := jobs.StepID{Job: j.ID, Occurrence: k, Step: i}
+			st := &step{Step: s, id: id, job: j, occ: o, left: s.Count}
+			for n := range s.Count {
+				st.tasks = append(st.tasks, &task{id: jobs.TaskID{StepID: id, Index: n}, step: st})
+			}
+			o.steps = append(o.steps, st)
+		}
+		o.left = len(o.steps)
+		j.occurrences = append(j.occurrences, o)
+	}
+}
+
+// restore takes in stored progress.
+func (j *job) restore(p jobs.Progress) {
+	j.state = p.State
+	for _, sp := range p.Steps {
+		if sp.Occurrence >= len(j.occurrences) || sp.Step >= len(j.Steps) {
+			continue
+		}
+		s := j.occurrences[sp.Occurrence].steps[sp.Step]
+		for n, t := range s.tasks {
+			if sp.AllDone || slices.Contains(sp.Done, n) {
+				s.markDone(t)
+			}
+		}
+		for _, f := range sp.Failures {
+			if f.Task < len(s.tasks) {
+				s.addFailure(s.tasks[f.Task], f.Run)
+			}
+		}
+	}
+}
+
+// markDone notes that a task is done, and with a gang's task the whole gang.
+func (s *step) markDone(t *task) {
+	if t.done {
+		return
+	}
+	tasks := []*task{t}
+	if s.Gang {
+		tasks = s.tasks
+	}
+	for _, member := range tasks {
+		if !member.done {
+			member.done = true
+			s.left--
+		}
+	}
+	if s.left == 0 {
+		s.occ.left--
+	}
+}
+
+// addFailure notes a failed run once and reports whether it was new. All members
+// of a gang share a run's failure.
+func (s *step) addFailure(t *task, number int) bool {
+	index := t.id.Index
+	if s.Gang {
+		index = 0
+	}
+	failure := jobs.Failure{Task: index, Run: number}
+	if slices.Contains(s.failures, failure) {
+		return false
+	}
+	s.failures = append(s.failures, failure)
+	s.lastRun = max(s.lastRun, number)
+	s.tasks[index].failures++
+	return true
+}
+
+// jobCanceled stops all of a job.
+func (e *Engine) jobCanceled(now time.Time, id jobs.ID) {
+	j := e.jobs[id]
+	if j == nil || j.final() {
+		return
+	}
+	e.log("job canceled", "job", id, "state", j.state, "age", now.Sub(j.acceptedAt))
+	e.conclude(now, j, jobs.Canceled)
+}
+
+// conclude gives a job its final state and stops what still runs.
+func (e *Engine) conclude(now time.Time, j *job, state jobs.State) {
+	j.state = state
+	e.touch(j)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			e.stopAll(now, s)
+		}
+	}
+	e.log("job concluded", "job", j.ID, "queue", j.Queue.Name, "state", state, "age", now.Sub(j.Arrived), "late-by", now.Sub(j.deadline))
+	if i := slices.Index(e.active, j); i >= 0 {
+		e.active = slices.Delete(e.active, i, i+1)
+	}
+}
+
+// stopAll stops the runs of a step's tasks.
+func (e *Engine) stopAll(now time.Time, s *step) {
+	for _, t := range s.tasks {
+		if t.run != nil && t.run.phase != stopping {
+			e.stop(now, t.run)
+		}
+	}
+}
+
+// touch marks a job whose progress changed.
+func (e *Engine) touch(j *job) {
+	j.revision++
+	e.dirty[j.ID] = j
+}
+
+// finish takes a run off its worker and settles how it ended.
+func (e *Engine) finish(now time.Time, r *run, how jobs.End, saved string) {
+	r.worker.remove(r)
+	switch how {
+	case jobs.EndDone:
+		e.counters.EndsDone++
+	case jobs.EndFailed:
+		e.counters.EndsFailed++
+	case jobs.EndLapsed:
+		e.counters.EndsLapsed++
+	default:
+		e.counters.EndsBroken++
+	}
+	t := r.owner
+	if t == nil {
+		return
+	}
+	if t.run == r {
+		t.run = nil
+	}
+	if saved != "" {
+		t.saved = saved
+	}
+	if how == jobs.EndFailed {
+		t.avoid = append(t.avoid, r.worker.ID)
+	}
+	e.settleEnd(now, t, r.run, how)
+}
+
+// settleEnd notes what the end of a run means for its task and job.
+func (e *Engine) settleEnd(now time.Time, t *task, number int, how jobs.End) {
+	s, j := t.step, t.step.job
+	if j.final() || t.done {
+		return
+	}
+	switch {
+	case s.Service:
+	case how == jobs.EndDone:
+		e.taskDone(now, t)
+	case how == jobs.EndFailed:
+		e.taskFailed(now, t, number)
+	}
+	if s.Gang && !t.done && !j.final() {
+		e.stopAll(now, s)
+	}
+}
+
+func (e *Engine) taskDone(now time.Time, t *task) {
+	s, j := t.step, t.step.job
+	s.markDone(t)
+	e.touch(j)
+	if !s.Gang && t.run != nil {
+		e.stop(now, t.run)
+	}
+	if s.left == 0 {
+		e.stepDone(now, s)
+	}
+}
+
+// stepDone lets the steps after it start, or ends the job.
+func (e *Engine) stepDone(now time.Time, s *step) {
+	for _, next := range s.occ.steps {
+		if slices.Contains(next.After, s.id.Step) {
+			next.readyAt = now
+		}
+	}
+	for _, o := range s.job.occurrences {
+		if o.left > 0 {
+			return
+		}
+	}
+	e.conclude(now, s.job, jobs.Done)
+}
+
+func (e *Engine) taskFailed(now time.Time, t *task, number int) {
+	s, j := t.step, t.step.job
+	if !s.addFailure(t, number) {
+		return
+	}
+	e.touch(j)
+	failures := s.tasks[t.id.Index].failures
+	if s.Gang {
+		failures = s.tasks[0].failures
+	}
+	if failures >= max(j.Queue.Attempts, 1) {
+		e.conclude(now, j, jobs.Failed)
+	}
+}
+
+// recorded takes in what was committed and what ends may be confirmed now.
+func (e *Engine) recorded(ev Recorded) {
+	for _, mark := range ev.Records {
+		if j := e.jobs[mark.Job]; j != nil {
+			j.committed = max(j.committed, mark.Revision)
+		}
+	}
+	for _, w := range e.workers {
+		w.advanceMarks()
+	}
+}
+
+// record returns the command that stores the job's progress.
+func (j *job) record() Record {
+	p := jobs.Progress{State: j.state, Begun: j.begun}
+	if !j.final() {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if sp, any := s.progress(); any {
+					p.Steps = append(p.Steps, sp)
+				}
+			}
+		}
+	}
+	return Record{Mark: RecordMark{Job: j.ID, Revision: j.revision}, Progress: p}
+}
+
+func (s *step) progress() (jobs.StepProgress, bool) {
+	sp := jobs.StepProgress{Occurrence: s.id.Occurrence, Step: s.id.Step, Failures: s.failures}
+	switch s.left {
+	case 0:
+		sp.AllDone = true
+	case s.Count:
+	default:
+		for n, t := range s.tasks {
+			if t.done {
+				sp.Done = append(sp.Done, n)
+			}
+		}
+	}
+	return sp, sp.AllDone || len(sp.Done) > 0 || len(sp.Failures) > 0
+}
+
+// task returns the task with a name, or nil.
+func (e *Engine) task(id jobs.TaskID) *task {
+	j := e.jobs[id.Job]
+	if j == nil || id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	steps := j.occurrences[id.Occurrence].steps
+	if id.Step < 0 || id.Step >= len(steps) || id.Index < 0 || id.Index >= len(steps[id.Step].tasks) {
+		return nil
+	}
+	return steps[id.Step].tasks[id.Index]
+}
+
+// Status is what a caller may be told of a job.
+type Status struct {
+	State jobs.State
+	// Known is false for jobs that this engine has not taken in.
+	Known bool
+}
+
+// Status returns what a caller may be told: a final state only once it is stored.
+func (e *Engine) Status(id jobs.ID) Status {
+	j := e.jobs[id]
+	switch {
+	case j == nil:
+		return Status{}
+	case j.final() && j.committed >= j.revision:
+		return Status{State: j.state, Known: true}
+	case j.state == jobs.Canceled:
+		return Status{State: jobs.Canceled, Known: true}
+	case j.begun:
+		return Status{State: jobs.Running, Known: true}
+	default:
+		return Status{State: jobs.Queued, Known: true}
+	}
+}
+
+// Pending returns how many jobs of each queue have not begun.
+func (e *Engine) Pending() map[string]int {
+	counts := make(map[string]int)
+	for _, j := range e.active {
+		if !j.begun {
+			counts[j.Queue.Name]++
+		}
+	}
+	return counts
+}
+
+func compareRuns(a, b runKey) int {
+	if c := strings.Compare(string(a.task.Job), string(b.task.Job)); c != 0 {
+		return c
+	}
+	for _, c := range []int{
+		a.task.Occurrence - b.task.Occurrence, a.task.Step - b.task.Step, a.task.Index - b.task.Index, a.run - b.run,
+	} {
+		if c != 0 {
+			return c
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/core/engine/place.go
@@ -0,0 +1,272 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tanagerstack.org/core/ledger"
+	"tanagerstack.org/core/roster"
+)
+
+// schedule makes one pass over all steps that have tasks to start.
+func (e *Engine) schedule(now time.Time) {
+	e.releaseHelpers(now)
+	held := make(map[string]bool)
+	for _, s := range e.readySteps(now) {
+		tasks := s.waiting()
+		if len(tasks) == 0 {
+			continue
+		}
+		if s.Gang && len(tasks) < s.left {
+			continue // members of the last run are not all gone yet
+		}
+		placed := e.place(now, s, tasks, held)
+		if placed < len(tasks) {
+			e.requestAdvice(now, s, len(tasks)-placed)
+		}
+	}
+}
+
+// candidate is a worker that may take tasks of a step.
+type candidate struct {
+	worker *worker
+	room   roster.Resources
+	fits   int
+	near   bool
+}
+
+// candidates returns the workers that may take tasks of the step now, those that
+// suit it best first.
+func (e *Engine) candidates(now time.Time, s *step, limit int) []candidate {
+	var list []candidate
+	for _, w := range e.workers {
+		if !e.suits(now, s, w) || !e.roster[w.ID] {
+			continue
+		}
+		if s.job.Queue.Advice != nil && !s.advice.allows(now, w.ID) {
+			continue
+		}
+		fits := s.fits(w, limit)
+		if fits > 0 {
+			list = append(list, candidate{worker: w, room: w.free(), fits: fits, near: s.DataRack == "" || w.Rack == s.DataRack})
+		}
+	}
+	slices.SortFunc(list, compareCandidates)
+	return list
+}
+
+// compareCandidates prefers the data's rack, then the fullest worker, so that
+// room stays together for wide gangs.
+func compareCandidates(a, b candidate) int {
+	if a.near != b.near {
+		if a.near {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(a.room.Millicores, b.room.Millicores),
+		cmp.Compare(a.worker.ID, b.worker.ID),
+	)
+}
+
+// suits reports whether a worker may ever run tasks of the step, as it is now.
+func (e *Engine) suits(now time.Time, s *step, w *worker) bool {
+	return w.usable(now) && w.Service == s.job.Queue.Service && w.hasLabel(s.Label) && !w.health.quarantined(now)
+}
+
+// fits returns how many more tasks of the step the worker takes, at most limit.
+func (s *step) fits(w *worker, limit int) int {
+	n := ledger.Count(s.room(), w.free(), limit)
+	if s.PerWorker <= 0 || n == 0 {
+		return n
+	}
+	present := 0
+	for _, r := range w.runs {
+		if r.task.StepID == s.id {
+			present++
+		}
+	}
+	return min(n, max(0, s.PerWorker-present))
+}
+
+// place starts what it can of the tasks and returns how many it started.
+func (e *Engine) place(now time.Time, s *step, tasks []*task, _ map[string]bool) int {
+	list := e.candidates(now, s, len(tasks))
+	if s.SameRack {
+		list = oneRack(list, len(tasks))
+	}
+	if s.Gang && totalFits(list) < len(tasks) {
+		return 0
+	}
+	number := e.nextRun(s)
+	placed := 0
+	for _, t := range tasks {
+		c := pick(list, t)
+		if c == nil {
+			break
+		}
+		c.fits--
+		e.start(now, t, c.worker, number)
+		placed++
+	}
+	if placed > 0 {
+		s.lastRun = number
+	}
+	return placed
+}
+
+// pick returns the first candidate with room that the task has not failed on, or
+// any with room if there is none else.
+func pick(list []candidate, t *task) *candidate {
+	var other *candidate
+	for i := range list {
+		c := &list[i]
+		if c.fits == 0 {
+			continue
+		}
+		if !slices.Contains(t.avoid, c.worker.ID) {
+			return c
+		}
+		other = c
+	}
+	return other
+}
+
+func totalFits(list []candidate) int {
+	total := 0
+	for _, c := range list {
+		total += c.fits
+	}
+	return total
+}
+
+// oneRack keeps the candidates of a rack that takes all tasks, or else all.
+func oneRack(list []candidate, count int) []candidate {
+	room := make(map[string]int)
+	for _, c := range list {
+		room[c.worker.Rack] += c.fits
+	}
+	for _, c := range list {
+		if room[c.worker.Rack] >= count {
+			rack := c.worker.Rack
+			return slices.DeleteFunc(list, func(c candidate) bool { return c.worker.Rack != rack })
+		}
+	}
+	return list
+}
+
+// runsPerEpoch leaves each leader run numbers of its own, so that none repeats
+// one that it has not heard of.
+const runsPerEpoch = 1000
+
+// nextRun returns a run number that no task of the step has had.
+func (e *Engine) nextRun(s *step) int {
+	return max(s.lastRun, int(e.opts.Epoch-1)*runsPerEpoch) + 1
+}
+
+// start orders a run.
+func (e *Engine) start(now time.Time, t *task, w *worker, number int) {
+	s := t.step
+	r := &run{
+		runKey: runKey{t.id, number}, worker: w, each: s.room(), owner: t,
+		phase: starting, since: now, orderedAt: now, movedAt: now,
+	}
+	w.add(r)
+	t.run = r
+	t.startedAt = now
+	e.counters.Starts++
+	ticket := s.advice.tickets[w.ID].value
+	checkpoint := t.saved
+	if s.Gang {
+		checkpoint = s.gangCheckpoint()
+	}
+	e.log("run started", "task", t.id, "run", number, "worker", w.ID, "seen-before", now.Sub(w.lastSeen),
+		"free-millicores", w.free().Millicores, "waited", now.Sub(s.job.Arrived), "late-by", now.Sub(s.job.deadline), "saved", checkpoint)
+	e.emit(Start{
+		Target: w.target(), Task: t.id, Run: number, Spec: s.job.Spec, Until: e.lease(now, w),
+		Epoch: e.opts.Epoch, Ticket: ticket, Checkpoint: checkpoint,
+	})
+	if !s.job.begun {
+		s.job.begun = true
+	}
+}
+
+// gangCheckpoint returns the newest checkpoint of any member: all of a gang's
+// tasks must start from the same one.
+func (s *step) gangCheckpoint() string {
+	newest := ""
+	for _, t := range s.tasks {
+		newest = max(newest, t.saved)
+	}
+	return newest
+}
+
+// startAnswered settles what is known of a start.
+func (e *Engine) startAnswered(now time.Time, ev StartAnswered) {
+	w := e.workers[ev.Worker]
+	if w == nil {
+		return
+	}
+	r := w.runs[runKey{ev.Task, ev.Run}]
+	if ev.Outcome != StartAccepted {
+		e.log("start answered", "task", ev.Task, "run", ev.Run, "worker", ev.Worker, "outcome", ev.Outcome)
+	}
+	if ev.Outcome == StartFenced {
+		e.supersede("start", ev.Worker)
+	}
+	if r == nil {
+		return
+	}
+	switch ev.Outcome {
+	case StartUnknown:
+		e.counters.Unknown++
+		if r.phase == starting {
+			r.phase, r.since = doubtful, now
+		}
+	case StartAccepted:
+		r.arrived = true
+		if r.phase == starting {
+			r.phase, r.since = present, now
+		}
+	default:
+		e.startRefused(now, r, ev.Outcome)
+	}
+}
+
+// startRefused takes in that a start did nothing.
+func (e *Engine) startRefused(now time.Time, r *run, outcome StartOutcome) {
+	w, t := r.worker, r.owner
+	switch outcome {
+	case StartNoTicket:
+		e.counters.NoTicket++
+		if t != nil {
+			delete(t.step.advice.tickets, w.ID)
+		}
+	case StartNoRoom:
+		e.counters.NoRoom++
+	case StartUnhealthy:
+		w.health.until = now.Add(firstQuarantine)
+	}
+	w.remove(r)
+	if t == nil || t.run != r {
+		return
+	}
+	t.run = nil
+	t.step.lastRun = max(t.step.lastRun, r.run)
+	if t.step.Gang {
+		e.stopAll(now, t.step)
+	}
+}
+
+// stopAnswered settles what is known of a stop.
+func (e *Engine) stopAnswered(now time.Time, ev StopAnswered) {
+	w := e.workers[ev.Worker]
+	if w == nil || !ev.Confirmed {
+		return
+	}
+	if r := w.runs[runKey{ev.Task, ev.Run}]; r != nil && r.phase == stopping {
+		r.stoppedAt = now
+	}
+}
--- /dev/null
+++ b/core/engine/worker.go
@@ -0,0 +1,471 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/ledger"
+	"tanagerstack.org/core/roster"
+)
+
+const (
+	// freshFor is how old the last report of a worker may be for it to get new
+	// work: a look waits a second at most, so half as long again is a missed one.
+	freshFor = 1600 * time.Millisecond
+	// ticketMargin is how long a ticket must still hold for a start: the way to a
+	// worker in another region and a repeated packet.
+	ticketMargin = 150 * time.Millisecond
+	// stopRepeat is the time between two stops of one run that were not confirmed.
+	stopRepeat = 700 * time.Millisecond
+	// ghostTime is how long an order to an earlier life of a worker may still
+	// arrive at a later one: the platform carries orders out up to 12 s late.
+	ghostTime = 15 * time.Second
+	// forgetAfter is how long a worker without an entry and without runs is kept.
+	forgetAfter = 20 * time.Second
+)
+
+// runKey names a run.
+type runKey struct {
+	task jobs.TaskID
+	run  int
+}
+
+// phase is what is known of a run.
+type phase int
+
+const (
+	// starting runs were ordered and not answered.
+	starting phase = iota
+	// present runs were confirmed by the worker.
+	present
+	// doubtful runs were ordered and will not be answered.
+	doubtful
+	// stopping runs were told to stop.
+	stopping
+)
+
+// run is a run that may be on a worker.
+type run struct {
+	runKey
+	worker *worker
+	each   roster.Resources
+	// owner is nil for runs of tasks that this engine does not know.
+	owner *task
+	phase phase
+	// since is when the phase began.
+	since      time.Time
+	orderedAt  time.Time
+	stopSentAt time.Time
+	// stoppedAt is when the worker confirmed a stop.
+	stoppedAt time.Time
+	// arrived says that the order was answered or the run was listed: it cannot
+	// arrive again.
+	arrived bool
+	// ghost says that the order went to an earlier life of the worker.
+	ghost   bool
+	percent int
+	movedAt time.Time
+}
+
+// ackMark says which commit an end waits for.
+type ackMark struct {
+	sequence int64
+	job      *job
+	revision int
+}
+
+// worker is a worker and all that may run on it.
+type worker struct {
+	Worker
+	listed     bool
+	unlistedAt time.Time
+	// synced says that this life was looked at in this epoch.
+	synced bool
+	clock  clock
+	// leased is the latest reading of its clock to which a lease was given.
+	leased   time.Duration
+	lastSeen time.Time
+	runs     map[runKey]*run
+	used     roster.Resources
+	// seen is the last end that was taken in, confirmable the last one whose
+	// progress is committed.
+	seen        int64
+	confirmable int64
+	marks       []ackMark
+	health      health
+}
+
+func (w *worker) target() Target { return Target{Worker: w.ID, Address: w.Address} }
+
+func (w *worker) free() roster.Resources { return ledger.Difference(w.Capacity, w.used) }
+
+// usable reports whether new work may go to the worker.
+func (w *worker) usable(now time.Time) bool {
+	return w.synced && w.listed && !w.Leaving && now.Sub(w.lastSeen) < freshFor
+}
+
+func (w *worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(w.Labels, label)
+}
+
+func (w *worker) add(r *run) {
+	w.runs[r.runKey] = r
+	w.used = ledger.Sum(w.used, r.each)
+}
+
+func (w *worker) remove(r *run) {
+	if w.runs[r.runKey] != r {
+		return
+	}
+	delete(w.runs, r.runKey)
+	w.used = ledger.Difference(w.used, r.each)
+}
+
+// sortedRuns returns the runs in a fixed order.
+func (w *worker) sortedRuns() []*run {
+	list := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int { return compareRuns(a.runKey, b.runKey) })
+	return list
+}
+
+func (e *Engine) workersListed(now time.Time, ev WorkersListed) {
+	listed := make(map[string]bool, len(ev.Workers))
+	for _, w := range ev.Workers {
+		listed[w.ID] = true
+		e.workerListed(now, w)
+	}
+	for _, w := range e.sortedWorkers() {
+		if !listed[w.ID] {
+			e.workerUnlisted(now, w.ID)
+		}
+	}
+}
+
+func (e *Engine) workerListed(now time.Time, entry Worker) {
+	w, known := e.workers[entry.ID]
+	if !known {
+		w = &worker{Worker: entry, listed: true, runs: make(map[runKey]*run)}
+		e.workers[entry.ID] = w
+		e.log("worker listed", "worker", entry.ID, "address", entry.Address, "rack", entry.Rack, "leaving", entry.Leaving)
+		return
+	}
+	if entry.Born.Before(w.Born) {
+		return
+	}
+	if entry.Born.After(w.Born) {
+		e.reborn(now, w, entry.Born)
+	}
+	if entry.Leaving != w.Leaving || !w.listed {
+		e.log("worker entry changed", "worker", entry.ID, "leaving", entry.Leaving, "leaves-in", entry.LeavesIn, "was-listed", w.listed)
+	}
+	w.Worker = entry
+	w.listed = true
+}
+
+func (e *Engine) workerUnlisted(now time.Time, id string) {
+	w := e.workers[id]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed, w.unlistedAt = false, now
+	e.log("worker unlisted", "worker", id, "runs", len(w.runs), "last-seen", now.Sub(w.lastSeen))
+}
+
+// reborn takes in that a worker has started anew. Runs that it had confirmed are
+// gone. Orders that it had not answered may still reach the new life, so they
+// count until it has confirmed a stop of them.
+func (e *Engine) reborn(now time.Time, w *worker, born time.Time) {
+	e.log("worker started anew", "worker", w.ID, "runs", len(w.runs), "born", born)
+	delete(e.former, w.ID)
+	w.Born = born
+	w.synced = false
+	w.clock = clock{}
+	w.leased = 0
+	w.seen, w.confirmable, w.marks = 0, 0, nil
+	for _, r := range w.sortedRuns() {
+		if r.arrived {
+			e.finish(now, r, jobs.EndLapsed, "")
+			continue
+		}
+		r.ghost = true
+		r.stoppedAt = time.Time{}
+		e.stop(now, r)
+	}
+}
+
+// looked takes in a worker's report.
+func (e *Engine) looked(now time.Time, ev Looked) {
+	w := e.workers[ev.Worker]
+	if w == nil {
+		return
+	}
+	if ev.Report.Born.Before(w.Born) {
+		return
+	}
+	if ev.Report.Born.After(w.Born) {
+		e.reborn(now, w, ev.Report.Born)
+	}
+	w.clock.observe(now, ev.Report.Clock)
+	if ev.Sent.After(w.lastSeen) {
+		w.lastSeen = ev.Sent
+	}
+	for _, end := range ev.Report.Ended {
+		e.ended(now, w, end)
+	}
+	listed := make(map[runKey]bool, len(ev.Report.Running))
+	for _, row := range ev.Report.Running {
+		listed[runKey{row.Task, row.Run}] = true
+		e.running(now, w, row)
+	}
+	if len(ev.Report.Ended) < MaxEnds {
+		e.missing(now, w, ev.Sent, listed)
+	}
+	w.advanceMarks()
+	if !w.synced {
+		w.synced = true
+		w.leased = max(w.leased, ev.Report.Clock+e.opts.MaxLease)
+		delete(e.former, w.ID)
+		e.log("worker looked at", "worker", w.ID, "running", len(ev.Report.Running), "ended", len(ev.Report.Ended), "former-left", len(e.former))
+	}
+}
+
+func (e *Engine) lookFailed(now time.Time, ev LookFailed) {
+	if ev.Superseded {
+		e.supersede("look", ev.Worker)
+		return
+	}
+	w := e.workers[ev.Worker]
+	if w == nil || w.listed || len(w.runs) > 0 {
+		return
+	}
+	if now.Sub(w.unlistedAt) > forgetAfter {
+		delete(e.workers, ev.Worker)
+		e.log("worker forgotten", "worker", ev.Worker)
+	}
+}
+
+func (e *Engine) supersede(by, worker string) {
+	if !e.superseded {
+		e.log("a later leader is in place", "seen-by", by, "worker", worker, "epoch", e.opts.Epoch)
+	}
+	e.superseded = true
+}
+
+// running takes in one run that a worker lists.
+func (e *Engine) running(now time.Time, w *worker, row Running) {
+	key := runKey{row.Task, row.Run}
+	r := w.runs[key]
+	if r == nil {
+		r = e.adopt(now, w, row)
+	}
+	r.arrived = true
+	if r.phase == starting || r.phase == doubtful {
+		r.phase, r.since = present, now
+	}
+	if row.Percent != r.percent {
+		r.percent, r.movedAt = row.Percent, now
+	}
+	if r.owner != nil && row.Checkpoint != "" && r.phase == present {
+		r.owner.saved = row.Checkpoint
+	}
+}
+
+// adopt takes in a run that another leader started, or that came late.
+func (e *Engine) adopt(now time.Time, w *worker, row Running) *run {
+	r := &run{runKey: runKey{row.Task, row.Run}, worker: w, phase: present, since: now, orderedAt: now, movedAt: now}
+	t := e.task(row.Task)
+	if t != nil {
+		r.each = t.step.room()
+	}
+	w.add(r)
+	if t == nil || t.done || t.step.job.final() || t.run != nil {
+		e.log("run is not wanted", "task", row.Task, "run", row.Run, "worker", w.ID, "known", t != nil)
+		e.stop(now, r)
+		return r
+	}
+	r.owner = t
+	t.run = r
+	t.step.lastRun = max(t.step.lastRun, row.Run)
+	t.step.job.begun = true
+	t.startedAt = now
+	e.log("run adopted", "task", row.Task, "run", row.Run, "worker", w.ID)
+	return r
+}
+
+// missing looks for runs that a report should have listed.
+func (e *Engine) missing(now time.Time, w *worker, sent time.Time, listed map[runKey]bool) {
+	for _, r := range w.sortedRuns() {
+		if listed[r.runKey] {
+			continue
+		}
+		switch {
+		case r.phase == present && sent.After(r.since):
+			e.log("run is gone without an end", "task", r.task, "run", r.run, "worker", w.ID)
+			e.finish(now, r, jobs.EndLapsed, "")
+		case r.phase == doubtful && sent.After(r.since):
+			e.stop(now, r)
+		case r.phase == stopping && !r.stoppedAt.IsZero() && sent.After(r.stoppedAt):
+			e.finish(now, r, jobs.EndStopped, "")
+		}
+	}
+}
+
+// ended takes in one end that a worker lists.
+func (e *Engine) ended(now time.Time, w *worker, end Ended) {
+	if end.Sequence <= w.seen {
+		return
+	}
+	w.seen = end.Sequence
+	key := runKey{end.Task, end.Run}
+	r := w.runs[key]
+	t := e.task(end.Task)
+	e.log("run ended", "task", end.Task, "run", end.Run, "worker", w.ID, "end", end.End, "known", r != nil)
+	if r != nil {
+		e.finish(now, r, end.End, end.Checkpoint)
+	} else if t != nil {
+		e.settleEnd(now, t, end.Run, end.End)
+	}
+	w.health.observe(now, end.End, end.Task.Job)
+	mark := ackMark{sequence: end.Sequence}
+	if t != nil {
+		mark.job, mark.revision = t.step.job, t.step.job.revision
+	}
+	w.marks = append(w.marks, mark)
+}
+
+// advanceMarks moves the last end that may be confirmed.
+func (w *worker) advanceMarks() {
+	n := 0
+	for n < len(w.marks) && w.marks[n].committed() {
+		w.confirmable = w.marks[n].sequence
+		n++
+	}
+	w.marks = w.marks[n:]
+}
+
+func (m ackMark) committed() bool { return m.job == nil || m.job.committed >= m.revision }
+
+// checkLapse ends all runs on a worker whose lease must have run out.
+func (e *Engine) checkLapse(now time.Time, w *worker) {
+	if len(w.runs) == 0 || w.clock.at.IsZero() || w.clock.atLeast(now) < w.leased {
+		e.checkGhosts(now, w)
+		return
+	}
+	e.log("lease of worker has lapsed", "worker", w.ID, "runs", len(w.runs), "last-seen", now.Sub(w.lastSeen))
+	w.synced = false
+	for _, r := range w.sortedRuns() {
+		if !r.ghost {
+			e.finish(now, r, jobs.EndLapsed, "")
+		}
+	}
+}
+
+// checkGhosts ends orders to an earlier life that are too old to arrive.
+func (e *Engine) checkGhosts(now time.Time, w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.ghost && !w.synced && now.Sub(r.orderedAt) > ghostTime+e.opts.MaxLease {
+			e.finish(now, r, jobs.EndLapsed, "")
+		}
+	}
+}
+
+// repeatStops sends stops again that the worker has not confirmed, or that it
+// has confirmed without ending the run.
+func (e *Engine) repeatStops(now time.Time, w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.phase == stopping && now.Sub(r.stopSentAt) > stopRepeat && (r.stoppedAt.IsZero() || now.Sub(r.stoppedAt) > stopRepeat+e.opts.StopTime) {
+			e.stop(now, r)
+		}
+	}
+}
+
+// stop orders a run to end. It keeps its room until the end is proved.
+func (e *Engine) stop(now time.Time, r *run) {
+	if r.phase != stopping {
+		r.phase, r.since = stopping, now
+	}
+	r.stopSentAt = now
+	e.counters.Stops++
+	e.emit(Stop{Target: r.worker.target(), Task: r.task, Run: r.run, Epoch: e.opts.Epoch})
+}
+
+// Look returns what a look at a worker is to carry: the lease to give, and the
+// last end to confirm. It reports false for workers that need no look.
+func (e *Engine) Look(now time.Time, id string) (LookOrder, bool) {
+	w := e.workers[id]
+	if w == nil || e.superseded {
+		return LookOrder{}, false
+	}
+	order := LookOrder{
+		Target:    w.target(),
+		Epoch:     e.opts.Epoch,
+		Confirmed: w.confirmable,
+		Uncertain: w.seen > w.confirmable,
+	}
+	if !w.clock.at.IsZero() && w.synced {
+		order.Until = e.lease(now, w)
+	}
+	return order, true
+}
+
+// LookOrder is what a look carries.
+type LookOrder struct {
+	Target
+	Epoch int64
+	// Until is the lease for all that runs there, or zero for none.
+	Until time.Duration
+	// Confirmed is the last end that the worker may forget.
+	Confirmed int64
+	// Uncertain says that ends wait for their commit.
+	Uncertain bool
+}
+
+// lease gives a worker the longest lease from now on.
+func (e *Engine) lease(now time.Time, w *worker) time.Duration {
+	until := w.clock.estimate(now) + e.opts.MaxLease
+	w.leased = max(w.leased, until)
+	return until
+}
+
+// Workers returns the IDs of all workers to look at.
+func (e *Engine) Workers() []string {
+	ids := make([]string, 0, len(e.workers))
+	for _, w := range e.sortedWorkers() {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
+
+// WantedRoster returns the workers that this leader may use, if they are not all
+// on record yet. A later leader looks at the workers on record before it starts
+// anything again, so none may be used before.
+func (e *Engine) WantedRoster() ([]string, bool) {
+	missing := false
+	var ids []string
+	for _, w := range e.sortedWorkers() {
+		if !w.listed && len(w.runs) == 0 && !e.former[w.ID] {
+			continue
+		}
+		ids = append(ids, w.ID)
+		missing = missing || !e.roster[w.ID]
+	}
+	for id := range e.former {
+		if e.workers[id] == nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids, missing
+}
+
+// RosterRecorded says that the workers are on record.
+func (e *Engine) RosterRecorded(ids []string) {
+	clear(e.roster)
+	for _, id := range ids {
+		e.roster[id] = true
+	}
+}
--- /dev/null
+++ b/core/jobs/codec.go
@@ -0,0 +1,37 @@
+package jobs
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+var encoding = mustEncoding()
+
+func mustEncoding() cbor.EncMode {
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeUnixMicro
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the stored form of a Job or a Progress.
+func Encode[T Job | Progress](value T) ([]byte, error) {
+	data, err := encoding.Marshal(value)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", value, err)
+	}
+	return data, nil
+}
+
+// Decode reads the stored form of a Job or a Progress.
+func Decode[T Job | Progress](data []byte) (T, error) {
+	var value T
+	if err := cbor.Unmarshal(data, &value); err != nil {
+		return value, fmt.Errorf("decode %T: %w", value, err)
+	}
+	return value, nil
+}
--- a/core/store/breaker.go
+++ b/core/store/breaker.go
@@ -15,7 +15,9 @@
 	// keeps calls back.
 	failuresToOpen = 3
 	firstRetry     = 100 * time.Millisecond
-	longestRetry   = 2 * time.Second
+	// longestRetry bounds how long a client leaves a service alone that is back:
+	// one probe of each client in that time is no load worth saving.
+	longestRetry = 500 * time.Millisecond
 )
 
 // breaker keeps calls away from a service that fails, but for one probe after
--- /dev/null
+++ b/core/store/bundle.go
@@ -0,0 +1,135 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+)
+
+// Atomic is a table service that takes one transaction a call.
+type Atomic interface {
+	// Apply applies the changes whole or not at all and returns the version of
+	// the rows that it wrote. The error is a *ConflictError with the present
+	// rows, or wraps ErrRejected, ErrUnavailable or ErrUnsettled.
+	Apply(ctx context.Context, changes []Change) (int64, error)
+}
+
+// Bundle commits a group of independent transactions through a service that
+// takes one a call. It joins them, at most limit changes a call, and where a
+// condition fails it sends the others again without the transaction that failed.
+// Transactions that share a row never share a call, since each would see the
+// version from before the other.
+func Bundle(ctx context.Context, service Atomic, group []Transaction, limit int) ([]Result, error) {
+	results := make([]Result, len(group))
+	waiting := make([]int, 0, len(group))
+	for i := range group {
+		waiting = append(waiting, i)
+	}
+	for sent := false; len(waiting) > 0; sent = true {
+		call, rest := takeDisjoint(group, waiting, limit)
+		version, err := service.Apply(ctx, joined(group, call))
+		var conflict *ConflictError
+		switch {
+		case err == nil:
+			for _, i := range call {
+				results[i] = Result{Version: version}
+			}
+		case errors.As(err, &conflict):
+			failed, held := splitConflicts(group, call, conflict, results)
+			if !failed {
+				return nil, err
+			}
+			rest = append(held, rest...)
+		case sent && !errors.Is(err, ErrUnsettled):
+			// Earlier calls of the group may have applied.
+			return nil, fmt.Errorf("%w: %s", ErrUnsettled, err)
+		default:
+			return nil, err
+		}
+		waiting = rest
+	}
+	return results, nil
+}
+
+// takeDisjoint returns the transactions that may share the next call, and the rest.
+func takeDisjoint(group []Transaction, waiting []int, limit int) (call, rest []int) {
+	taken := make(map[rowKey]bool)
+	count := 0
+	for _, i := range waiting {
+		full := count+len(group[i]) > limit && len(call) > 0
+		if full || sharesWrite(group[i], taken) {
+			rest = append(rest, i)
+			continue
+		}
+		for _, change := range group[i] {
+			table, key, _ := condition(change)
+			_, check := change.(Check)
+			taken[rowKey{table, key}] = !check
+		}
+		count += len(group[i])
+		call = append(call, i)
+	}
+	return call, rest
+}
+
+// sharesWrite reports whether a row of the transaction is in the call already.
+// Rows that both only check may be shared.
+func sharesWrite(t Transaction, taken map[rowKey]bool) bool {
+	for _, change := range t {
+		table, key, _ := condition(change)
+		written, in := taken[rowKey{table, key}]
+		if _, check := change.(Check); in && (written || !check) {
+			return true
+		}
+	}
+	return false
+}
+
+func joined(group []Transaction, call []int) []Change {
+	var changes []Change
+	checked := make(map[rowKey]bool)
+	for _, i := range call {
+		for _, change := range group[i] {
+			if check, ok := change.(Check); ok {
+				key := rowKey{check.Table, check.Key}
+				if checked[key] {
+					continue
+				}
+				checked[key] = true
+			}
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// splitConflicts gives each transaction whose condition failed its result and
+// returns those that are to be sent again.
+func splitConflicts(group []Transaction, call []int, conflict *ConflictError, results []Result) (failed bool, held []int) {
+	present := make(map[rowKey]Row, len(conflict.Rows))
+	for _, row := range conflict.Rows {
+		present[rowKey{row.Table, row.Key}] = row
+	}
+	for _, i := range call {
+		rows := conflictsOf(group[i], present)
+		if len(rows) == 0 {
+			held = append(held, i)
+			continue
+		}
+		failed = true
+		results[i] = Result{Err: &ConflictError{Rows: rows}}
+	}
+	return failed, held
+}
+
+func conflictsOf(t Transaction, present map[rowKey]Row) []Row {
+	var rows []Row
+	for _, change := range t {
+		table, key, expected := condition(change)
+		row, told := present[rowKey{table, key}]
+		if expected != nil && told && row.Version != *expected {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
--- a/core/store/client.go
+++ b/core/store/client.go
@@ -4,16 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
-
-	"tanagerstack.org/core/api/tables"
 )
 
 // The defaults of Options.
@@ -31,20 +27,20 @@
 const FleetCommitsPerSecond = 250
 
 const (
-	dialTimeout = time.Second
-	idleTimeout = 30 * time.Second
 	queueLength = 4096
 	// paceBurst commit calls may go out without a wait after a quiet time.
 	paceBurst = 4
 	// maxPaceWait bounds the wait of a transaction for its client's turn.
 	maxPaceWait = 200 * time.Millisecond
-	scanPage    = 1000
 )
 
 // Options configure a Client. Zero fields take the defaults.
 type Options struct {
-	// Address is where the table service listens.
+	// Address is where the table service listens. It is not used where Transport
+	// is set.
 	Address netip.AddrPort
+	// Transport carries the calls; nil takes the table service's own protocol.
+	Transport Transport
 	// GroupWindow is how long a transaction may wait for others to share its
 	// commit call; GroupSize is the most transactions of one call.
 	GroupWindow time.Duration
@@ -64,7 +60,7 @@
 type Stats struct {
 	// Commits are calls; Transactions are what they carried.
 	Commits, Transactions atomic.Int64
-	Reads, Scans          atomic.Int64
+	Reads, Scans, Watches atomic.Int64
 	// Failures are calls that the service did not answer as it should;
 	// Rejected are those that the breaker kept back.
 	Failures, Rejected atomic.Int64
@@ -73,8 +69,7 @@
 // Client is the table service over HTTP. It is safe for concurrent use.
 type Client struct {
 	opts     Options
-	remote   tables.Invoker
-	idle     interface{ CloseIdleConnections() }
+	remote   Transport
 	breaker  breaker
 	pace     *rate.Limiter
 	stats    Stats
@@ -88,23 +83,17 @@
 
 // New returns a client and starts its lanes. It does not wait for the service.
 func New(opts Options) (*Client, error) {
-	if !opts.Address.IsValid() {
-		return nil, errors.New("address of the table service is not set")
-	}
 	opts.fill()
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 2 * opts.Lanes,
-		IdleConnTimeout:     idleTimeout,
-	}
-	remote, err := tables.NewClient("http://"+opts.Address.String(), tables.WithClient(&http.Client{Transport: transport}))
-	if err != nil {
-		return nil, fmt.Errorf("client of the table service: %w", err)
+	if opts.Transport == nil {
+		remote, err := dialTables(opts.Address, 2*opts.Lanes)
+		if err != nil {
+			return nil, err
+		}
+		opts.Transport = remote
 	}
 	c := &Client{
 		opts:    opts,
-		remote:  remote,
-		idle:    transport,
+		remote:  opts.Transport,
 		breaker: newBreaker(),
 		pace:    rate.NewLimiter(rate.Inf, paceBurst),
 		pending: make(chan *pending, queueLength),
@@ -139,7 +128,7 @@
 func (c *Client) Close() {
 	c.close.Do(func() { close(c.closing) })
 	c.finished.Wait()
-	c.idle.CloseIdleConnections()
+	c.remote.Close()
 }
 
 // Stats returns the client's counts.
@@ -184,46 +173,71 @@
 // Read returns a row.
 func (c *Client) Read(ctx context.Context, table, key string) (Row, error) {
 	c.stats.Reads.Add(1)
-	request := &tables.ReadRequest{Keys: []tables.RowKey{{Table: table, Key: key}}}
-	var list *tables.RowList
+	var row Row
 	err := c.guard(ctx, c.opts.ReadTimeout, func(ctx context.Context) (err error) {
-		list, err = c.remote.Read(ctx, request)
+		row, err = c.remote.Read(ctx, table, key)
 		return err
 	})
 	if err != nil {
 		return Row{}, fmt.Errorf("reading %s/%s: %w", table, key, unavailable(err))
 	}
-	if len(list.Rows) == 0 {
-		return Row{Table: table, Key: key, Version: Absent}, nil
-	}
-	return rowOf(list.Rows[0]), nil
+	return row, nil
 }
 
 // Scan returns the rows of a table whose key has the prefix, in key order. It
 // reads page by page; the pages are not one snapshot.
 func (c *Client) Scan(ctx context.Context, table, prefix string) ([]Row, error) {
-	var rows []Row
-	params := tables.ScanParams{Table: table, Prefix: tables.NewOptString(prefix), Limit: tables.NewOptInt(scanPage)}
+	rows, _, err := c.Snapshot(ctx, table, prefix)
+	return rows, err
+}
+
+// Snapshot is Scan, and returns a version of the service from before the first
+// page: a watch from there on misses nothing that the rows lack.
+func (c *Client) Snapshot(ctx context.Context, table, prefix string) (rows []Row, version int64, err error) {
+	after, first := "", true
 	for {
 		c.stats.Scans.Add(1)
-		var list *tables.RowList
+		var page Page
 		err := c.guard(ctx, c.opts.ReadTimeout, func(ctx context.Context) (err error) {
-			list, err = c.remote.Scan(ctx, params)
+			page, err = c.remote.Scan(ctx, table, prefix, after)
 			return err
 		})
 		if err != nil {
-			return nil, fmt.Errorf("scanning %s: %w", table, unavailable(err))
+			return nil, 0, fmt.Errorf("scanning %s: %w", table, unavailable(err))
 		}
-		for _, row := range list.Rows {
-			rows = append(rows, rowOf(row))
+		if first {
+			version, first = page.Version, false
 		}
-		if !list.More || len(list.Rows) == 0 {
-			return rows, nil
+		rows = append(rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return rows, version, nil
 		}
-		params.After = tables.NewOptString(list.Rows[len(list.Rows)-1].Key)
+		after = page.Rows[len(page.Rows)-1].Key
 	}
 }
 
+// watchMargin is how long after its wait the answer of a watch may take.
+const watchMargin = 700 * time.Millisecond
+
+// Watch returns what changed in a table. It is not kept back by the breaker: a
+// watch is what notices first that the service is back.
+func (c *Client) Watch(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error) {
+	source, ok := c.remote.(interface {
+		Watch(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error)
+	})
+	if !ok {
+		return Changes{}, fmt.Errorf("watching %s: the service has no feed: %w", table, ErrRejected)
+	}
+	c.stats.Watches.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	changes, err := source.Watch(ctx, table, after, wait)
+	if err != nil {
+		return Changes{}, fmt.Errorf("watching %s: %w", table, err)
+	}
+	return changes, nil
+}
+
 // guard runs one call under the breaker and a timeout.
 func (c *Client) guard(ctx context.Context, timeout time.Duration, call func(context.Context) error) error {
 	if !c.breaker.allow(time.Now()) {
@@ -235,7 +249,7 @@
 	defer cancel()
 	err := call(ctx)
 	switch {
-	case err == nil || refused(err):
+	case err == nil || errors.Is(err, ErrRejected):
 		c.breaker.succeeded()
 	case parent.Err() != nil:
 		// The caller gave up early; that says nothing about the service.
@@ -249,7 +263,3 @@
 
 // unavailable is the error of a call that writes nothing.
 func unavailable(err error) error { return fmt.Errorf("%w: %w", ErrUnavailable, err) }
-
-func rowOf(row tables.Row) Row {
-	return Row{Table: row.Table, Key: row.Key, Version: row.Version, Value: row.Value}
-}
--- a/core/store/lane.go
+++ b/core/store/lane.go
@@ -4,14 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
-
-	"tanagerstack.org/core/api/tables"
 )
 
 // pending is a transaction on its way into a commit call.
@@ -94,97 +90,40 @@
 	stats := &l.client.stats
 	stats.Commits.Add(1)
 	stats.Transactions.Add(int64(len(group)))
-	reply, err := l.client.commit(context.Background(), request(group))
-	if err == nil && len(reply.Results) != len(group) {
-		err = fmt.Errorf("%d results for %d transactions: %w", len(reply.Results), len(group), ErrUnsettled)
+	results, err := l.client.commit(context.Background(), transactions(group))
+	if err == nil && len(results) != len(group) {
+		err = fmt.Errorf("%d results for %d transactions: %w", len(results), len(group), ErrUnsettled)
 	}
 	for i, p := range group {
 		if err != nil {
 			p.done <- result{err: err}
 			continue
 		}
-		p.done <- resultOf(reply.Results[i])
+		p.done <- result{version: results[i].Version, err: results[i].Err}
 	}
 }
 
 // commit makes one call. Its error wraps ErrUnavailable or ErrUnsettled.
-func (c *Client) commit(ctx context.Context, request *tables.CommitRequest) (*tables.CommitReply, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	var reply *tables.CommitReply
+func (c *Client) commit(ctx context.Context, group []Transaction) ([]Result, error) {
+	var results []Result
 	err := c.guard(ctx, c.opts.CommitTimeout, func(ctx context.Context) (err error) {
-		reply, err = c.remote.Commit(ctx, request)
+		results, err = c.remote.Commit(ctx, group)
 		return err
 	})
 	switch {
 	case err == nil:
-		return reply, nil
-	case !connected.Load() || untouched(err):
+		return results, nil
+	case errors.Is(err, errBreakerOpen), errors.Is(err, ErrRejected):
 		return nil, unavailable(err)
 	default:
-		return nil, fmt.Errorf("%w: %w", ErrUnsettled, err)
-	}
-}
-
-// refused reports whether the service itself says that it did nothing because
-// of the request.
-func refused(err error) bool {
-	var problem *tables.ProblemStatusCode
-	if !errors.As(err, &problem) || problem.StatusCode == http.StatusRequestTimeout {
-		return false
+		return nil, err
 	}
-	return problem.StatusCode >= http.StatusBadRequest && problem.StatusCode < http.StatusInternalServerError
 }
 
-// untouched reports whether the service itself says that it applied nothing.
-func untouched(err error) bool {
-	var problem *tables.ProblemStatusCode
-	if !errors.As(err, &problem) {
-		return false
-	}
-	outcome, told := problem.Response.Outcome.Get()
-	return refused(err) || told && outcome == tables.ProblemOutcomeRefused
-}
-
-func request(group []*pending) *tables.CommitRequest {
-	transactions := make([]tables.Transaction, 0, len(group))
+func transactions(group []*pending) []Transaction {
+	list := make([]Transaction, 0, len(group))
 	for _, p := range group {
-		operations := make([]tables.Operation, 0, len(p.changes))
-		for _, change := range p.changes {
-			operations = append(operations, operation(change))
-		}
-		transactions = append(transactions, tables.Transaction{Operations: operations})
-	}
-	return &tables.CommitRequest{Transactions: transactions}
-}
-
-func operation(change Change) tables.Operation {
-	table, key, expected := condition(change)
-	o := tables.Operation{Table: table, Key: key}
-	if expected != nil {
-		o.ExpectedVersion = tables.NewOptInt64(*expected)
-	}
-	switch c := change.(type) {
-	case Put:
-		o.Kind = tables.OperationKindPut
-		o.Value = c.Value
-	case Delete:
-		o.Kind = tables.OperationKindDelete
-	case Check:
-		o.Kind = tables.OperationKindCheck
-	}
-	return o
-}
-
-func resultOf(r tables.TransactionResult) result {
-	if r.Applied {
-		return result{version: r.Version}
-	}
-	conflict := &ConflictError{Rows: make([]Row, 0, len(r.Conflicts))}
-	for _, row := range r.Conflicts {
-		conflict.Rows = append(conflict.Rows, rowOf(row))
+		list = append(list, p.changes)
 	}
-	return result{err: conflict}
+	return list
 }
--- /dev/null
+++ b/core/store/watch.go
@@ -0,0 +1,84 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+const (
+	// DefaultWatchWait is how long one call of a Watcher may wait for a change.
+	// It bounds how long a connection that has gone silent stays unnoticed.
+	DefaultWatchWait = time.Second
+	firstWatchRetry  = 50 * time.Millisecond
+	lastWatchRetry   = 400 * time.Millisecond
+)
+
+// Watcher follows a table: it takes a snapshot, then reads what changed. Where
+// the service has dropped its history it takes a new snapshot.
+type Watcher struct {
+	Feed  Feed
+	Table string
+	// Wait bounds a call; DefaultWatchWait if zero.
+	Wait time.Duration
+	// Pause is the least time between two calls, so that changes share them.
+	Pause time.Duration
+	// OnSnapshot is given all rows of the table: what it lacks is gone.
+	OnSnapshot func(rows []Row)
+	// OnChanges is given changes in their order, and none where a call ended
+	// without any.
+	OnChanges func(changes []RowChange)
+	// OnError is told each failed call; it may be nil.
+	OnError func(err error)
+}
+
+// Run follows the table until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval = firstWatchRetry
+	waits.MaxInterval = lastWatchRetry
+	version := int64(-1)
+	for ctx.Err() == nil {
+		next, err := w.step(ctx, version)
+		if err == nil {
+			waits.Reset()
+			version = next
+			if w.Pause > 0 {
+				pause(ctx, w.Pause)
+			}
+			continue
+		}
+		if errors.Is(err, ErrHistoryGone) {
+			version = -1
+			continue
+		}
+		if w.OnError != nil && ctx.Err() == nil {
+			w.OnError(err)
+		}
+		pause(ctx, waits.NextBackOff())
+	}
+}
+
+// step makes one call; a version below zero asks for a snapshot.
+func (w *Watcher) step(ctx context.Context, version int64) (int64, error) {
+	if version < 0 {
+		rows, next, err := w.Feed.Snapshot(ctx, w.Table, "")
+		if err != nil {
+			return 0, err
+		}
+		w.OnSnapshot(rows)
+		return next, nil
+	}
+	wait := w.Wait
+	if wait <= 0 {
+		wait = DefaultWatchWait
+	}
+	changes, err := w.Feed.Watch(ctx, w.Table, version, wait)
+	if err != nil {
+		return 0, err
+	}
+	w.OnChanges(changes.Rows)
+	return changes.Next, nil
+}
