--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -15,6 +15,8 @@
 	// schedulePause is the least time between two passes of the engine, so that
 	// events that come together share one.
 	schedulePause = 4 * time.Millisecond
+	// scheduleShare keeps the passes under a fifth of the time.
+	scheduleShare = 4
 	// tickEvery is how often the engine is told that time passes.
 	tickEvery = 50 * time.Millisecond
 	// feedPause lets the jobs of several callers share a call of the feed.
@@ -123,6 +125,7 @@
 			continue
 		}
 		list[jobs.ID(row.Key)] = p
+		l.records.versions[jobs.ID(row.Key)] = row.Version
 	}
 	return list
 }
@@ -256,11 +259,13 @@
 			return
 		case <-l.kick:
 		}
+		began := time.Now()
 		l.mu.Lock()
-		commands := l.engine.Schedule(time.Now())
+		commands := l.engine.Schedule(began)
 		l.mu.Unlock()
+		took := time.Since(began)
 		l.carryOut(commands)
-		sleep(ctx, schedulePause)
+		sleep(ctx, max(schedulePause, scheduleShare*took))
 	}
 }
 
--- a/core/cell/record.go
+++ b/core/cell/record.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,9 +14,9 @@
 )
 
 const (
-	// recordBatch is how many rows one commit writes: the platform takes 100
-	// entries a call, one of them the check of the epoch.
-	recordBatch = 90
+	// recordBatch is how many jobs one commit writes. Each has up to three entries
+	// in a call, of which the platform takes 100, and one is the check of the epoch.
+	recordBatch = 32
 	// recordRetry is the wait after a commit that failed.
 	recordRetry = 50 * time.Millisecond
 )
@@ -28,7 +29,11 @@
 	mu      sync.Mutex
 	waiting map[jobs.ID]engine.Record
 	order   []jobs.ID
-	kick    chan struct{}
+	// versions are those of the progress rows as this leader last saw them. Each
+	// write depends on them: one whose answer was lost may be executed late, and
+	// must not undo a later one.
+	versions map[jobs.ID]int64
+	kick     chan struct{}
 	// committed is closed and replaced after each commit.
 	committed chan struct{}
 }
@@ -37,6 +42,7 @@
 	return &recorder{
 		leader:    l,
 		waiting:   make(map[jobs.ID]engine.Record),
+		versions:  make(map[jobs.ID]int64),
 		kick:      make(chan struct{}, 1),
 		committed: make(chan struct{}),
 	}
@@ -111,16 +117,19 @@
 	}
 	for ctx.Err() == nil {
 		began := time.Now()
-		_, err := r.leader.node.opts.Store.Commit(ctx, changes...)
+		version, err := r.leader.node.opts.Store.Commit(ctx, changes...)
 		var conflict *store.ConflictError
-		switch {
-		case err == nil:
+		if errors.As(err, &conflict) {
+			version, err = landed(changes, conflict)
+			if err != nil {
+				r.leader.node.elector.abandon(r.leader.epoch, err.Error())
+				return false
+			}
+		}
+		if err == nil {
 			r.leader.node.metrics.Record.observe(time.Since(began))
-			r.done(batch)
+			r.done(batch, version)
 			return true
-		case errors.As(err, &conflict):
-			r.leader.node.elector.abandon(r.leader.epoch, "the epoch on record is a later one")
-			return false
 		}
 		r.leader.node.opts.Logger.Warn("progress not recorded", "jobs", len(batch), "error", err)
 		sleep(ctx, recordRetry)
@@ -128,22 +137,52 @@
 	return false
 }
 
+// landed returns the version that an earlier attempt at the same changes has
+// written. It returns an error if another leader wrote since.
+func landed(changes []store.Change, conflict *store.ConflictError) (int64, error) {
+	written := make(map[string][]byte, len(changes))
+	for _, change := range changes {
+		if put, ok := change.(store.Put); ok && put.Table == progressTable {
+			written[put.Key] = put.Value
+		}
+	}
+	version := int64(store.Absent)
+	for _, row := range conflict.Rows {
+		value, ours := written[row.Key]
+		if row.Table != progressTable || !ours || !bytes.Equal(row.Value, value) {
+			return 0, fmt.Errorf("row %s/%s was written by another leader", row.Table, row.Key)
+		}
+		version = max(version, row.Version)
+	}
+	return version, nil
+}
+
 func (r *recorder) changes(batch []engine.Record) ([]store.Change, error) {
 	changes := []store.Change{store.Check{Table: leaderTable, Key: epochKey, Expected: r.leader.version}}
 	for _, record := range batch {
+		id := record.Mark.Job
 		data, err := jobs.Encode(record.Progress)
 		if err != nil {
-			return nil, fmt.Errorf("progress of %s: %w", record.Mark.Job, err)
+			return nil, fmt.Errorf("progress of %s: %w", id, err)
+		}
+		changes = append(changes, store.Put{Table: progressTable, Key: string(id), Value: data, Expected: store.Expect(r.versions[id])})
+		if record.Closed == nil {
+			continue
+		}
+		data, err = jobs.Encode(*record.Closed)
+		if err != nil {
+			return nil, fmt.Errorf("closed job %s: %w", id, err)
 		}
-		changes = append(changes, store.Put{Table: progressTable, Key: string(record.Mark.Job), Value: data})
+		changes = append(changes, store.Put{Table: jobsTable, Key: string(id), Value: data})
 	}
 	return changes, nil
 }
 
-func (r *recorder) done(batch []engine.Record) {
+func (r *recorder) done(batch []engine.Record, version int64) {
 	marks := make([]engine.RecordMark, 0, len(batch))
 	for _, record := range batch {
 		marks = append(marks, record.Mark)
+		r.versions[record.Mark.Job] = version
 	}
 	r.leader.apply(engine.Recorded{Records: marks})
 	r.mu.Lock()
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -186,9 +186,13 @@
 
 // storedStatus reads what is stored of a job.
 func (n *Node) storedStatus(ctx context.Context, id jobs.ID) (jobs.State, error) {
-	if _, err := n.readJob(ctx, id); err != nil {
+	job, err := n.readJob(ctx, id)
+	if err != nil {
 		return 0, err
 	}
+	if job.Closed.Final() {
+		return job.Closed, nil
+	}
 	row, err := n.opts.Store.Read(ctx, progressTable, string(id))
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -41,6 +41,8 @@
 	// good and bad are the workers that may and may not run the step for good.
 	good, bad map[string]bool
 	tickets   map[string]heldTicket
+	// lastTicket is when the last ticket lapses.
+	lastTicket time.Time
 	// asking is set while a question is out.
 	asking   bool
 	askedAt  time.Time
@@ -58,6 +60,11 @@
 	return ok && now.Add(ticketMargin).Before(ticket.until)
 }
 
+// anyTicket reports whether there is a ticket that allows something.
+func (a *stepAdvice) anyTicket(now time.Time) bool {
+	return now.Add(ticketMargin).Before(a.lastTicket)
+}
+
 // helper is a VM that asks the adviser.
 type helper struct {
 	name string
@@ -81,6 +88,10 @@
 
 func (e *Engine) helpersChanged(now time.Time, names []string) {
 	slices.Sort(names)
+	if slices.EqualFunc(e.helpers, names, func(h *helper, name string) bool { return h.name == name }) {
+		return
+	}
+	e.log("helpers changed", "helpers", len(names))
 	known := make(map[string]*helper, len(e.helpers))
 	for _, h := range e.helpers {
 		known[h.name] = h
@@ -104,24 +115,22 @@
 	}
 }
 
-// requestAdvice asks for workers that may run the step's waiting tasks.
-func (e *Engine) requestAdvice(now time.Time, s *step, missing int) {
+// requestAdvice asks for workers that may run the step's waiting tasks. It
+// reports false if no VM is free to ask for the step's queue.
+func (e *Engine) requestAdvice(now time.Time, s *step, missing int) bool {
 	a := &s.advice
-	if s.job.Queue.Advice == nil || now.Before(a.askAfter) {
-		return
+	if now.Before(a.askAfter) || a.asking && now.Sub(a.askedAt) < questionTimeout {
+		return true
 	}
-	if a.asking && now.Sub(a.askedAt) < questionTimeout {
-		return
+	h := e.helperFor(now, s.job.Queue)
+	if h == nil {
+		return false
 	}
 	workers := e.workersToAsk(now, s, missing)
 	if len(workers) == 0 {
-		return
+		return true
 	}
 	cost := s.job.Queue.Advice.Decide + time.Duration(len(workers))*s.job.Queue.Advice.Each
-	h := e.helperFor(now, s.job.Queue)
-	if h == nil {
-		return
-	}
 	h.questions++
 	if h.freeAt.Before(now) {
 		h.freeAt = now
@@ -131,6 +140,7 @@
 	e.counters.Asks++
 	e.log("advice asked", "step", s.id, "helper", h.name, "workers", len(workers), "missing", missing, "known-good", len(a.good), "cost", cost)
 	e.emit(Ask{Step: s.id, Helper: h.name, Workers: workers, Cost: cost})
+	return true
 }
 
 // workersToAsk returns the workers to name in a question: known good ones with
@@ -138,7 +148,7 @@
 func (e *Engine) workersToAsk(now time.Time, s *step, missing int) []string {
 	a := &s.advice
 	var good, fresh []candidate
-	for _, w := range e.workers {
+	for _, w := range e.order {
 		if !e.suits(now, s, w) || a.bad[w.ID] || a.allows(now, w.ID) {
 			continue
 		}
@@ -288,7 +298,8 @@
 	goodBefore := len(a.good)
 	for _, ticket := range ev.Tickets {
 		a.good[ticket.Worker] = true
-		a.tickets[ticket.Worker] = heldTicket{value: ticket.Value, until: now.Add(ev.Valid)}
+		a.lastTicket = now.Add(ev.Valid)
+		a.tickets[ticket.Worker] = heldTicket{value: ticket.Value, until: a.lastTicket}
 	}
 	for _, id := range ev.Asked {
 		if !a.good[id] {
--- a/core/engine/command.go
+++ b/core/engine/command.go
@@ -47,10 +47,12 @@
 	Cost time.Duration
 }
 
-// Record asks to commit a job's progress.
+// Record asks to commit a job's progress. For a final job, Closed is to replace
+// the stored job: nobody needs its steps anymore.
 type Record struct {
 	Mark     RecordMark
 	Progress jobs.Progress
+	Closed   *jobs.Job
 }
 
 func (Start) command()  {}
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -34,7 +34,9 @@
 	opts    Options
 	config  *jobs.Config
 	workers map[string]*worker
-	jobs    map[jobs.ID]*job
+	// order has the workers by ID.
+	order []*worker
+	jobs  map[jobs.ID]*job
 	// active are the jobs that are not final, in the order of their arrival.
 	active  []*job
 	former  map[string]bool
@@ -159,7 +161,7 @@
 
 // tick notices what only time brings: lapsed leases and stops to repeat.
 func (e *Engine) tick(now time.Time) {
-	for _, w := range e.sortedWorkers() {
+	for _, w := range e.order {
 		e.checkLapse(now, w)
 		e.repeatStops(now, w)
 	}
@@ -171,12 +173,3 @@
 
 // settled reports whether no unknown run of an earlier leader can be left.
 func (e *Engine) settled() bool { return len(e.former) == 0 }
-
-func (e *Engine) sortedWorkers() []*worker {
-	list := make([]*worker, 0, len(e.workers))
-	for _, w := range e.workers {
-		list = append(list, w)
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list
-}
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -108,6 +108,10 @@
 	j.deadline = ev.Job.Arrived.Add(objective)
 	j.hopeless = ev.Job.Arrived.Add(lateFactor * objective)
 	e.jobs[ev.Job.ID] = j
+	if ev.Job.Closed.Final() {
+		j.state = ev.Job.Closed
+		return
+	}
 	j.build()
 	j.restore(ev.Progress)
 	e.log("job taken in", "job", ev.Job.ID, "queue", ev.Job.Queue.Name, "steps", len(ev.Job.Steps),
@@ -337,6 +341,11 @@
 	}
 }
 
+// closed returns what is kept of a job that is final.
+func (j *job) closed() jobs.Job {
+	return jobs.Job{ID: j.ID, Queue: jobs.Queue{Name: j.Queue.Name}, Arrived: j.Arrived, Closed: j.state}
+}
+
 // record returns the command that stores the job's progress.
 func (j *job) record() Record {
 	p := jobs.Progress{State: j.state, Begun: j.begun}
@@ -349,7 +358,12 @@
 			}
 		}
 	}
-	return Record{Mark: RecordMark{Job: j.ID, Revision: j.revision}, Progress: p}
+	record := Record{Mark: RecordMark{Job: j.ID, Revision: j.revision}, Progress: p}
+	if j.final() {
+		closed := j.closed()
+		record.Closed = &closed
+	}
+	return record
 }
 
 func (s *step) progress() (jobs.StepProgress, bool) {
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -12,7 +12,7 @@
 // schedule makes one pass over all steps that have tasks to start.
 func (e *Engine) schedule(now time.Time) {
 	e.releaseHelpers(now)
-	held := make(map[string]bool)
+	lanes := make(map[string]bool)
 	for _, s := range e.readySteps(now) {
 		tasks := s.waiting()
 		if len(tasks) == 0 {
@@ -21,9 +21,13 @@
 		if s.Gang && len(tasks) < s.left {
 			continue // members of the last run are not all gone yet
 		}
-		placed := e.place(now, s, tasks, held)
-		if placed < len(tasks) {
-			e.requestAdvice(now, s, len(tasks)-placed)
+		placed := e.place(now, s, tasks)
+		if placed == len(tasks) || s.job.Queue.Advice == nil {
+			continue
+		}
+		queue := s.job.Queue.Name
+		if full, known := lanes[queue]; !known || !full {
+			lanes[queue] = !e.requestAdvice(now, s, len(tasks)-placed)
 		}
 	}
 }
@@ -39,12 +43,15 @@
 // candidates returns the workers that may take tasks of the step now, those that
 // suit it best first.
 func (e *Engine) candidates(now time.Time, s *step, limit int) []candidate {
+	if s.job.Queue.Advice != nil && !s.advice.anyTicket(now) {
+		return nil
+	}
 	var list []candidate
-	for _, w := range e.workers {
-		if !e.suits(now, s, w) || !e.roster[w.ID] {
+	for _, w := range e.order {
+		if s.job.Queue.Advice != nil && !s.advice.allows(now, w.ID) {
 			continue
 		}
-		if s.job.Queue.Advice != nil && !s.advice.allows(now, w.ID) {
+		if !e.suits(now, s, w) || !e.roster[w.ID] {
 			continue
 		}
 		fits := s.fits(w, limit)
@@ -92,7 +99,7 @@
 }
 
 // place starts what it can of the tasks and returns how many it started.
-func (e *Engine) place(now time.Time, s *step, tasks []*task, _ map[string]bool) int {
+func (e *Engine) place(now time.Time, s *step, tasks []*task) int {
 	list := e.candidates(now, s, len(tasks))
 	if s.SameRack {
 		list = oneRack(list, len(tasks))
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"tanagerstack.org/core/jobs"
@@ -50,6 +51,8 @@
 	runKey
 	worker *worker
 	each   roster.Resources
+	// unsized says that each is not known.
+	unsized bool
 	// owner is nil for runs of tasks that this engine does not know.
 	owner *task
 	phase phase
@@ -94,6 +97,8 @@
 	confirmable int64
 	marks       []ackMark
 	health      health
+	// unsized counts runs of which it is not known what they take.
+	unsized int
 }
 
 func (w *worker) target() Target { return Target{Worker: w.ID, Address: w.Address} }
@@ -102,7 +107,7 @@
 
 // usable reports whether new work may go to the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.synced && w.listed && !w.Leaving && now.Sub(w.lastSeen) < freshFor
+	return w.synced && w.listed && !w.Leaving && w.unsized == 0 && now.Sub(w.lastSeen) < freshFor
 }
 
 func (w *worker) hasLabel(label string) bool {
@@ -112,6 +117,9 @@
 func (w *worker) add(r *run) {
 	w.runs[r.runKey] = r
 	w.used = ledger.Sum(w.used, r.each)
+	if r.unsized {
+		w.unsized++
+	}
 }
 
 func (w *worker) remove(r *run) {
@@ -120,6 +128,9 @@
 	}
 	delete(w.runs, r.runKey)
 	w.used = ledger.Difference(w.used, r.each)
+	if r.unsized {
+		w.unsized--
+	}
 }
 
 // sortedRuns returns the runs in a fixed order.
@@ -138,7 +149,7 @@
 		listed[w.ID] = true
 		e.workerListed(now, w)
 	}
-	for _, w := range e.sortedWorkers() {
+	for _, w := range slices.Clone(e.order) {
 		if !listed[w.ID] {
 			e.workerUnlisted(now, w.ID)
 		}
@@ -150,6 +161,8 @@
 	if !known {
 		w = &worker{Worker: entry, listed: true, runs: make(map[runKey]*run)}
 		e.workers[entry.ID] = w
+		e.order = append(e.order, w)
+		slices.SortFunc(e.order, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
 		e.log("worker listed", "worker", entry.ID, "address", entry.Address, "rack", entry.Rack, "leaving", entry.Leaving)
 		return
 	}
@@ -244,6 +257,7 @@
 	}
 	if now.Sub(w.unlistedAt) > forgetAfter {
 		delete(e.workers, ev.Worker)
+		e.order = slices.DeleteFunc(e.order, func(other *worker) bool { return other == w })
 		e.log("worker forgotten", "worker", ev.Worker)
 	}
 }
@@ -281,6 +295,7 @@
 	if t != nil {
 		r.each = t.step.room()
 	}
+	r.unsized = t == nil
 	w.add(r)
 	if t == nil || t.done || t.step.job.final() || t.run != nil {
 		e.log("run is not wanted", "task", row.Task, "run", row.Run, "worker", w.ID, "known", t != nil)
@@ -434,7 +449,7 @@
 // Workers returns the IDs of all workers to look at.
 func (e *Engine) Workers() []string {
 	ids := make([]string, 0, len(e.workers))
-	for _, w := range e.sortedWorkers() {
+	for _, w := range e.order {
 		ids = append(ids, w.ID)
 	}
 	return ids
@@ -446,7 +461,7 @@
 func (e *Engine) WantedRoster() ([]string, bool) {
 	missing := false
 	var ids []string
-	for _, w := range e.sortedWorkers() {
+	for _, w := range e.order {
 		if !w.listed && len(w.runs) == 0 && !e.former[w.ID] {
 			continue
 		}
--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -25,6 +25,8 @@
 	// Refused marks the row of a job that was refused: no attempt from before
 	// the row can be accepted anymore.
 	Refused bool `cbor:"8,keyasint,omitempty"`
+	// Closed is the final state of a job of which only that is kept.
+	Closed State `cbor:"9,keyasint,omitempty"`
 }
 
 // Repeat says when the occurrences of a recurring job are due.
--- a/core/store/client.go
+++ b/core/store/client.go
@@ -21,6 +21,9 @@
 	DefaultReadTimeout   = time.Second
 )
 
+// scanTimeout bounds a page of a scan, which has up to a megabyte.
+const scanTimeout = 4 * time.Second
+
 // FleetCommitsPerSecond is how many commit calls all clients of a fleet together
 // may make on the long run: the platform takes several hundred writes a second
 // from everybody.
@@ -198,7 +201,7 @@
 	for {
 		c.stats.Scans.Add(1)
 		var page Page
-		err := c.guard(ctx, c.opts.ReadTimeout, func(ctx context.Context) (err error) {
+		err := c.guard(ctx, scanTimeout, func(ctx context.Context) (err error) {
 			page, err = c.remote.Scan(ctx, table, prefix, after)
 			return err
 		})
