--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -421,7 +421,10 @@
 		Confirmed: w.confirmable,
 		Uncertain: w.seen > w.confirmable,
 	}
-	if !w.clock.at.IsZero() && w.synced {
+	// A look that is not answered may still be executed. A worker that has not
+	// answered for a while gets no further lease, or its runs would never be
+	// known to have ended.
+	if w.synced && now.Sub(w.lastSeen) < freshFor {
 		order.Until = e.lease(now, w)
 	}
 	return order, true
