--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -63,6 +63,8 @@
 	// renewNow asks for a renewal before its time.
 	renewNow chan struct{}
 	renewAt  time.Time
+	// vacant says that the holder's process was proved to be gone.
+	vacant bool
 	// session ends the leadership.
 	session context.CancelFunc
 	ended   sync.WaitGroup
@@ -162,6 +164,8 @@
 	}
 	e.row, e.version, e.known = row, version, true
 	e.changedAt = time.Now()
+	// An earlier process of this VM cannot lead anymore.
+	e.vacant = row.Holder == e.node.opts.Name && row.Instance != e.node.instance
 	if e.session != nil && row.Instance != e.node.instance {
 		e.endSession("another leader is on record")
 	}
@@ -186,6 +190,17 @@
 	}
 }
 
+// holderGone notes that the process of an instance does not exist anymore.
+func (e *elector) holderGone(instance, why string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.row.Instance != instance || e.vacant || e.session != nil {
+		return
+	}
+	e.vacant = true
+	e.node.opts.Logger.Info("leader is gone", "epoch", e.row.Epoch, "holder", e.row.Holder, "why", why)
+}
+
 // current returns the row as it was last seen.
 func (e *elector) current() leaderRow {
 	e.mu.Lock()
@@ -200,7 +215,7 @@
 	if !e.known || e.session != nil || e.contactSince.IsZero() || e.node.stopping.Load() {
 		return false
 	}
-	if e.version == store.Absent || e.row.Released {
+	if e.version == store.Absent || e.row.Released || e.vacant {
 		return true
 	}
 	idle := e.changedAt
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -86,7 +86,7 @@
 	if !l.load(ctx) {
 		return
 	}
-	loops := []func(context.Context){l.runWorkers, l.runJobs, l.records.run, l.runTicks}
+	loops := []func(context.Context){l.runWorkers, l.runJobs, l.records.run, l.records.runClose, l.runTicks}
 	for _, loop := range loops {
 		l.finished.Add(1)
 		go l.node.runLoop(ctx, &l.finished, loop)
@@ -103,7 +103,7 @@
 		progress, err := l.node.opts.Store.Scan(ctx, progressTable, "")
 		if err == nil {
 			var rows []store.Row
-			rows, err = l.node.opts.Store.Scan(ctx, jobsTable, "")
+			rows, err = l.node.opts.Store.Scan(ctx, JobsTable, "")
 			if err == nil {
 				l.takeIn(rows, l.decodeProgress(progress))
 				l.node.opts.Logger.Info("jobs read", "epoch", l.epoch, "rows", len(rows), "progress", len(progress), "took", time.Since(began))
@@ -154,11 +154,11 @@
 func (l *leader) runJobs(ctx context.Context) {
 	watcher := &store.Watcher{
 		Feed:       l.node.opts.Store,
-		Table:      jobsTable,
+		Table:      JobsTable,
 		Pause:      feedPause,
 		OnSnapshot: func(rows []store.Row) { l.takeIn(rows, nil) },
 		OnChanges:  func(changes []store.RowChange) { l.takeIn(written(changes), nil) },
-		OnError:    l.node.watchFailed(jobsTable),
+		OnError:    l.node.watchFailed(JobsTable),
 	}
 	watcher.Run(ctx)
 }
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -13,9 +13,12 @@
 	"tanagerstack.org/core/store"
 )
 
-// The tables of a cell.
+// JobsTable is the table of jobs. It has a row or two for each job, written by
+// all VMs; the other tables are written by the leader.
+const JobsTable = "jobs"
+
+// The other tables of a cell, and their keys.
 const (
-	jobsTable     = "jobs"
 	progressTable = "progress"
 	leaderTable   = "leader"
 	leaderKey     = "cell"
@@ -70,15 +73,14 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	defer server.close()
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){server.run, n.runConfig, n.elector.run, n.runHello} {
 		loops.Add(1)
 		go n.runLoop(ctx, &loops, loop)
 	}
 	<-ctx.Done()
-	n.stopping.Store(true)
-	n.elector.release()
+	n.HandOver()
+	server.close()
 	loops.Wait()
 	return nil
 }
@@ -88,6 +90,13 @@
 	loop(ctx)
 }
 
+// HandOver gives the leadership up, if this VM has it, and takes it no more. The
+// node goes on serving callers.
+func (n *Node) HandOver() {
+	n.stopping.Store(true)
+	n.elector.release()
+}
+
 // Config returns the configuration in force, or nil before the first.
 func (n *Node) Config() *jobs.Config { return n.config.Load() }
 
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -53,6 +55,8 @@
 	Leading bool           `cbor:"1,keyasint"`
 	Epoch   int64          `cbor:"2,keyasint"`
 	Pending map[string]int `cbor:"3,keyasint"`
+	// Instance identifies the process that answers.
+	Instance string `cbor:"4,keyasint"`
 }
 
 type statusQuestion struct {
@@ -176,11 +180,11 @@
 func (s *peerServer) hello(_ context.Context, h hello) helloReply {
 	l := s.node.leader()
 	if l == nil {
-		return helloReply{Epoch: s.node.elector.current().Epoch}
+		return helloReply{Epoch: s.node.elector.current().Epoch, Instance: s.node.instance}
 	}
 	if h.Epoch > l.epoch {
 		s.node.elector.abandon(l.epoch, "a peer knows a later leader")
-		return helloReply{}
+		return helloReply{Instance: s.node.instance}
 	}
 	return l.greet(h)
 }
@@ -209,7 +213,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.helpers[h.Name] = &helperVM{hello: h, seenAt: time.Now()}
-	return helloReply{Leading: true, Epoch: l.epoch, Pending: l.engine.Pending()}
+	return helloReply{Leading: true, Epoch: l.epoch, Pending: l.engine.Pending(), Instance: l.node.instance}
 }
 
 func (l *leader) status(id jobs.ID) engine.Status {
@@ -276,6 +280,12 @@
 		callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
 		reply, err := exchange[hello, helloReply](callCtx, n.peers, row.Address, pathHello, hello{Name: n.opts.Name, Address: n.opts.Peers, Epoch: row.Epoch})
 		cancel()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			n.elector.holderGone(row.Instance, "no process listens at its address")
+		}
+		if err == nil && reply.Instance != row.Instance {
+			n.elector.holderGone(row.Instance, "another process answers at its address")
+		}
 		if err != nil {
 			n.opts.Logger.Warn("leader not reached", "leader", row.Holder, "epoch", row.Epoch, "error", err)
 			continue
--- a/core/cell/record.go
+++ b/core/cell/record.go
@@ -14,9 +14,13 @@
 )
 
 const (
-	// recordBatch is how many jobs one commit writes. Each has up to three entries
-	// in a call, of which the platform takes 100, and one is the check of the epoch.
-	recordBatch = 32
+	// recordBatch is how many jobs one commit writes. Each has two entries in a
+	// call, of which the platform takes 100, and one is the check of the epoch.
+	recordBatch = 48
+	// closeBatch is how many rows of final jobs are shrunk in one commit, and
+	// closeEvery the time between such commits.
+	closeBatch = 80
+	closeEvery = 500 * time.Millisecond
 	// recordRetry is the wait after a commit that failed.
 	recordRetry = 50 * time.Millisecond
 )
@@ -33,7 +37,9 @@
 	// write depends on them: one whose answer was lost may be executed late, and
 	// must not undo a later one.
 	versions map[jobs.ID]int64
-	kick     chan struct{}
+	// closing are jobs whose final state is stored.
+	closing []jobs.Job
+	kick    chan struct{}
 	// committed is closed and replaced after each commit.
 	committed chan struct{}
 }
@@ -166,16 +172,39 @@
 			return nil, fmt.Errorf("progress of %s: %w", id, err)
 		}
 		changes = append(changes, store.Put{Table: progressTable, Key: string(id), Value: data, Expected: store.Expect(r.versions[id])})
-		if record.Closed == nil {
+	}
+	return changes, nil
+}
+
+// runClose shrinks the rows of jobs whose final state is stored, so that the next
+// leader has less to read. A row that is missed costs only that.
+func (r *recorder) runClose(ctx context.Context) {
+	for sleep(ctx, closeEvery) {
+		r.mu.Lock()
+		n := min(len(r.closing), closeBatch)
+		batch := r.closing[:n]
+		r.closing = r.closing[n:]
+		r.mu.Unlock()
+		if len(batch) == 0 {
 			continue
 		}
-		data, err = jobs.Encode(*record.Closed)
+		if err := r.shrink(ctx, batch); err != nil {
+			r.leader.node.opts.Logger.Warn("rows of final jobs not shrunk", "jobs", len(batch), "error", err)
+		}
+	}
+}
+
+func (r *recorder) shrink(ctx context.Context, batch []jobs.Job) error {
+	changes := make([]store.Change, 0, len(batch))
+	for _, job := range batch {
+		data, err := jobs.Encode(job)
 		if err != nil {
-			return nil, fmt.Errorf("closed job %s: %w", id, err)
+			return fmt.Errorf("closed job %s: %w", job.ID, err)
 		}
-		changes = append(changes, store.Put{Table: jobsTable, Key: string(id), Value: data})
+		changes = append(changes, store.Put{Table: JobsTable, Key: string(job.ID), Value: data})
 	}
-	return changes, nil
+	_, err := r.leader.node.opts.Store.Commit(ctx, changes...)
+	return err
 }
 
 func (r *recorder) done(batch []engine.Record, version int64) {
@@ -186,6 +215,11 @@
 	}
 	r.leader.apply(engine.Recorded{Records: marks})
 	r.mu.Lock()
+	for _, record := range batch {
+		if record.Closed != nil {
+			r.closing = append(r.closing, *record.Closed)
+		}
+	}
 	close(r.committed)
 	r.committed = make(chan struct{})
 	r.mu.Unlock()
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -41,11 +41,23 @@
 	// whose answer was lost.
 	settleRetry     = 20 * time.Millisecond
 	lastSettleRetry = 300 * time.Millisecond
-	// outageRetryAfter is when a caller may return after the store was away: the
-	// breaker tries the store twice in that time.
-	outageRetryAfter = time.Second
+	// unsettledFor is how long a write without an answer is tried again before the
+	// caller is let go: another VM may reach the store.
+	unsettledFor = 1500 * time.Millisecond
+	// firstReturn and lastReturn bound when a caller may return after the store
+	// was away: outages last seconds, and callers return four times at most.
+	firstReturn = time.Second
+	lastReturn  = 3 * time.Second
+	// returnShare is the part of a job's objective after which its caller may
+	// return: work that has long to go can wait out an outage.
+	returnShare = 0.2
 )
 
+// returnAfter is when a caller of a job may return while the store is away.
+func returnAfter(job jobs.Job) time.Duration {
+	return min(max(time.Duration(returnShare*float64(job.Objective())), firstReturn), lastReturn)
+}
+
 // Submit stores a job. It returns nil once the job is accepted, also if an
 // earlier attempt was. The error wraps ErrRefused, or ErrUncertain if the job may
 // still come to be accepted.
@@ -55,7 +67,11 @@
 		return &RefusedError{Reason: err.Error()}
 	}
 	began := time.Now()
-	err = n.insert(ctx, store.Row{Table: jobsTable, Key: string(job.ID), Version: store.Absent}, data)
+	err = n.insert(ctx, store.Row{Table: JobsTable, Key: string(job.ID), Version: store.Absent}, data)
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		refused.RetryAfter = returnAfter(job)
+	}
 	n.metrics.Submit.observe(time.Since(began))
 	n.opts.Logger.Info("job submitted", "job", job.ID, "queue", job.Queue.Name, "error", err, "took", time.Since(began))
 	return err
@@ -67,6 +83,7 @@
 	waits.InitialInterval = settleRetry
 	waits.MaxInterval = lastSettleRetry
 	sent := false
+	giveUp := time.Now().Add(unsettledFor)
 	for {
 		put := store.Put{Table: row.Table, Key: row.Key, Value: data, Expected: store.Expect(row.Version)}
 		_, err := n.opts.Store.Commit(ctx, put)
@@ -84,9 +101,9 @@
 		case errors.Is(err, store.ErrUnsettled):
 			sent = true
 		case !sent:
-			return &RefusedError{Reason: "the store is away", RetryAfter: outageRetryAfter}
+			return &RefusedError{Reason: "the store is away"}
 		}
-		if !sleep(ctx, waits.NextBackOff()) {
+		if time.Now().After(giveUp) || !sleep(ctx, waits.NextBackOff()) {
 			return fmt.Errorf("%w: %w", ErrUncertain, err)
 		}
 	}
@@ -138,13 +155,13 @@
 	if _, err := n.readJob(ctx, id); err != nil {
 		return err
 	}
-	_, err := n.opts.Store.Commit(ctx, store.Put{Table: jobsTable, Key: string(id) + cancelSuffix, Value: []byte{}})
+	_, err := n.opts.Store.Commit(ctx, store.Put{Table: JobsTable, Key: string(id) + cancelSuffix, Value: []byte{}})
 	return err
 }
 
 // readJob reads a job from the store.
 func (n *Node) readJob(ctx context.Context, id jobs.ID) (jobs.Job, error) {
-	row, err := n.opts.Store.Read(ctx, jobsTable, string(id))
+	row, err := n.opts.Store.Read(ctx, JobsTable, string(id))
 	if err != nil {
 		return jobs.Job{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
@@ -207,7 +224,7 @@
 		}
 		return jobs.Running, nil
 	}
-	canceled, err := n.opts.Store.Read(ctx, jobsTable, string(id)+cancelSuffix)
+	canceled, err := n.opts.Store.Read(ctx, JobsTable, string(id)+cancelSuffix)
 	if err == nil && canceled.Version != store.Absent {
 		return jobs.Canceled, nil
 	}
--- a/core/store/bundle.go
+++ b/core/store/bundle.go
@@ -14,19 +14,27 @@
 	Apply(ctx context.Context, changes []Change) (int64, error)
 }
 
+// Limits bound one call of an Atomic service.
+type Limits struct {
+	// Entries is the most conditions and changes together.
+	Entries int
+	// Bytes is the most that the values have together.
+	Bytes int
+}
+
 // Bundle commits a group of independent transactions through a service that
-// takes one a call. It joins them, at most limit changes a call, and where a
+// takes one a call. It joins them within the limits of a call, and where a
 // condition fails it sends the others again without the transaction that failed.
 // Transactions that share a row never share a call, since each would see the
 // version from before the other.
-func Bundle(ctx context.Context, service Atomic, group []Transaction, limit int) ([]Result, error) {
+func Bundle(ctx context.Context, service Atomic, group []Transaction, limits Limits) ([]Result, error) {
 	results := make([]Result, len(group))
 	waiting := make([]int, 0, len(group))
 	for i := range group {
 		waiting = append(waiting, i)
 	}
 	for sent := false; len(waiting) > 0; sent = true {
-		call, rest := takeDisjoint(group, waiting, limit)
+		call, rest := takeDisjoint(group, waiting, limits)
 		version, err := service.Apply(ctx, joined(group, call))
 		var conflict *ConflictError
 		switch {
@@ -52,12 +60,13 @@
 }
 
 // takeDisjoint returns the transactions that may share the next call, and the rest.
-func takeDisjoint(group []Transaction, waiting []int, limit int) (call, rest []int) {
+func takeDisjoint(group []Transaction, waiting []int, limits Limits) (call, rest []int) {
 	taken := make(map[rowKey]bool)
-	count := 0
+	var used Limits
 	for _, i := range waiting {
-		full := count+len(group[i]) > limit && len(call) > 0
-		if full || sharesWrite(group[i], taken) {
+		size := sizeOf(group[i])
+		full := used.Entries+size.Entries > limits.Entries || used.Bytes+size.Bytes > limits.Bytes
+		if full && len(call) > 0 || sharesWrite(group[i], taken) {
 			rest = append(rest, i)
 			continue
 		}
@@ -66,12 +75,33 @@
 			_, check := change.(Check)
 			taken[rowKey{table, key}] = !check
 		}
-		count += len(group[i])
+		used.Entries += size.Entries
+		used.Bytes += size.Bytes
 		call = append(call, i)
 	}
 	return call, rest
 }
 
+// sizeOf returns what a transaction takes of a call: a condition and a change
+// each count as an entry.
+func sizeOf(t Transaction) Limits {
+	var size Limits
+	for _, change := range t {
+		_, _, expected := condition(change)
+		if expected != nil {
+			size.Entries++
+		}
+		switch c := change.(type) {
+		case Put:
+			size.Entries++
+			size.Bytes += len(c.Value)
+		case Delete:
+			size.Entries++
+		}
+	}
+	return size
+}
+
 // sharesWrite reports whether a row of the transaction is in the call already.
 // Rows that both only check may be shared.
 func sharesWrite(t Transaction, taken map[rowKey]bool) bool {
--- a/core/store/client.go
+++ b/core/store/client.go
@@ -21,8 +21,9 @@
 	DefaultReadTimeout   = time.Second
 )
 
-// scanTimeout bounds a page of a scan, which has up to a megabyte.
-const scanTimeout = 4 * time.Second
+// scanTimeout bounds a page of a scan, which has up to a megabyte. A service that
+// is silent must not hold a process up that has just started.
+const scanTimeout = 1500 * time.Millisecond
 
 // FleetCommitsPerSecond is how many commit calls all clients of a fleet together
 // may make on the long run: the platform takes several hundred writes a second
@@ -197,12 +198,12 @@
 // Snapshot is Scan, and returns a version of the service from before the first
 // page: a watch from there on misses nothing that the rows lack.
 func (c *Client) Snapshot(ctx context.Context, table, prefix string) (rows []Row, version int64, err error) {
-	after, first := "", true
+	cursor, first := "", true
 	for {
 		c.stats.Scans.Add(1)
 		var page Page
 		err := c.guard(ctx, scanTimeout, func(ctx context.Context) (err error) {
-			page, err = c.remote.Scan(ctx, table, prefix, after)
+			page, err = c.remote.Scan(ctx, table, prefix, cursor)
 			return err
 		})
 		if err != nil {
@@ -212,10 +213,10 @@
 			version, first = page.Version, false
 		}
 		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
+		if page.Next == "" {
 			return rows, version, nil
 		}
-		after = page.Rows[len(page.Rows)-1].Key
+		cursor = page.Next
 	}
 }
 
--- a/core/store/remote.go
+++ b/core/store/remote.go
@@ -77,19 +77,22 @@
 }
 
 // Scan returns one page.
-func (t *tablesTransport) Scan(ctx context.Context, table, prefix, after string) (Page, error) {
+func (t *tablesTransport) Scan(ctx context.Context, table, prefix, cursor string) (Page, error) {
 	params := tables.ScanParams{Table: table, Prefix: tables.NewOptString(prefix), Limit: tables.NewOptInt(scanPage)}
-	if after != "" {
-		params.After = tables.NewOptString(after)
+	if cursor != "" {
+		params.After = tables.NewOptString(cursor)
 	}
 	list, err := t.remote.Scan(ctx, params)
 	if err != nil {
 		return Page{}, rejection(err)
 	}
-	page := Page{More: list.More}
+	page := Page{}
 	for _, row := range list.Rows {
 		page.Rows = append(page.Rows, rowOf(row))
 	}
+	if list.More && len(page.Rows) > 0 {
+		page.Next = page.Rows[len(page.Rows)-1].Key
+	}
 	return page, nil
 }
 
--- a/core/store/transport.go
+++ b/core/store/transport.go
@@ -24,11 +24,12 @@
 	Err     error
 }
 
-// Page is a part of a table, in key order. Version is that of the service as of
-// the page, or Absent where the service does not tell.
+// Page is some of the rows of a table. Next is where the next page begins, empty
+// after the last one. Version is that of the service as of the page, or Absent
+// where the service does not tell.
 type Page struct {
 	Rows    []Row
-	More    bool
+	Next    string
 	Version int64
 }
 
@@ -50,8 +51,9 @@
 type Transport interface {
 	Commit(ctx context.Context, group []Transaction) ([]Result, error)
 	Read(ctx context.Context, table, key string) (Row, error)
-	// Scan returns the rows whose key has the prefix and comes after a key.
-	Scan(ctx context.Context, table, prefix, after string) (Page, error)
+	// Scan returns a page of the rows whose key has the prefix. The first page is
+	// that of the empty cursor.
+	Scan(ctx context.Context, table, prefix, cursor string) (Page, error)
 	// Close ends idle connections.
 	Close()
 }
