--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -23,6 +22,8 @@
 	// spareRoom is how much more room than needed a question looks for, since
 	// other steps take some of it before the answer is there.
 	spareRoom = 2.0
+	// gangSpareRoom is the same for steps that need all their room at once.
+	gangSpareRoom = 4.0
 	// fewestAsked is the least number of workers in a first question.
 	fewestAsked = 8
 	// mostAsked is the most that the adviser takes in a question.
@@ -30,6 +31,13 @@
 	// questionsPerHelper is how many questions may be out through one VM: one
 	// that is served, and one on its way.
 	questionsPerHelper = 2
+	// ownHelperShare is the part of the VMs that only one queue with advice uses.
+	ownHelperShare = 0.23
+	// liveTickets is how many steps of a queue may hold tickets that they have no
+	// room for: tickets lapse, and more of them would be asked for in vain.
+	liveTickets = 12
+	// askAheadSlack is how much earlier than needed an answer is asked for.
+	askAheadSlack = 150 * time.Millisecond
 	// askAgainAfter is the pause after a question without an answer.
 	askAgainAfter = 200 * time.Millisecond
 	// questionTimeout is how long after its cost an answer is given up.
@@ -73,19 +81,6 @@
 	questions int
 }
 
-// queueStats is what is learned of a queue.
-type queueStats struct {
-	goodShare float64
-}
-
-func (e *Engine) statsOf(s *step) *queueStats {
-	name := s.job.Queue.Name
-	if e.stats[name] == nil {
-		e.stats[name] = &queueStats{goodShare: firstGoodShare}
-	}
-	return e.stats[name]
-}
-
 func (e *Engine) helpersChanged(now time.Time, names []string) {
 	slices.Sort(names)
 	if slices.EqualFunc(e.helpers, names, func(h *helper, name string) bool { return h.name == name }) {
@@ -164,7 +159,7 @@
 	if !s.Gang {
 		needed = 1
 	}
-	if totalFits(good)+e.ticketedFits(now, s, missing) >= needed && len(good) > 0 {
+	if len(good) > 0 && totalFits(good)+e.ticketedFits(now, s, missing) >= needed {
 		return names(roomiest(good, spareRoom*float64(missing), 1, len(good)))
 	}
 	return names(e.freshToAsk(s, fresh, missing))
@@ -172,7 +167,40 @@
 
 // ticketedFits returns how many tasks fit where tickets hold.
 func (e *Engine) ticketedFits(now time.Time, s *step, limit int) int {
-	return totalFits(e.candidates(now, s, limit))
+	return totalFits(e.candidates(&pass{now: now}, s, limit))
+}
+
+// askAhead asks for steps whose turn comes when the tasks that run now are done,
+// so that the answer is there by then.
+func (e *Engine) askAhead(p *pass) {
+	for _, j := range e.active {
+		if j.Queue.Advice == nil || len(j.Steps) < 2 || p.full[j.Queue.Name] || j.inherited && !e.settled() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if e.nearlyReady(p.now, s) && !e.requestAdvice(p.now, s, s.left) {
+					p.full[j.Queue.Name] = true
+				}
+			}
+		}
+	}
+}
+
+// nearlyReady reports whether a step's turn comes about when an answer would.
+func (e *Engine) nearlyReady(now time.Time, s *step) bool {
+	if s.left < s.Count || s.ready(now) || s.advice.anyTicket(now) || s.advice.asking {
+		return false
+	}
+	advice := s.job.Queue.Advice
+	lead := advice.Decide + advice.Decide/2 + askAheadSlack
+	for _, before := range s.After {
+		b := s.occ.steps[before]
+		if b.left > 0 && (len(b.waiting()) > 0 || e.leftOfStep(now, b) > lead) {
+			return false
+		}
+	}
+	return true
 }
 
 // freshToAsk picks workers that were not asked yet.
@@ -183,7 +211,12 @@
 		// Naming workers should not take longer than half of the decision.
 		most = max(fewestAsked, int(advice.Decide/(2*advice.Each)))
 	}
-	wanted := spareRoom * float64(missing) / max(e.statsOf(s).goodShare, 0.05)
+	room := spareRoom
+	if s.Gang {
+		// A gang needs all its room at once, and asking again costs a whole decision.
+		room = gangSpareRoom
+	}
+	wanted := room * float64(missing) / max(e.statsOf(s.job.Queue.Name).goodShare, 0.05)
 	return roomiest(fresh, wanted, fewestAsked, min(most, mostAsked))
 }
 
@@ -212,14 +245,29 @@
 }
 
 // helperFor returns the VM to ask through, or nil if all that the queue may use
-// are taken. The VMs are dealt to the queues with advice by what they cost.
+// are taken. Each queue with advice has some VMs of its own. The others are open
+// to all, and a queue may use those of queues with slower questions while they
+// are idle; questions of a quick queue are never behind a slow one's.
 func (e *Engine) helperFor(now time.Time, q jobs.Queue) *helper {
+	queues := e.advisedQueues(q)
+	position := slices.IndexFunc(queues, func(other jobs.Queue) bool { return other.Name == q.Name })
+	own := max(1, int(ownHelperShare*float64(len(e.helpers))))
 	var best *helper
-	for _, h := range e.lane(q) {
-		if h.questions >= questionsPerHelper {
+	for i, h := range e.helpers {
+		owner := len(queues)
+		if len(e.helpers) > len(queues) {
+			owner = min(i/own, len(queues))
+		}
+		limit := questionsPerHelper
+		switch {
+		case owner < position:
+			continue
+		case owner > position && waitOf(h, now) > q.Advice.Decide:
 			continue
+		case owner != position:
+			limit = 1
 		}
-		if best == nil || waitOf(h, now) < waitOf(best, now) {
+		if h.questions < limit && (best == nil || waitOf(h, now) < waitOf(best, now)) {
 			best = h
 		}
 	}
@@ -228,19 +276,6 @@
 
 func waitOf(h *helper, now time.Time) time.Duration { return max(0, h.freeAt.Sub(now)) }
 
-// lane returns the VMs that a queue may ask through.
-func (e *Engine) lane(q jobs.Queue) []*helper {
-	queues := e.advisedQueues(q)
-	if len(e.helpers) <= len(queues) {
-		return e.helpers
-	}
-	position := slices.IndexFunc(queues, func(other jobs.Queue) bool { return other.Name == q.Name })
-	share := float64(len(e.helpers)) / float64(len(queues))
-	from := int(math.Round(float64(position) * share))
-	to := int(math.Round(float64(position+1) * share))
-	return e.helpers[from:to]
-}
-
 // advisedQueues returns the queues with advice, the quickest first; q is one of
 // them even if the configuration has dropped it.
 func (e *Engine) advisedQueues(q jobs.Queue) []jobs.Queue {
@@ -283,7 +318,7 @@
 	}
 	good, fresh := a.learn(now, ev)
 	if fresh > 0 {
-		stats := e.statsOf(s)
+		stats := e.statsOf(s.job.Queue.Name)
 		stats.goodShare += goodShareWeight * (float64(good)/float64(fresh) - stats.goodShare)
 	}
 }
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -165,6 +165,9 @@
 		e.checkLapse(now, w)
 		e.repeatStops(now, w)
 	}
+	if !e.superseded {
+		e.rescue(now)
+	}
 	if len(e.former) > 0 && now.After(e.opts.FormerUntil) {
 		e.log("leases of earlier leaders have lapsed", "workers", len(e.former))
 		clear(e.former)
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -46,6 +46,8 @@
 	lastRun  int
 	failures []jobs.Failure
 	advice   stepAdvice
+	// rank is by what the step's job is still worth, as of the last pass.
+	rank lateness
 	// readyAt is when the last step that it waits for was done.
 	readyAt time.Time
 }
@@ -60,8 +62,9 @@
 	failures  int
 	saved     string
 	startedAt time.Time
-	// avoid are workers where the task failed.
-	avoid []string
+	// avoid are workers where the task failed or lagged.
+	avoid   []string
+	rescues int
 }
 
 func (j *job) final() bool { return j.state.Final() }
@@ -104,7 +107,7 @@
 		return
 	}
 	j := &job{Job: ev.Job, acceptedAt: now, inherited: ev.Inherited, begun: ev.Progress.Begun}
-	objective := ev.Job.Objective()
+	objective := time.Duration(ev.Job.Queue.Stretch*float64(e.chain(&ev.Job))) + ev.Job.Queue.Slack
 	j.deadline = ev.Job.Arrived.Add(objective)
 	j.hopeless = ev.Job.Arrived.Add(lateFactor * objective)
 	e.jobs[ev.Job.ID] = j
@@ -263,6 +266,9 @@
 	if saved != "" {
 		t.saved = saved
 	}
+	if how == jobs.EndDone {
+		e.learn(now, r)
+	}
 	if how == jobs.EndFailed {
 		t.avoid = append(t.avoid, r.worker.ID)
 	}
--- a/core/engine/order.go
+++ b/core/engine/order.go
@@ -20,11 +20,23 @@
 	hopeless
 )
 
-func (j *job) lateness(now time.Time) lateness {
+// tolerance is the part of its predicted rest by which a job may seem to miss its
+// deadline and still count as on time: predictions are rough.
+const tolerance = 0.25
+
+// lateness ranks an occurrence by when it would be done if it went on now.
+func (e *Engine) lateness(now time.Time, o *occurrence, j *job) lateness {
+	left := e.left(now, o)
+	done := now.Add(left - time.Duration(tolerance*float64(left)))
+	deadline, hopelessAt := j.deadline, j.hopeless
+	if !o.due.IsZero() {
+		deadline = o.due.Add(j.deadline.Sub(j.Arrived))
+		hopelessAt = o.due.Add(j.hopeless.Sub(j.Arrived))
+	}
 	switch {
-	case now.Before(j.deadline):
+	case done.Before(deadline):
 		return onTime
-	case now.Before(j.hopeless):
+	case done.Before(hopelessAt):
 		return late
 	default:
 		return hopeless
@@ -42,20 +54,22 @@
 			if o.left == 0 || now.Before(o.due) {
 				continue
 			}
+			rank := e.lateness(now, o, j)
 			for _, s := range o.steps {
 				if s.ready(now) {
+					s.rank = rank
 					list = append(list, s)
 				}
 			}
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *step) int { return compareSteps(now, a, b) })
+	slices.SortStableFunc(list, compareSteps)
 	return list
 }
 
-func compareSteps(now time.Time, a, b *step) int {
+func compareSteps(a, b *step) int {
 	return cmp.Or(
-		cmp.Compare(a.job.lateness(now), b.job.lateness(now)),
+		cmp.Compare(a.rank, b.rank),
 		cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
 		a.job.deadline.Compare(b.job.deadline),
 		cmp.Compare(a.job.ID, b.job.ID),
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -12,23 +12,78 @@
 // schedule makes one pass over all steps that have tasks to start.
 func (e *Engine) schedule(now time.Time) {
 	e.releaseHelpers(now)
-	lanes := make(map[string]bool)
+	pass := &pass{now: now, full: make(map[string]bool), ticketed: make(map[string]int), held: make(map[string]*step)}
 	for _, s := range e.readySteps(now) {
-		tasks := s.waiting()
-		if len(tasks) == 0 {
-			continue
-		}
-		if s.Gang && len(tasks) < s.left {
-			continue // members of the last run are not all gone yet
+		e.scheduleStep(pass, s)
+	}
+	e.askAhead(pass)
+}
+
+// pass is what one pass over the steps has found out.
+type pass struct {
+	now time.Time
+	// full are the queues for which no VM is free to ask the adviser.
+	full map[string]bool
+	// ticketed counts the steps of a queue that hold tickets and wait for room.
+	ticketed map[string]int
+	// held are the workers whose room is kept for a gang.
+	held map[string]*step
+}
+
+func (e *Engine) scheduleStep(p *pass, s *step) {
+	tasks := s.waiting()
+	if len(tasks) == 0 {
+		return
+	}
+	if s.Gang && len(tasks) < s.left {
+		return // members of the last run are not all gone yet
+	}
+	missing := len(tasks) - e.place(p, s, tasks)
+	if missing == 0 {
+		return
+	}
+	if s.Gang {
+		e.holdRoom(p, s, missing)
+	}
+	queue := s.job.Queue.Name
+	if s.job.Queue.Advice == nil || p.full[queue] {
+		return
+	}
+	if s.advice.anyTicket(p.now) {
+		p.ticketed[queue]++
+		if p.ticketed[queue] >= liveTickets {
+			p.full[queue] = true
 		}
-		placed := e.place(now, s, tasks)
-		if placed == len(tasks) || s.job.Queue.Advice == nil {
+	}
+	if !e.requestAdvice(p.now, s, missing) {
+		p.full[queue] = true
+	}
+}
+
+// heldShare is the part of the workers whose room may be kept for gangs.
+const heldShare = 0.5
+
+// holdRoom keeps the room of workers for a gang that has to wait for it: those
+// that may run it and have the most room, until they would take all of it if
+// they were empty. Steps after it in the order get nothing there, or small ones
+// would keep a wide gang waiting for good.
+func (e *Engine) holdRoom(p *pass, s *step, missing int) {
+	if s.job.Queue.Advice != nil && len(s.advice.good) == 0 || s.rank == hopeless {
+		return
+	}
+	var list []candidate
+	for _, w := range e.order {
+		if p.held[w.ID] != nil || !e.suits(p.now, s, w) || s.job.Queue.Advice != nil && !s.advice.good[w.ID] {
 			continue
 		}
-		queue := s.job.Queue.Name
-		if full, known := lanes[queue]; !known || !full {
-			lanes[queue] = !e.requestAdvice(now, s, len(tasks)-placed)
+		list = append(list, candidate{worker: w, room: w.free(), fits: ledger.Count(s.room(), w.Capacity, missing)})
+	}
+	limit := int(heldShare * float64(len(e.order)))
+	for _, c := range roomiest(list, float64(missing), 1, len(list)) {
+		if len(p.held) >= limit {
+			return
 		}
+		p.held[c.worker.ID] = s
 	}
 }
 
@@ -42,7 +97,8 @@
 
 // candidates returns the workers that may take tasks of the step now, those that
 // suit it best first.
-func (e *Engine) candidates(now time.Time, s *step, limit int) []candidate {
+func (e *Engine) candidates(p *pass, s *step, limit int) []candidate {
+	now := p.now
 	if s.job.Queue.Advice != nil && !s.advice.anyTicket(now) {
 		return nil
 	}
@@ -51,7 +107,7 @@
 		if s.job.Queue.Advice != nil && !s.advice.allows(now, w.ID) {
 			continue
 		}
-		if !e.suits(now, s, w) || !e.roster[w.ID] {
+		if !e.suits(now, s, w) || !e.roster[w.ID] || p.held[w.ID] != nil {
 			continue
 		}
 		fits := s.fits(w, limit)
@@ -63,21 +119,29 @@
 	return list
 }
 
-// compareCandidates prefers the data's rack, then the fullest worker, so that
+// compareCandidates prefers sound workers, then the data's rack, then the fullest worker, so that
 // room stays together for wide gangs.
 func compareCandidates(a, b candidate) int {
-	if a.near != b.near {
-		if a.near {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(
+		compareFirst(!a.worker.pace.slow(), !b.worker.pace.slow()),
+		compareFirst(a.near, b.near),
 		cmp.Compare(a.room.Millicores, b.room.Millicores),
 		cmp.Compare(a.worker.ID, b.worker.ID),
 	)
 }
 
+// compareFirst puts what is true first.
+func compareFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // suits reports whether a worker may ever run tasks of the step, as it is now.
 func (e *Engine) suits(now time.Time, s *step, w *worker) bool {
 	return w.usable(now) && w.Service == s.job.Queue.Service && w.hasLabel(s.Label) && !w.health.quarantined(now)
@@ -99,8 +163,8 @@
 }
 
 // place starts what it can of the tasks and returns how many it started.
-func (e *Engine) place(now time.Time, s *step, tasks []*task) int {
-	list := e.candidates(now, s, len(tasks))
+func (e *Engine) place(p *pass, s *step, tasks []*task) int {
+	list := e.candidates(p, s, len(tasks))
 	if s.SameRack {
 		list = oneRack(list, len(tasks))
 	}
@@ -115,7 +179,7 @@
 			break
 		}
 		c.fits--
-		e.start(now, t, c.worker, number)
+		e.start(p.now, t, c.worker, number)
 		placed++
 	}
 	if placed > 0 {
@@ -189,6 +253,7 @@
 	if s.Gang {
 		checkpoint = s.gangCheckpoint()
 	}
+	r.resumed = checkpoint != ""
 	e.log("run started", "task", t.id, "run", number, "worker", w.ID, "seen-before", now.Sub(w.lastSeen),
 		"free-millicores", w.free().Millicores, "waited", now.Sub(s.job.Arrived), "late-by", now.Sub(s.job.deadline), "saved", checkpoint)
 	e.emit(Start{
--- /dev/null
+++ b/core/engine/rescue.go
@@ -0,0 +1,88 @@
+package engine
+
+import "time"
+
+// The load that rescue answers: workers on which tasks stand still or take many
+// times as long, while other workers have room. A run there is stopped, and its
+// task starts elsewhere from its last checkpoint.
+
+const (
+	// stalledAfter is how long a run may show no progress, at least; a run that is
+	// predicted to take longer shows less of it, so stalledShare of its predicted
+	// time is allowed as well.
+	stalledAfter = 1500 * time.Millisecond
+	stalledShare = 0.15
+	// rescueGain is how many times longer the rest of a run must take than the
+	// whole task would elsewhere.
+	rescueGain = 1.6
+	// rescueAge is how old a run must be before its pace is judged.
+	rescueAge = 700 * time.Millisecond
+	// rescuesPerTask bounds how often one task is moved.
+	rescuesPerTask = 2
+)
+
+// rescue stops runs that would be done sooner elsewhere.
+func (e *Engine) rescue(now time.Time) {
+	for _, w := range e.order {
+		if !w.usable(now) && !w.Leaving {
+			continue
+		}
+		for _, r := range w.sortedRuns() {
+			if reason := e.lagging(now, r); reason != "" {
+				e.moveAway(now, r, reason)
+			}
+		}
+	}
+}
+
+// lagging returns why a run should be moved, or nothing.
+func (e *Engine) lagging(now time.Time, r *run) string {
+	if r.owner == nil || r.phase != present || r.owner.step.Service || r.owner.rescues >= rescuesPerTask {
+		return ""
+	}
+	s := r.owner.step
+	age := now.Sub(r.orderedAt)
+	if age < rescueAge {
+		return ""
+	}
+	predicted := e.predict(s)
+	still := r.worker.lastSeen.Sub(r.movedAt)
+	if still > stalledAfter+time.Duration(stalledShare*float64(predicted)) && now.Sub(r.movedAt) > stalledAfter {
+		return "stands still"
+	}
+	if r.percent-r.startPercent < paceMinPercent {
+		return ""
+	}
+	pace := float64(r.movedAt.Sub(r.orderedAt)) / float64(r.percent-r.startPercent) * 100
+	if pace < slowPace*float64(predicted) || !r.worker.pace.slow() && pace < 2*slowPace*float64(predicted) {
+		return ""
+	}
+	fresh := predicted
+	if s.Checkpoints && r.owner.saved != "" {
+		fresh = predicted * time.Duration(100-r.percent) / 100
+	}
+	if float64(r.remaining(now, predicted)) > rescueGain*float64(fresh+e.opts.StopTime/2) {
+		return "is slow"
+	}
+	return ""
+}
+
+// moveAway stops a run so that its task starts elsewhere; a gang moves as a whole.
+func (e *Engine) moveAway(now time.Time, r *run, reason string) {
+	t := r.owner
+	e.log("run moved away", "task", r.task, "run", r.run, "worker", r.worker.ID, "why", reason, "percent", r.percent,
+		"still-for", now.Sub(r.movedAt), "age", now.Sub(r.orderedAt), "predicted", e.predict(t.step))
+	t.rescues++
+	t.avoid = append(t.avoid, r.worker.ID)
+	r.worker.health.suspect(now)
+	e.stop(now, r)
+	if t.step.Gang {
+		e.stopAll(now, t.step)
+	}
+}
+
+// suspect keeps new work away from a worker whose tasks lag.
+func (h *health) suspect(now time.Time) {
+	h.wait = min(max(2*h.wait, firstQuarantine), lastQuarantine)
+	h.until = now.Add(h.wait)
+}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -66,9 +66,14 @@
 	// arrive again.
 	arrived bool
 	// ghost says that the order went to an earlier life of the worker.
-	ghost   bool
-	percent int
-	movedAt time.Time
+	ghost bool
+	// percent is how much of the work is done, startPercent what the first report
+	// said, and movedAt when it last grew.
+	percent, startPercent int
+	reported              bool
+	movedAt               time.Time
+	// resumed says that the run began from a checkpoint.
+	resumed bool
 }
 
 // ackMark says which commit an end waits for.
@@ -97,6 +102,7 @@
 	confirmable int64
 	marks       []ackMark
 	health      health
+	pace        pace
 	// unsized counts runs of which it is not known what they take.
 	unsized int
 }
@@ -283,6 +289,12 @@
 	if row.Percent != r.percent {
 		r.percent, r.movedAt = row.Percent, now
 	}
+	if !r.reported {
+		r.reported = true
+		if r.resumed {
+			r.startPercent = row.Percent
+		}
+	}
 	if r.owner != nil && row.Checkpoint != "" && r.phase == present {
 		r.owner.saved = row.Checkpoint
 	}
@@ -290,7 +302,7 @@
 
 // adopt takes in a run that another leader started, or that came late.
 func (e *Engine) adopt(now time.Time, w *worker, row Running) *run {
-	r := &run{runKey: runKey{row.Task, row.Run}, worker: w, phase: present, since: now, orderedAt: now, movedAt: now}
+	r := &run{runKey: runKey{row.Task, row.Run}, worker: w, phase: present, since: now, orderedAt: now, movedAt: now, resumed: true}
 	t := e.task(row.Task)
 	if t != nil {
 		r.each = t.step.room()
