--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -78,7 +78,7 @@
 func (e *elector) run(ctx context.Context) {
 	watcher := &store.Watcher{
 		Feed:       e.node.opts.Store,
-		Table:      leaderTable,
+		Table:      LeaderTable,
 		Wait:       leaderWait,
 		OnSnapshot: e.observeRows,
 		OnChanges:  e.observeChanges,
@@ -113,7 +113,7 @@
 func (e *elector) observeRows(rows []store.Row) {
 	row := store.Row{Version: store.Absent}
 	for _, r := range rows {
-		if r.Key == leaderKey {
+		if r.Key == LeaderKey {
 			row = r
 		}
 	}
@@ -123,7 +123,7 @@
 func (e *elector) observeChanges(changes []store.RowChange) {
 	e.contact()
 	for _, change := range changes {
-		if change.Key == leaderKey && !change.Removed {
+		if change.Key == LeaderKey && !change.Removed {
 			e.observe(change.Row)
 		}
 	}
@@ -257,7 +257,7 @@
 		Workers:  before.Workers,
 	}
 	began := time.Now()
-	written, err := e.write(ctx, next, version, store.Put{Table: leaderTable, Key: epochKey, Value: fmt.Append(nil, next.Epoch)})
+	written, err := e.write(ctx, next, version, store.Put{Table: LeaderTable, Key: epochKey, Value: fmt.Append(nil, next.Epoch)})
 	if err != nil {
 		e.node.opts.Logger.Warn("takeover failed", "epoch", next.Epoch, "error", err)
 		return
@@ -315,7 +315,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, electTimeout)
 	defer cancel()
-	put := store.Put{Table: leaderTable, Key: leaderKey, Value: data, Expected: store.Expect(version)}
+	put := store.Put{Table: LeaderTable, Key: LeaderKey, Value: data, Expected: store.Expect(version)}
 	written, err := e.node.opts.Store.Commit(ctx, append([]store.Change{put}, more...)...)
 	if err == nil {
 		return written, nil
@@ -324,7 +324,7 @@
 	if !errors.As(err, &conflict) && !errors.Is(err, store.ErrUnsettled) {
 		return 0, err
 	}
-	stored, readErr := e.node.opts.Store.Read(ctx, leaderTable, leaderKey)
+	stored, readErr := e.node.opts.Store.Read(ctx, LeaderTable, LeaderKey)
 	if readErr != nil {
 		return 0, errors.Join(err, readErr)
 	}
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -17,11 +17,16 @@
 // all VMs; the other tables are written by the leader.
 const JobsTable = "jobs"
 
-// The other tables of a cell, and their keys.
+// LeaderTable and LeaderKey name the row of the leader, which is renewed all the
+// time and must not wait for other rows.
+const (
+	LeaderTable = "leader"
+	LeaderKey   = "cell"
+)
+
+// The other table of a cell, and keys.
 const (
 	progressTable = "progress"
-	leaderTable   = "leader"
-	leaderKey     = "cell"
 	epochKey      = "epoch"
 	cancelSuffix  = "/cancel"
 )
--- a/core/cell/record.go
+++ b/core/cell/record.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tanagerstack.org/core/engine"
@@ -21,6 +22,9 @@
 	// closeEvery the time between such commits.
 	closeBatch = 80
 	closeEvery = 500 * time.Millisecond
+	// closeBelow is how long the last commit may have taken for this to go on: a
+	// slow store has no time for it.
+	closeBelow = 150 * time.Millisecond
 	// recordRetry is the wait after a commit that failed.
 	recordRetry = 50 * time.Millisecond
 )
@@ -40,6 +44,8 @@
 	// closing are jobs whose final state is stored.
 	closing []jobs.Job
 	kick    chan struct{}
+	// lastCommit is how long the last commit took, a time.Duration.
+	lastCommit atomic.Int64
 	// committed is closed and replaced after each commit.
 	committed chan struct{}
 }
@@ -133,6 +139,7 @@
 			}
 		}
 		if err == nil {
+			r.lastCommit.Store(int64(time.Since(began)))
 			r.leader.node.metrics.Record.observe(time.Since(began))
 			r.done(batch, version)
 			return true
@@ -164,7 +171,7 @@
 }
 
 func (r *recorder) changes(batch []engine.Record) ([]store.Change, error) {
-	changes := []store.Change{store.Check{Table: leaderTable, Key: epochKey, Expected: r.leader.version}}
+	changes := []store.Change{store.Check{Table: LeaderTable, Key: epochKey, Expected: r.leader.version}}
 	for _, record := range batch {
 		id := record.Mark.Job
 		data, err := jobs.Encode(record.Progress)
@@ -180,6 +187,9 @@
 // leader has less to read. A row that is missed costs only that.
 func (r *recorder) runClose(ctx context.Context) {
 	for sleep(ctx, closeEvery) {
+		if time.Duration(r.lastCommit.Load()) > closeBelow {
+			continue
+		}
 		r.mu.Lock()
 		n := min(len(r.closing), closeBatch)
 		batch := r.closing[:n]
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -100,7 +100,7 @@
 			continue
 		case errors.Is(err, store.ErrUnsettled):
 			sent = true
-		case !sent:
+		case !sent && (!errors.Is(err, store.ErrBusy) || time.Now().After(giveUp)):
 			return &RefusedError{Reason: "the store is away"}
 		}
 		if time.Now().After(giveUp) || !sleep(ctx, waits.NextBackOff()) {
--- a/core/engine/predict.go
+++ b/core/engine/predict.go
@@ -21,7 +21,9 @@
 	paceMemory = 8
 	// slowPace is how many times as long as predicted a worker's tasks take for it
 	// to count as slow: beyond the kinds of sound workers and the noise.
-	slowPace = 2.2
+	slowPace = 2.8
+	// paceTasks is how many tasks it takes to judge a worker.
+	paceTasks = 3
 )
 
 // queueStats is what is learned of a queue.
@@ -163,7 +165,7 @@
 }
 
 // slow reports whether the worker is clearly slower than sound ones.
-func (p *pace) slow() bool { return p.count >= 3 && p.log > math.Log(slowPace) }
+func (p *pace) slow() bool { return p.count >= paceTasks && p.log > math.Log(slowPace) }
 
 // learn takes in how long a finished run took. Runs that resumed from a
 // checkpoint say nothing of the whole task.
--- a/core/engine/rescue.go
+++ b/core/engine/rescue.go
@@ -37,7 +37,7 @@
 
 // lagging returns why a run should be moved, or nothing.
 func (e *Engine) lagging(now time.Time, r *run) string {
-	if r.owner == nil || r.phase != present || r.owner.step.Service || r.owner.rescues >= rescuesPerTask {
+	if r.owner == nil || r.phase != present || r.owner.step.Service || r.owner.rescues >= rescuesPerTask || r.percent >= 100 {
 		return ""
 	}
 	s := r.owner.step
@@ -50,11 +50,7 @@
 	if still > stalledAfter+time.Duration(stalledShare*float64(predicted)) && now.Sub(r.movedAt) > stalledAfter {
 		return "stands still"
 	}
-	if r.percent-r.startPercent < paceMinPercent {
-		return ""
-	}
-	pace := float64(r.movedAt.Sub(r.orderedAt)) / float64(r.percent-r.startPercent) * 100
-	if pace < slowPace*float64(predicted) || !r.worker.pace.slow() && pace < 2*slowPace*float64(predicted) {
+	if r.percent-r.startPercent < paceMinPercent || !e.slowNow(r.worker) {
 		return ""
 	}
 	fresh := predicted
@@ -67,6 +63,21 @@
 	return ""
 }
 
+// slowNow reports whether most of what runs on a worker takes much longer than
+// predicted. One task alone may just be a long one.
+func (e *Engine) slowNow(w *worker) bool {
+	var judged pace
+	for _, r := range w.runs {
+		gained := r.percent - r.startPercent
+		if r.owner == nil || r.phase != present || gained < paceMinPercent {
+			continue
+		}
+		whole := r.movedAt.Sub(r.orderedAt) * 100 / time.Duration(gained)
+		judged.observe(whole, e.predict(r.owner.step))
+	}
+	return judged.slow()
+}
+
 // moveAway stops a run so that its task starts elsewhere; a gang moves as a whole.
 func (e *Engine) moveAway(now time.Time, r *run, reason string) {
 	t := r.owner
--- a/core/store/bundle.go
+++ b/core/store/bundle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 )
 
 // Atomic is a table service that takes one transaction a call.
@@ -22,41 +23,72 @@
 	Bytes int
 }
 
-// Bundle commits a group of independent transactions through a service that
-// takes one a call. It joins them within the limits of a call, and where a
+// Bundler commits groups of independent transactions through a service that takes
+// one a call. It joins those of a part within the limits of a call, and where a
 // condition fails it sends the others again without the transaction that failed.
 // Transactions that share a row never share a call, since each would see the
-// version from before the other.
-func Bundle(ctx context.Context, service Atomic, group []Transaction, limits Limits) ([]Result, error) {
+// version from before the other. Parts do not wait for each other.
+type Bundler struct {
+	Service Atomic
+	Limits  Limits
+	// Part returns what a transaction is joined by; nil joins all.
+	Part func(t Transaction) string
+}
+
+// Commit sends a group and returns the outcome of each of its transactions.
+func (b *Bundler) Commit(ctx context.Context, group []Transaction) []Result {
 	results := make([]Result, len(group))
-	waiting := make([]int, 0, len(group))
-	for i := range group {
-		waiting = append(waiting, i)
+	parts := make(map[string][]int)
+	for i, t := range group {
+		part := ""
+		if b.Part != nil {
+			part = b.Part(t)
+		}
+		parts[part] = append(parts[part], i)
+	}
+	var running sync.WaitGroup
+	for _, waiting := range parts {
+		bundle := &bundle{Bundler: b, ctx: ctx, group: group, waiting: waiting, results: results, running: &running}
+		running.Add(1)
+		if len(parts) == 1 {
+			bundle.run()
+			continue
+		}
+		go bundle.run()
 	}
-	for sent := false; len(waiting) > 0; sent = true {
-		call, rest := takeDisjoint(group, waiting, limits)
-		version, err := service.Apply(ctx, joined(group, call))
+	running.Wait()
+	return results
+}
+
+// bundle is the transactions of one part. It writes only their results.
+type bundle struct {
+	*Bundler
+	ctx     context.Context
+	group   []Transaction
+	waiting []int
+	results []Result
+	running *sync.WaitGroup
+}
+
+func (b *bundle) run() {
+	defer b.running.Done()
+	waiting := b.waiting
+	for len(waiting) > 0 {
+		call, rest := takeDisjoint(b.group, waiting, b.Limits)
+		version, err := b.Service.Apply(b.ctx, joined(b.group, call))
 		var conflict *ConflictError
-		switch {
-		case err == nil:
-			for _, i := range call {
-				results[i] = Result{Version: version}
-			}
-		case errors.As(err, &conflict):
-			failed, held := splitConflicts(group, call, conflict, results)
-			if !failed {
-				return nil, err
+		if errors.As(err, &conflict) {
+			if failed, held := splitConflicts(b.group, call, conflict, b.results); failed {
+				waiting = append(held, rest...)
+				continue
 			}
-			rest = append(held, rest...)
-		case sent && !errors.Is(err, ErrUnsettled):
-			// Earlier calls of the group may have applied.
-			return nil, fmt.Errorf("%w: %s", ErrUnsettled, err)
-		default:
-			return nil, err
+			err = fmt.Errorf("%w: %s", ErrUnavailable, err)
+		}
+		for _, i := range call {
+			b.results[i] = Result{Version: version, Err: err}
 		}
 		waiting = rest
 	}
-	return results, nil
 }
 
 // takeDisjoint returns the transactions that may share the next call, and the rest.
--- a/core/store/client.go
+++ b/core/store/client.go
@@ -253,7 +253,7 @@
 	defer cancel()
 	err := call(ctx)
 	switch {
-	case err == nil || errors.Is(err, ErrRejected):
+	case err == nil || errors.Is(err, ErrRejected) || errors.Is(err, ErrBusy):
 		c.breaker.succeeded()
 	case parent.Err() != nil:
 		// The caller gave up early; that says nothing about the service.
--- a/core/store/lane.go
+++ b/core/store/lane.go
@@ -103,15 +103,19 @@
 	}
 }
 
-// commit makes one call. Its error wraps ErrUnavailable or ErrUnsettled.
+// commit makes one call. Its error wraps ErrUnavailable or ErrUnsettled. Errors of
+// single transactions count for the breaker as those of the call.
 func (c *Client) commit(ctx context.Context, group []Transaction) ([]Result, error) {
 	var results []Result
 	err := c.guard(ctx, c.opts.CommitTimeout, func(ctx context.Context) (err error) {
 		results, err = c.remote.Commit(ctx, group)
-		return err
+		if err != nil {
+			return err
+		}
+		return worst(results)
 	})
 	switch {
-	case err == nil:
+	case len(results) == len(group):
 		return results, nil
 	case errors.Is(err, errBreakerOpen), errors.Is(err, ErrRejected):
 		return nil, unavailable(err)
@@ -120,6 +124,16 @@
 	}
 }
 
+// worst returns an error that speaks against the service, if a result has one.
+func worst(results []Result) error {
+	for _, r := range results {
+		if errors.Is(r.Err, ErrUnsettled) || errors.Is(r.Err, ErrUnavailable) {
+			return r.Err
+		}
+	}
+	return nil
+}
+
 func transactions(group []*pending) []Transaction {
 	list := make([]Transaction, 0, len(group))
 	for _, p := range group {
--- a/core/store/transport.go
+++ b/core/store/transport.go
@@ -10,6 +10,10 @@
 // it was asked. It says nothing against the service.
 var ErrRejected = errors.New("table service rejected the call")
 
+// ErrBusy means that the service answered and did nothing because it had too much
+// to do. It comes with ErrUnavailable.
+var ErrBusy = errors.New("table service is busy")
+
 // ErrHistoryGone means that a watch asked for changes that the service no
 // longer has. Take a snapshot and watch from there.
 var ErrHistoryGone = errors.New("table service no longer has these changes")
@@ -18,7 +22,8 @@
 type Transaction []Change
 
 // Result is the outcome of one transaction of a commit call. Err is nil or a
-// *ConflictError.
+// *ConflictError, or wraps ErrRejected, ErrUnavailable or ErrUnsettled where the
+// call took several exchanges and one of them failed.
 type Result struct {
 	Version int64
 	Err     error
