--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -62,6 +62,9 @@
 	failures  int
 	saved     string
 	startedAt time.Time
+	// took is how long the run took that made the task done, and where.
+	took   time.Duration
+	tookOn *worker
 	// avoid are workers where the task failed or lagged.
 	avoid   []string
 	rescues int
--- a/core/engine/predict.go
+++ b/core/engine/predict.go
@@ -22,8 +22,8 @@
 	// slowPace is how many times as long as predicted a worker's tasks take for it
 	// to count as slow: beyond the kinds of sound workers and the noise.
 	slowPace = 2.8
-	// paceTasks is how many tasks it takes to judge a worker.
-	paceTasks = 3
+	// paceJobs is how many jobs' tasks it takes to judge a worker.
+	paceJobs = 3
 )
 
 // queueStats is what is learned of a queue.
@@ -149,23 +149,26 @@
 // how long it takes: the report counts in whole percents.
 const paceMinPercent = 4
 
-// pace is how long a worker's tasks take, against the prediction.
+// pace is how long a worker's tasks take, against the prediction. Tasks of one
+// job that come after each other count once, since they are alike.
 type pace struct {
 	count float64
+	last  jobs.ID
 	// log is the mean logarithm of the ratio.
 	log float64
 }
 
-func (p *pace) observe(took, predicted time.Duration) {
-	if took <= 0 || predicted <= 0 {
+func (p *pace) observe(job jobs.ID, took, predicted time.Duration) {
+	if took <= 0 || predicted <= 0 || job == p.last {
 		return
 	}
+	p.last = job
 	p.count = min(p.count+1, paceMemory)
 	p.log += (math.Log(took.Seconds()/predicted.Seconds()) - p.log) / p.count
 }
 
 // slow reports whether the worker is clearly slower than sound ones.
-func (p *pace) slow() bool { return p.count >= paceTasks && p.log > math.Log(slowPace) }
+func (p *pace) slow() bool { return p.count >= paceJobs && p.log > math.Log(slowPace) }
 
 // learn takes in how long a finished run took. Runs that resumed from a
 // checkpoint say nothing of the whole task.
@@ -176,7 +179,8 @@
 	}
 	took := now.Sub(r.orderedAt)
 	predicted := e.predict(s)
-	r.worker.pace.observe(took, predicted)
+	r.worker.pace.observe(r.task.Job, took, predicted)
+	r.owner.took, r.owner.tookOn = took, r.worker
 	if !r.worker.pace.slow() {
 		e.statsOf(s.job.Queue.Name).durations.observe(s.Estimate, took)
 	}
--- a/core/engine/rescue.go
+++ b/core/engine/rescue.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The load that rescue answers: workers on which tasks stand still or take many
 // times as long, while other workers have room. A run there is stopped, and its
@@ -50,12 +53,16 @@
 	if still > stalledAfter+time.Duration(stalledShare*float64(predicted)) && now.Sub(r.movedAt) > stalledAfter {
 		return "stands still"
 	}
-	if r.percent-r.startPercent < paceMinPercent || !e.slowNow(r.worker) {
+	whole, known := r.whole()
+	if !known || !e.slowFor(r, whole, predicted) {
 		return ""
 	}
 	fresh := predicted
+	if reference, any := s.peerDuration(r.worker); any {
+		fresh = reference
+	}
 	if s.Checkpoints && r.owner.saved != "" {
-		fresh = predicted * time.Duration(100-r.percent) / 100
+		fresh = fresh * time.Duration(100-r.percent) / 100
 	}
 	if float64(r.remaining(now, predicted)) > rescueGain*float64(fresh+e.opts.StopTime/2) {
 		return "is slow"
@@ -63,17 +70,56 @@
 	return ""
 }
 
-// slowNow reports whether most of what runs on a worker takes much longer than
-// predicted. One task alone may just be a long one.
+// whole returns how long all of a run's work takes at its pace so far.
+func (r *run) whole() (time.Duration, bool) {
+	gained := r.percent - r.startPercent
+	if gained < paceMinPercent {
+		return 0, false
+	}
+	return r.movedAt.Sub(r.orderedAt) * 100 / time.Duration(gained), true
+}
+
+// slowFor reports whether a run is slow because of its worker: like tasks of its
+// step are much quicker elsewhere or, where there are none, several jobs' tasks
+// on the worker are slow. A job's tasks are alike, so one job proves nothing.
+func (e *Engine) slowFor(r *run, whole, predicted time.Duration) bool {
+	if reference, any := r.owner.step.peerDuration(r.worker); any {
+		return float64(whole) > slowPace*float64(reference)
+	}
+	return float64(whole) > slowPace*float64(predicted) && e.slowNow(r.worker)
+}
+
+// peerDuration returns how long the step's tasks take on other workers.
+func (s *step) peerDuration(except *worker) (time.Duration, bool) {
+	var list []time.Duration
+	for _, t := range s.tasks {
+		if t.done && t.took > 0 && t.tookOn != except {
+			list = append(list, t.took)
+		}
+		if t.run != nil && t.run.worker != except && t.run.phase == present {
+			if whole, known := t.run.whole(); known {
+				list = append(list, whole)
+			}
+		}
+	}
+	if len(list) == 0 {
+		return 0, false
+	}
+	slices.Sort(list)
+	return list[len(list)/2], true
+}
+
+// slowNow reports whether the tasks of several jobs on a worker take much longer
+// than predicted.
 func (e *Engine) slowNow(w *worker) bool {
 	var judged pace
-	for _, r := range w.runs {
-		gained := r.percent - r.startPercent
-		if r.owner == nil || r.phase != present || gained < paceMinPercent {
+	for _, r := range w.sortedRuns() {
+		if r.owner == nil || r.phase != present {
 			continue
 		}
-		whole := r.movedAt.Sub(r.orderedAt) * 100 / time.Duration(gained)
-		judged.observe(whole, e.predict(r.owner.step))
+		if whole, known := r.whole(); known {
+			judged.observe(r.task.Job, whole, e.predict(r.owner.step))
+		}
 	}
 	return judged.slow()
 }
