--- a/core/engine/lease_test.go
+++ b/core/engine/lease_test.go
@@ -115,3 +115,31 @@
 		t.Errorf("started again after %s, before the lease of %s had run out", waited, testLease)
 	}
 }
+
+// TestPendingUntilStartIsConfirmed checks that a job counts as pending until a
+// worker has confirmed that one of its tasks runs.
+func TestPendingUntilStartIsConfirmed(t *testing.T) {
+	cases := map[string]struct {
+		outcome StartOutcome
+		want    int
+	}{
+		"accepted":  {StartAccepted, 0},
+		"unknown":   {StartUnknown, 1},
+		"no room":   {StartNoRoom, 1},
+		"unhealthy": {StartUnhealthy, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{}, testWorker("w1"))
+			b.apply(JobAccepted{Job: testJob("job", 1)})
+			order := only[Start](b.pass(0))[0]
+			if got := b.Pending()["queue"]; got != 1 {
+				t.Errorf("%d pending before the answer, want 1", got)
+			}
+			b.apply(StartAnswered{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: c.outcome})
+			if got := b.Pending()["queue"]; got != c.want {
+				t.Errorf("%d pending after the answer, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -260,9 +260,6 @@
 		Target: w.target(), Task: t.id, Run: number, Spec: s.job.Spec, Until: e.lease(now, w),
 		Fence: r.fence, Ticket: ticket, Checkpoint: checkpoint,
 	})
-	if !s.job.begun {
-		s.job.begun = true
-	}
 }
 
 // gangCheckpoint returns the newest checkpoint of any member: all of a gang's
@@ -302,7 +299,7 @@
 			r.phase, r.since = doubtful, now
 		}
 	case StartAccepted:
-		r.arrived = true
+		r.arrive()
 		if r.phase == starting {
 			r.phase, r.since = present, now
 		}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -304,7 +304,7 @@
 	if r == nil {
 		r = e.adopt(now, w, row)
 	}
-	r.arrived, r.ghost = true, false
+	r.arrive()
 	if r.phase == starting || r.phase == doubtful {
 		r.phase, r.since = present, now
 	}
@@ -322,6 +322,14 @@
 	}
 }
 
+// arrive notes that the worker has the run, or had it.
+func (r *run) arrive() {
+	r.arrived, r.ghost = true, false
+	if r.owner != nil {
+		r.owner.step.job.begun = true
+	}
+}
+
 // adopt takes in a run that another leader started, or that came late.
 func (e *Engine) adopt(now time.Time, w *worker, row Running) *run {
 	r := &run{runKey: runKey{row.Task, row.Run}, worker: w, phase: present, since: now, orderedAt: now, movedAt: now, resumed: true}
@@ -339,7 +347,6 @@
 	r.owner = t
 	t.run = r
 	t.step.lastRun = max(t.step.lastRun, row.Run)
-	t.step.job.begun = true
 	t.startedAt = now
 	e.log("run adopted", "task", row.Task, "run", row.Run, "worker", w.ID)
 	return r
@@ -376,6 +383,7 @@
 	t := e.task(end.Task)
 	e.log("run ended", "task", end.Task, "run", end.Run, "worker", w.ID, "end", end.End, "known", r != nil)
 	if r != nil {
+		r.arrive()
 		e.finish(now, r, end.End, end.Checkpoint)
 	} else if t != nil {
 		e.settleEnd(now, t, end.Run, end.End)
