--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for people and for CI. `make help` lists them.
 
 GOLANGCI_VERSION := v2.15.0
-MODULES := core entry admin stand
+MODULES := core entry admin stand platform
 APIS := caller fault member object oper tables target worker
 TOOLS := $(CURDIR)/.tools
 LINTER := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
@@ -14,11 +14,12 @@
 help: ## List the commands.
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 20
 
-build: ## Build the three programs into bin/.
+build: ## Build the programs into bin/, and the platform's into target/.
 	@mkdir -p bin
 	go build -o bin/tanager-entry ./entry
 	go build -o bin/tanager ./admin
 	go build -o bin/tanager-stand ./stand
+	go build -ldflags=-linkmode=external -o target/tanager-platform ./platform
 
 demo: build ## Run the whole product on loopback under load, with a kill on the way.
 	@scripts/demo
