--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -262,6 +262,7 @@
 		e.node.opts.Logger.Warn("takeover failed", "epoch", next.Epoch, "error", err)
 		return
 	}
+	e.node.metrics.takeovers.Inc()
 	e.node.opts.Logger.Info("took over", "epoch", next.Epoch, "after", before.Holder, "former-workers", len(before.Workers), "took", time.Since(began))
 	e.lead(ctx, next, written, began)
 }
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -1,34 +1,134 @@
 package cell
 
 import (
-	"sync/atomic"
+	"net/http"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"tanagerstack.org/core/engine"
 )
 
-// Metrics are the latencies of a node.
-type Metrics struct {
-	Submit, Start, Record Histogram
+// latencyBuckets are the upper bounds of the histograms, in seconds: from an
+// exchange within a failure domain to the longest that a caller waits.
+var latencyBuckets = []float64{0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 3}
+
+// metrics are the counters and histograms of a node.
+type metrics struct {
+	registry *prometheus.Registry
+	// submits counts answers to submissions by outcome, cancels those to
+	// cancellations.
+	submits, cancels *prometheus.CounterVec
+	// starts counts orders to start by what became of them.
+	starts *prometheus.CounterVec
+	// stops, looks and questions count calls by their success.
+	stops, looks, questions *prometheus.CounterVec
+	takeovers               prometheus.Counter
+	// Latencies, in seconds.
+	submit, start, record, question prometheus.Histogram
 }
 
-// histogramBounds are the upper bounds of a Histogram's buckets.
-var histogramBounds = [...]time.Duration{
-	time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond,
-	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second,
+func newMetrics(n *Node) *metrics {
+	m := &metrics{
+		registry:  prometheus.NewRegistry(),
+		submits:   counters("submissions_total", "Answers to submissions.", "outcome"),
+		cancels:   counters("cancellations_total", "Answers to cancellations.", "outcome"),
+		starts:    counters("starts_total", "Orders to start a run.", "outcome"),
+		stops:     counters("stops_total", "Orders to stop a run.", "outcome"),
+		looks:     counters("looks_total", "Looks at workers.", "outcome"),
+		questions: counters("advice_questions_total", "Questions to the adviser.", "outcome"),
+		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "tanager", Name: "takeovers_total", Help: "Times that this VM became the leader."}),
+		submit:    histogram("submission_seconds", "Time from a submission to its answer."),
+		start:     histogram("start_seconds", "Time from an order to start to its answer."),
+		record:    histogram("record_seconds", "Time of a commit of progress."),
+		question:  histogram("advice_seconds", "Time from a question to the adviser to its answer."),
+	}
+	m.registry.MustRegister(
+		m.submits, m.cancels, m.starts, m.stops, m.looks, m.questions, m.takeovers,
+		m.submit, m.start, m.record, m.question, nodeCollector{n},
+	)
+	return m
 }
 
-// Histogram counts durations in buckets. Its zero value is empty and usable.
-type Histogram struct {
-	buckets [len(histogramBounds) + 1]atomic.Int64
-	sum     atomic.Int64
+func counters(name, help, label string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "tanager", Name: name, Help: help}, []string{label})
 }
 
-func (h *Histogram) observe(d time.Duration) {
-	h.sum.Add(int64(d))
-	for i, bound := range histogramBounds {
-		if d <= bound {
-			h.buckets[i].Add(1)
-			return
-		}
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "tanager", Name: name, Help: help, Buckets: latencyBuckets})
+}
+
+// outcomeOf names a call's success for a label.
+func outcomeOf(err error) string {
+	if err != nil {
+		return "failed"
 	}
-	h.buckets[len(histogramBounds)].Add(1)
+	return "ok"
+}
+
+func observe(h prometheus.Histogram, began time.Time) { h.Observe(time.Since(began).Seconds()) }
+
+// MetricsHandler serves the node's metrics as text.
+func (n *Node) MetricsHandler() http.Handler {
+	return promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{})
+}
+
+// nodeCollector reads what the node and its engine count themselves.
+type nodeCollector struct{ node *Node }
+
+var (
+	leadingDesc = prometheus.NewDesc("tanager_leading", "1 while this VM is the leader.", nil, nil)
+	epochDesc   = prometheus.NewDesc("tanager_epoch", "Epoch of the last known leader.", nil, nil)
+	configDesc  = prometheus.NewDesc("tanager_config_version", "Version of the configuration in force.", nil, nil)
+	pendingDesc = prometheus.NewDesc("tanager_pending_jobs", "Accepted jobs that have not begun.", []string{"queue"}, nil)
+	storeDesc   = prometheus.NewDesc("tanager_store_calls_total", "Calls to the store.", []string{"kind"}, nil)
+	endsDesc    = prometheus.NewDesc("tanager_run_ends_total", "Ends of runs, as the leader of this epoch has seen them.", []string{"end"}, nil)
+)
+
+// Describe lists the metrics.
+func (c nodeCollector) Describe(out chan<- *prometheus.Desc) {
+	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, endsDesc} {
+		out <- desc
+	}
+}
+
+// Collect reads the metrics.
+func (c nodeCollector) Collect(out chan<- prometheus.Metric) {
+	stats := c.node.opts.Store.Stats()
+	calls := map[string]int64{
+		"commit": stats.Commits.Load(), "read": stats.Reads.Load(), "scan": stats.Scans.Load(),
+		"watch": stats.Watches.Load(), "failed": stats.Failures.Load(), "rejected": stats.Rejected.Load(),
+	}
+	for kind, count := range calls {
+		out <- prometheus.MustNewConstMetric(storeDesc, prometheus.CounterValue, float64(count), kind)
+	}
+	out <- prometheus.MustNewConstMetric(epochDesc, prometheus.GaugeValue, float64(c.node.elector.current().Epoch))
+	if config := c.node.Config(); config != nil {
+		out <- prometheus.MustNewConstMetric(configDesc, prometheus.GaugeValue, float64(config.Version))
+	}
+	l := c.node.leader()
+	if l == nil {
+		out <- prometheus.MustNewConstMetric(leadingDesc, prometheus.GaugeValue, 0)
+		return
+	}
+	out <- prometheus.MustNewConstMetric(leadingDesc, prometheus.GaugeValue, 1)
+	l.collect(out)
+}
+
+// collect reads what the engine counts.
+func (l *leader) collect(out chan<- prometheus.Metric) {
+	l.mu.Lock()
+	ends, pending := l.engine.Counters(), l.pendingLocked()
+	l.mu.Unlock()
+	for queue, count := range pending {
+		out <- prometheus.MustNewConstMetric(pendingDesc, prometheus.GaugeValue, float64(count), queue)
+	}
+	for end, count := range endCounts(ends) {
+		out <- prometheus.MustNewConstMetric(endsDesc, prometheus.CounterValue, float64(count), end)
+	}
+}
+
+func endCounts(c engine.Counters) map[string]int64 {
+	return map[string]int64{"done": c.EndsDone, "failed": c.EndsFailed, "lapsed": c.EndsLapsed, "other": c.EndsBroken}
 }
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -54,7 +54,7 @@
 	config   atomic.Pointer[jobs.Config]
 	elector  *elector
 	peers    *peerClient
-	metrics  Metrics
+	metrics  *metrics
 
 	mu      sync.Mutex
 	leading *leader
@@ -68,6 +68,7 @@
 func New(opts Options) *Node {
 	n := &Node{opts: opts, instance: rand.Text()}
 	n.peers = newPeerClient()
+	n.metrics = newMetrics(n)
 	n.elector = newElector(n)
 	return n
 }
--- a/core/cell/order.go
+++ b/core/cell/order.go
@@ -37,7 +37,8 @@
 	defer cancel()
 	began := time.Now()
 	outcome, err := c.leader.node.opts.Workers.Start(ctx, c.order)
-	c.leader.node.metrics.Start.observe(time.Since(began))
+	observe(c.leader.node.metrics.start, began)
+	c.leader.node.metrics.starts.WithLabelValues(outcome.String()).Inc()
 	if err != nil {
 		c.leader.node.opts.Logger.Warn("start failed", "task", c.order.Task, "run", c.order.Run, "worker", c.order.Worker, "outcome", outcome, "error", err)
 	}
@@ -54,6 +55,7 @@
 	ctx, cancel := context.WithTimeout(c.leader.ctx, stopTimeout)
 	defer cancel()
 	err := c.leader.node.opts.Workers.Stop(ctx, c.order)
+	c.leader.node.metrics.stops.WithLabelValues(outcomeOf(err)).Inc()
 	c.leader.node.opts.Logger.Info("stop answered", "task", c.order.Task, "run", c.order.Run, "worker", c.order.Worker, "error", err)
 	c.leader.apply(engine.StopAnswered{Worker: c.order.Worker, Task: c.order.Task, Run: c.order.Run, Confirmed: err == nil})
 }
@@ -67,7 +69,10 @@
 func (c *askCall) run() {
 	ctx, cancel := context.WithTimeout(c.leader.ctx, 2*c.ask.Cost+askMargin)
 	defer cancel()
+	began := time.Now()
 	answer, err := c.leader.askThrough(ctx, c.ask)
+	observe(c.leader.node.metrics.question, began)
+	c.leader.node.metrics.questions.WithLabelValues(outcomeOf(err)).Inc()
 	event := engine.AdviceAnswered{Step: c.ask.Step, Helper: c.ask.Helper, Asked: c.ask.Workers}
 	if err != nil {
 		c.leader.node.opts.Logger.Warn("advice failed", "step", c.ask.Step, "helper", c.ask.Helper, "error", err)
@@ -123,6 +128,7 @@
 	defer cancel()
 	sent := time.Now()
 	report, err := k.leader.node.opts.Workers.Look(callCtx, order, wait)
+	k.leader.node.metrics.looks.WithLabelValues(outcomeOf(err)).Inc()
 	if err == nil {
 		k.noteReached(true, nil)
 		k.leader.apply(engine.Looked{Worker: k.worker, Sent: sent, Report: report})
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return reply, fmt.Errorf("peer %s: %w", to, err)
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, peerBodyBytes))
 	if err != nil {
 		return reply, fmt.Errorf("peer %s: %w", to, err)
--- a/core/cell/record.go
+++ b/core/cell/record.go
@@ -140,7 +140,7 @@
 		}
 		if err == nil {
 			r.lastCommit.Store(int64(time.Since(began)))
-			r.leader.node.metrics.Record.observe(time.Since(began))
+			observe(r.leader.node.metrics.record, began)
 			r.done(batch, version)
 			return true
 		}
@@ -159,7 +159,7 @@
 			written[put.Key] = put.Value
 		}
 	}
-	version := int64(store.Absent)
+	version := store.Absent
 	for _, row := range conflict.Rows {
 		value, ours := written[row.Key]
 		if row.Table != progressTable || !ours || !bytes.Equal(row.Value, value) {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -72,11 +72,24 @@
 	if errors.As(err, &refused) {
 		refused.RetryAfter = returnAfter(job)
 	}
-	n.metrics.Submit.observe(time.Since(began))
+	observe(n.metrics.submit, began)
+	n.metrics.submits.WithLabelValues(submitOutcome(err)).Inc()
 	n.opts.Logger.Info("job submitted", "job", job.ID, "queue", job.Queue.Name, "error", err, "took", time.Since(began))
 	return err
 }
 
+// submitOutcome names what a caller was told, for a label.
+func submitOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.Is(err, ErrRefused):
+		return "refused"
+	default:
+		return "unknown"
+	}
+}
+
 // insert writes a job's row where there is none, or over the mark of a refusal.
 func (n *Node) insert(ctx context.Context, row store.Row, data []byte) error {
 	waits := backoff.NewExponentialBackOff()
@@ -132,6 +145,7 @@
 // ErrUnavailable.
 func (n *Node) Cancel(ctx context.Context, id jobs.ID) error {
 	err := n.cancel(ctx, id)
+	n.metrics.cancels.WithLabelValues(outcomeOf(err)).Inc()
 	n.opts.Logger.Info("job cancel", "job", id, "error", err)
 	return err
 }
--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -127,7 +127,6 @@
 	last    int64
 	cut     bool
 	down    bool
-	slow    float64
 }
 
 type simRun struct {
--- a/core/store/bundle.go
+++ b/core/store/bundle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 )
 
@@ -79,10 +80,10 @@
 		var conflict *ConflictError
 		if errors.As(err, &conflict) {
 			if failed, held := splitConflicts(b.group, call, conflict, b.results); failed {
-				waiting = append(held, rest...)
+				waiting = slices.Concat(held, rest)
 				continue
 			}
-			err = fmt.Errorf("%w: %s", ErrUnavailable, err)
+			err = fmt.Errorf("%w: conflict without a row of its own: %w", ErrUnavailable, err)
 		}
 		for _, i := range call {
 			b.results[i] = Result{Version: version, Err: err}
