--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -32,12 +32,12 @@
 func newMetrics(n *Node) *metrics {
 	m := &metrics{
 		registry:  prometheus.NewRegistry(),
-		submits:   counters("submissions_total", "Answers to submissions.", "outcome"),
-		cancels:   counters("cancellations_total", "Answers to cancellations.", "outcome"),
-		starts:    counters("starts_total", "Orders to start a run.", "outcome"),
-		stops:     counters("stops_total", "Orders to stop a run.", "outcome"),
-		looks:     counters("looks_total", "Looks at workers.", "outcome"),
-		questions: counters("advice_questions_total", "Questions to the adviser.", "outcome"),
+		submits:   counters("submissions_total", "Answers to submissions."),
+		cancels:   counters("cancellations_total", "Answers to cancellations."),
+		starts:    counters("starts_total", "Orders to start a run."),
+		stops:     counters("stops_total", "Orders to stop a run."),
+		looks:     counters("looks_total", "Looks at workers."),
+		questions: counters("advice_questions_total", "Questions to the adviser."),
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "tanager", Name: "takeovers_total", Help: "Times that this VM became the leader."}),
 		submit:    histogram("submission_seconds", "Time from a submission to its answer."),
 		start:     histogram("start_seconds", "Time from an order to start to its answer."),
@@ -51,8 +51,8 @@
 	return m
 }
 
-func counters(name, help, label string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "tanager", Name: name, Help: help}, []string{label})
+func counters(name, help string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "tanager", Name: name, Help: help}, []string{"outcome"})
 }
 
 func histogram(name, help string) prometheus.Histogram {
--- /dev/null
+++ b/core/store/bundle_test.go
@@ -0,0 +1,113 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+)
+
+// atomicMemory takes one transaction a call.
+type atomicMemory struct {
+	*Memory
+
+	mu sync.Mutex
+	// entries are the sizes of the calls, parts the parts that each touched.
+	entries []int
+	fail    error
+}
+
+func (a *atomicMemory) Apply(ctx context.Context, changes []Change) (int64, error) {
+	a.mu.Lock()
+	a.entries = append(a.entries, sizeOf(changes).Entries)
+	fail := a.fail
+	a.mu.Unlock()
+	if fail != nil {
+		return 0, fail
+	}
+	return a.Commit(ctx, changes...)
+}
+
+func put(key string, expected int64) Transaction {
+	return Transaction{Put{Table: "t", Key: key, Value: []byte(key), Expected: Expect(expected)}}
+}
+
+// TestBundlerOutcomes checks that each transaction gets the outcome that it
+// would have had by itself.
+func TestBundlerOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		group []Transaction
+		// conflicts says which of the group must fail on their condition.
+		conflicts []bool
+	}{
+		"all apply":                {[]Transaction{put("a", 0), put("b", 0)}, []bool{false, false}},
+		"one fails, others apply":  {[]Transaction{put("a", 0), put("old", 0), put("b", 0)}, []bool{false, true, false}},
+		"all fail":                 {[]Transaction{put("old", 0), put("old", 7)}, []bool{true, true}},
+		"twice the same row":       {[]Transaction{put("a", 0), put("a", 0)}, []bool{false, true}},
+		"row checked and written":  {[]Transaction{{Check{Table: "t", Key: "old", Expected: 1}}, put("old", 1)}, []bool{false, false}},
+		"check fails, others hold": {[]Transaction{{Check{Table: "t", Key: "old", Expected: 9}, put("x", 0)[0]}, put("y", 0)}, []bool{true, false}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			service := &atomicMemory{Memory: NewMemory()}
+			if _, err := service.Commit(t.Context(), Put{Table: "t", Key: "old", Value: []byte("old")}); err != nil {
+				t.Fatal(err)
+			}
+			bundler := Bundler{Service: service, Limits: Limits{Entries: 100, Bytes: 1 << 20}}
+			for i, r := range bundler.Commit(t.Context(), c.group) {
+				var conflict *ConflictError
+				if got := errors.As(r.Err, &conflict); got != c.conflicts[i] || !got && r.Err != nil {
+					t.Errorf("transaction %d: error %v, want a conflict: %v", i, r.Err, c.conflicts[i])
+				}
+			}
+		})
+	}
+}
+
+// TestBundlerLimits checks that no call exceeds the limits, conditions counted.
+func TestBundlerLimits(t *testing.T) {
+	service := &atomicMemory{Memory: NewMemory()}
+	bundler := Bundler{Service: service, Limits: Limits{Entries: 10, Bytes: 1 << 20}}
+	var group []Transaction
+	for i := range 23 {
+		group = append(group, put(string(rune('a'+i)), 0))
+	}
+	for i, r := range bundler.Commit(t.Context(), group) {
+		if r.Err != nil {
+			t.Errorf("transaction %d: %v", i, r.Err)
+		}
+	}
+	if most := slices.Max(service.entries); most > 10 {
+		t.Errorf("a call had %d entries, more than 10: %v", most, service.entries)
+	}
+}
+
+// TestBundlerParts checks that a failure in one part is not told of another.
+func TestBundlerParts(t *testing.T) {
+	good := &atomicMemory{Memory: NewMemory()}
+	bundler := Bundler{
+		Service: partly{good: good, failing: "b"},
+		Limits:  Limits{Entries: 100, Bytes: 1 << 20},
+		Part:    func(t Transaction) string { return t[0].(Put).Key },
+	}
+	results := bundler.Commit(t.Context(), []Transaction{put("a", 0), put("b", 0), put("c", 0)})
+	for i, want := range []error{nil, ErrUnsettled, nil} {
+		if !errors.Is(results[i].Err, want) {
+			t.Errorf("transaction %d: error %v, want %v", i, results[i].Err, want)
+		}
+	}
+}
+
+// partly loses the answers of calls that write one row.
+type partly struct {
+	good    Atomic
+	failing string
+}
+
+func (p partly) Apply(ctx context.Context, changes []Change) (int64, error) {
+	if changes[0].(Put).Key == p.failing {
+		return 0, ErrUnsettled
+	}
+	return p.good.Apply(ctx, changes)
+}
--- /dev/null
+++ b/core/store/watch_test.go
@@ -0,0 +1,74 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// scriptedFeed answers watches from a script and then ends the test's context.
+type scriptedFeed struct {
+	mu        sync.Mutex
+	snapshots int
+	script    []any
+	end       context.CancelFunc
+	after     []int64
+}
+
+func (f *scriptedFeed) Snapshot(context.Context, string, string) ([]Row, int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snapshots++
+	return []Row{{Key: "snapshot"}}, int64(100 * f.snapshots), nil
+}
+
+func (f *scriptedFeed) Watch(_ context.Context, _ string, after int64, _ time.Duration) (Changes, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.after = append(f.after, after)
+	if len(f.script) == 0 {
+		f.end()
+		return Changes{Next: after}, nil
+	}
+	next := f.script[0]
+	f.script = f.script[1:]
+	if err, failed := next.(error); failed {
+		return Changes{}, err
+	}
+	return next.(Changes), nil
+}
+
+// TestWatcherGoesOn checks from where a watcher goes on after each kind of answer.
+func TestWatcherGoesOn(t *testing.T) {
+	cases := map[string]struct {
+		script    []any
+		after     []int64
+		snapshots int
+		errors    int
+	}{
+		"changes move it on":            {[]any{Changes{Next: 105}, Changes{Next: 110}}, []int64{100, 105, 110}, 1, 0},
+		"a failure repeats the call":    {[]any{errors.New("down"), Changes{Next: 105}}, []int64{100, 100, 105}, 1, 1},
+		"lost history takes a snapshot": {[]any{Changes{Next: 105}, ErrHistoryGone, Changes{Next: 210}}, []int64{100, 105, 200, 210}, 2, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			feed := &scriptedFeed{script: c.script, end: cancel}
+			failures := 0
+			watcher := Watcher{
+				Feed: feed, Table: "t",
+				OnSnapshot: func([]Row) {},
+				OnChanges:  func([]RowChange) {},
+				OnError:    func(error) { failures++ },
+			}
+			watcher.Run(ctx)
+			if !slices.Equal(feed.after, c.after) || feed.snapshots != c.snapshots || failures != c.errors {
+				t.Errorf("watched after %v with %d snapshots and %d errors, want %v, %d and %d",
+					feed.after, feed.snapshots, failures, c.after, c.snapshots, c.errors)
+			}
+		})
+	}
+}
