--- /dev/null
+++ b/core/cell/cell_test.go
@@ -0,0 +1,246 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/store"
+)
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// TestSubmitOutcomes checks that a caller is told the truth about its job: what
+// is refused is not stored, and what is accepted is.
+func TestSubmitOutcomes(t *testing.T) {
+	first := func(fault storeFault) func([]store.Change) storeFault {
+		calls := 0
+		return func([]store.Change) storeFault {
+			calls++
+			if calls == 1 {
+				return fault
+			}
+			return noFault
+		}
+	}
+	always := func(fault storeFault) func([]store.Change) storeFault {
+		return func([]store.Change) storeFault { return fault }
+	}
+	cases := map[string]struct {
+		fault  func([]store.Change) storeFault
+		before *jobs.Job
+		want   error
+		stored bool
+	}{
+		"accepted":                         {fault: always(noFault), stored: true},
+		"accepted before":                  {fault: always(noFault), before: &jobs.Job{ID: "job", Spec: "earlier"}, stored: true},
+		"refused before":                   {fault: always(noFault), before: &jobs.Job{ID: "job", Refused: true}, stored: true},
+		"store down":                       {fault: always(storeDown), want: ErrRefused},
+		"answer lost, write done":          {fault: first(answerLost), stored: true},
+		"answer lost, write not done":      {fault: first(writeLost), stored: true},
+		"store down after an answer lost":  {fault: afterFirst(answerLost, storeDown), want: ErrUncertain, stored: true},
+		"store down after a write lost":    {fault: afterFirst(writeLost, storeDown), want: ErrUncertain},
+		"no answer at all, nothing stored": {fault: always(writeLost), want: ErrUncertain},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			platform := newMemoryPlatform()
+			if c.before != nil {
+				data, err := jobs.Encode(*c.before)
+				if err != nil {
+					t.Fatal(err)
+				}
+				platform.put(t, JobsTable, "job", string(data))
+			}
+			client, err := store.New(store.Options{Transport: platform})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			node := New(Options{Name: "vm", Store: client, Logger: testLogger{t}})
+			platform.setFault(c.fault)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			if err := node.Submit(ctx, testJob("job")); !errors.Is(err, c.want) || err != nil && c.want == nil {
+				t.Errorf("Submit: %v, want %v", err, c.want)
+			}
+			row, _ := platform.Read(t.Context(), JobsTable, "job")
+			job, decodeErr := jobs.Decode[jobs.Job](row.Value)
+			if got := row.Version != store.Absent && decodeErr == nil && !job.Refused; got != c.stored {
+				t.Errorf("stored: %v, want %v", got, c.stored)
+			}
+		})
+	}
+}
+
+// afterFirst returns a fault for the first commit and another for the rest.
+func afterFirst(first, rest storeFault) func([]store.Change) storeFault {
+	calls := 0
+	return func([]store.Change) storeFault {
+		calls++
+		if calls == 1 {
+			return first
+		}
+		return rest
+	}
+}
+
+// startCell starts VMs on a platform with one worker and a config.
+func startCell(t *testing.T, workers *fakeWorkers, names ...string) (*memoryPlatform, []*Node, []func()) {
+	t.Helper()
+	platform := newMemoryPlatform()
+	platform.put(t, "config", "config", "1")
+	platform.put(t, "workers", "w1", "ready")
+	platform.put(t, "workers", "stranger", "???")
+	var nodes []*Node
+	var stops []func()
+	for _, name := range names {
+		node, stop := testNode(t, name, platform, workers)
+		nodes, stops = append(nodes, node), append(stops, stop)
+	}
+	eventually(t, "one leader", func() bool { return countLeaders(nodes) == 1 })
+	return platform, nodes, stops
+}
+
+func countLeaders(nodes []*Node) int {
+	count := 0
+	for _, node := range nodes {
+		if node.leader() != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// TestJobRunsToItsEnd submits a job at a VM that does not lead, and reads its
+// state at each VM until it is done.
+func TestJobRunsToItsEnd(t *testing.T) {
+	workers := newFakeWorkers(50 * time.Millisecond)
+	_, nodes, _ := startCell(t, workers, "vm1", "vm2")
+	follower := nodes[0]
+	if follower.leader() != nil {
+		follower = nodes[1]
+	}
+	if err := follower.Submit(t.Context(), testJob("job")); err != nil {
+		t.Fatal(err)
+	}
+	for _, node := range nodes {
+		eventually(t, "the job is done at "+node.opts.Name, func() bool {
+			state, err := node.Status(t.Context(), "job")
+			return err == nil && state == jobs.Done
+		})
+	}
+	for task, count := range workers.starts {
+		if count != 1 {
+			t.Errorf("task %s was started %d times", task, count)
+		}
+	}
+	if len(workers.starts) != 2 {
+		t.Errorf("%d tasks were started, want 2", len(workers.starts))
+	}
+	if _, err := follower.Status(t.Context(), "unknown"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("state of an unknown job: %v, want %v", err, ErrNotFound)
+	}
+}
+
+// TestPlannedStopHandsOver checks that a VM that stops gives its leadership to
+// another at once, and that running tasks are not started again.
+func TestPlannedStopHandsOver(t *testing.T) {
+	workers := newFakeWorkers(700 * time.Millisecond)
+	platform, nodes, stops := startCell(t, workers, "vm1", "vm2")
+	old, next := 0, 1
+	if nodes[0].leader() == nil {
+		old, next = 1, 0
+	}
+	if err := nodes[next].Submit(t.Context(), testJob("job")); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the tasks run", func() bool {
+		workers.mu.Lock()
+		defer workers.mu.Unlock()
+		return len(workers.starts) == 2
+	})
+	stops[old]()
+	eventually(t, "the other VM leads", leads(nodes[next]))
+	eventually(t, "the job is done", func() bool {
+		state, err := nodes[next].Status(t.Context(), "job")
+		return err == nil && state == jobs.Done
+	})
+	for task, count := range workers.starts {
+		if count != 1 {
+			t.Errorf("task %s was started %d times", task, count)
+		}
+	}
+	row, _ := platform.Read(t.Context(), progressTable, "job")
+	if p, err := jobs.Decode[jobs.Progress](row.Value); err != nil || p.State != jobs.Done {
+		t.Errorf("stored progress %+v, error %v", p, err)
+	}
+}
+
+// TestReplacedLeaderStops checks that a leader ends its work once another is on
+// record, though nobody told it.
+func TestReplacedLeaderStops(t *testing.T) {
+	workers := newFakeWorkers(50 * time.Millisecond)
+	platform, nodes, _ := startCell(t, workers, "vm1")
+	before := nodes[0].leader()
+	platform.put(t, LeaderTable, LeaderKey, `{"epoch":7,"holder":"other","instance":"x","address":"127.0.0.1:9"}`)
+	eventually(t, "the leader stops", func() bool { return nodes[0].leader() != before })
+	if before.ctx.Err() == nil {
+		t.Error("the replaced leader still carries out orders")
+	}
+}
+
+// TestConfigNeverGoesBack checks that an older version changes nothing.
+func TestConfigNeverGoesBack(t *testing.T) {
+	platform, nodes, _ := startCell(t, newFakeWorkers(0), "vm1")
+	version := func() int64 { return nodes[0].Config().Version }
+	platform.put(t, "config", "config", "5")
+	eventually(t, "version 5", func() bool { return version() == 5 })
+	platform.put(t, "config", "config", "3")
+	platform.put(t, "config", "config", "not a config")
+	platform.put(t, "config", "config", "6")
+	eventually(t, "version 6", func() bool {
+		if version() < 5 {
+			t.Fatalf("version went back to %d", version())
+		}
+		return version() == 6
+	})
+}
+
+// TestCancel checks what a canceled job is told as, and that its tasks stop.
+func TestCancel(t *testing.T) {
+	workers := newFakeWorkers(time.Hour)
+	_, nodes, _ := startCell(t, workers, "vm1", "vm2")
+	if err := nodes[0].Cancel(t.Context(), "job"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("canceling an unknown job: %v, want %v", err, ErrNotFound)
+	}
+	if err := nodes[0].Submit(t.Context(), testJob("job")); err != nil {
+		t.Fatal(err)
+	}
+	running := func() int {
+		workers.mu.Lock()
+		defer workers.mu.Unlock()
+		return len(workers.running)
+	}
+	eventually(t, "the tasks run", func() bool { return running() == 2 })
+	if err := nodes[1].Cancel(t.Context(), "job"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the tasks are stopped", func() bool { return running() == 0 })
+	eventually(t, "the job is told as canceled", func() bool {
+		state, err := nodes[1].Status(t.Context(), "job")
+		return err == nil && state == jobs.Canceled
+	})
+}
