--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -19,8 +19,9 @@
 	scheduleShare = 4
 	// tickEvery is how often the engine is told that time passes.
 	tickEvery = 50 * time.Millisecond
-	// feedPause lets the jobs of several callers share a call of the feed.
-	feedPause = 20 * time.Millisecond
+	// feedPause lets the jobs of several callers share a call of the feed. The VMs
+	// tell the leader of new jobs themselves; the feed brings what it did not hear.
+	feedPause = 120 * time.Millisecond
 	// lateOrders is how much longer than its lease an order of an earlier leader
 	// may count: its leader may have sent it up to the expiry of its row.
 	lateOrders = expireAfter + time.Second
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -16,6 +16,7 @@
 
 	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/store"
 )
 
 // The paths of the exchanges between VMs. Bodies are CBOR.
@@ -23,6 +24,7 @@
 	pathHello  = "/peer/hello"
 	pathStatus = "/peer/status"
 	pathAsk    = "/peer/ask"
+	pathNews   = "/peer/news"
 )
 
 const (
@@ -32,6 +34,9 @@
 	// VM may be for questions to go through it.
 	helloTimeout = 700 * time.Millisecond
 	helperFresh  = 1500 * time.Millisecond
+	// newsTimeout bounds the message about a row that was just stored; the leader's
+	// feed brings the row as well.
+	newsTimeout = 500 * time.Millisecond
 	// statusTimeout bounds a question about a job, after which the store is read.
 	statusTimeout = 400 * time.Millisecond
 	// peerDialTimeout bounds a new connection: a region away takes 24 ms.
@@ -59,6 +64,19 @@
 	Instance string `cbor:"4,keyasint"`
 }
 
+// news is a row of the table of jobs that was just stored.
+type news struct {
+	Row storedRow `cbor:"1,keyasint"`
+}
+
+type storedRow struct {
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint"`
+	Version int64  `cbor:"3,keyasint"`
+}
+
+type newsReply struct{}
+
 type statusQuestion struct {
 	Job jobs.ID `cbor:"1,keyasint"`
 }
@@ -143,6 +161,7 @@
 	mux.HandleFunc("POST "+pathHello, handle(s.hello))
 	mux.HandleFunc("POST "+pathStatus, handle(s.status))
 	mux.HandleFunc("POST "+pathAsk, handle(s.ask))
+	mux.HandleFunc("POST "+pathNews, handle(s.news))
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: peerIdleTimeout}
 	return s, nil
 }
@@ -189,6 +208,13 @@
 	return l.greet(h)
 }
 
+func (s *peerServer) news(_ context.Context, n news) newsReply {
+	if l := s.node.leader(); l != nil {
+		l.hear(n)
+	}
+	return newsReply{}
+}
+
 func (s *peerServer) status(_ context.Context, q statusQuestion) statusReply {
 	l := s.node.leader()
 	if l == nil {
@@ -208,6 +234,44 @@
 	return adviceReply{Answer: answer}
 }
 
+// tellLeader passes a row on without waiting, so that the leader need not wait for
+// its feed. A message that is lost costs only that time.
+func (n *Node) tellLeader(message news) {
+	if l := n.leader(); l != nil {
+		l.hear(message)
+		return
+	}
+	if row := n.elector.current(); row.Address.IsValid() && !row.Released {
+		go (&newsCall{node: n, to: row.Address, news: message}).run()
+	}
+}
+
+// newsCall sends one message to the leader.
+type newsCall struct {
+	node *Node
+	to   netip.AddrPort
+	news news
+}
+
+func (c *newsCall) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
+	defer cancel()
+	if _, err := exchange[news, newsReply](ctx, c.node.peers, c.to, pathNews, c.news); err != nil {
+		c.node.opts.Logger.Warn("leader not told", "key", c.news.Row.Key, "leader", c.to, "error", err)
+	}
+}
+
+// hear takes in a row before the feed brings it. Before the stored jobs are read
+// it is left to the feed, which keeps the order.
+func (l *leader) hear(n news) {
+	l.mu.Lock()
+	loaded := l.loaded
+	l.mu.Unlock()
+	if loaded {
+		l.takeIn([]store.Row{{Table: JobsTable, Key: n.Row.Key, Version: n.Row.Version, Value: n.Row.Value}}, nil)
+	}
+}
+
 // greet takes in a VM's report.
 func (l *leader) greet(h hello) helloReply {
 	l.mu.Lock()
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -67,7 +67,10 @@
 		return &RefusedError{Reason: err.Error()}
 	}
 	began := time.Now()
-	err = n.insert(ctx, store.Row{Table: JobsTable, Key: string(job.ID), Version: store.Absent}, data)
+	version, err := n.insert(ctx, store.Row{Table: JobsTable, Key: string(job.ID), Version: store.Absent}, data)
+	if err == nil && version != store.Absent {
+		n.tellLeader(news{Row: storedRow{Key: string(job.ID), Value: data, Version: version}})
+	}
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		refused.RetryAfter = returnAfter(job)
@@ -91,7 +94,8 @@
 }
 
 // insert writes a job's row where there is none, or over the mark of a refusal.
-func (n *Node) insert(ctx context.Context, row store.Row, data []byte) error {
+// It returns the version of the row, or Absent if an earlier attempt wrote it.
+func (n *Node) insert(ctx context.Context, row store.Row, data []byte) (int64, error) {
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = settleRetry
 	waits.MaxInterval = lastSettleRetry
@@ -99,25 +103,25 @@
 	giveUp := time.Now().Add(unsettledFor)
 	for {
 		put := store.Put{Table: row.Table, Key: row.Key, Value: data, Expected: store.Expect(row.Version)}
-		_, err := n.opts.Store.Commit(ctx, put)
+		version, err := n.opts.Store.Commit(ctx, put)
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
-			return nil
+			return version, nil
 		case errors.As(err, &conflict):
 			next, accepted := settleInsert(row, conflict)
 			if accepted {
-				return nil
+				return store.Absent, nil
 			}
 			row = next
 			continue
 		case errors.Is(err, store.ErrUnsettled):
 			sent = true
 		case !sent && (!errors.Is(err, store.ErrBusy) || time.Now().After(giveUp)):
-			return &RefusedError{Reason: "the store is away"}
+			return store.Absent, &RefusedError{Reason: "the store is away"}
 		}
 		if time.Now().After(giveUp) || !sleep(ctx, waits.NextBackOff()) {
-			return fmt.Errorf("%w: %w", ErrUncertain, err)
+			return store.Absent, fmt.Errorf("%w: %w", ErrUncertain, err)
 		}
 	}
 }
@@ -169,7 +173,11 @@
 	if _, err := n.readJob(ctx, id); err != nil {
 		return err
 	}
-	_, err := n.opts.Store.Commit(ctx, store.Put{Table: JobsTable, Key: string(id) + cancelSuffix, Value: []byte{}})
+	key := string(id) + cancelSuffix
+	version, err := n.opts.Store.Commit(ctx, store.Put{Table: JobsTable, Key: key, Value: []byte{}})
+	if err == nil {
+		n.tellLeader(news{Row: storedRow{Key: key, Version: version}})
+	}
 	return err
 }
 
