Let jobs of an earlier leader wait only for workers where they may run

Workers that do not answer are on record with their jobs, and leases are 5 s. Ruled out: advice (asked within 5 ms, answered in 15 to 70 ms).

--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"tanagerstack.org/core/engine"
+	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/store"
 )
 
@@ -39,8 +41,10 @@
 	Instance string         `json:"instance"`
 	Address  netip.AddrPort `json:"address"`
 	Released bool           `json:"released,omitempty"`
-	// Workers are those on which runs of this or an earlier leader may be.
-	Workers []string `json:"workers"`
+	// Workers are those on which runs of this or an earlier leader may be, and Lost
+	// those of them that do not answer, with the jobs that may run there.
+	Workers []string             `json:"workers"`
+	Lost    map[string][]jobs.ID `json:"lost,omitempty"`
 	// Beat makes each renewal a change.
 	Beat int64 `json:"beat"`
 }
@@ -234,8 +238,8 @@
 			e.abandon(l.epoch, "a worker has obeyed a later leader")
 			return
 		}
-		if workers, missing := l.wantedRoster(); missing || now.After(e.renewAt) {
-			e.renew(ctx, l, workers)
+		if roster, urgent := l.wantedRoster(); urgent || now.After(e.renewAt) {
+			e.renew(ctx, l, roster)
 		}
 		return
 	}
@@ -255,6 +259,7 @@
 		Instance: e.node.instance,
 		Address:  e.node.opts.Peers,
 		Workers:  before.Workers,
+		Lost:     before.Lost,
 	}
 	began := time.Now()
 	written, err := e.write(ctx, next, version, store.Put{Table: LeaderTable, Key: epochKey, Value: fmt.Append(nil, next.Epoch)})
@@ -282,7 +287,7 @@
 }
 
 // renew writes the row again, with the workers that the engine wants to use.
-func (e *elector) renew(ctx context.Context, l *leader, workers []string) {
+func (e *elector) renew(ctx context.Context, l *leader, roster engine.Roster) {
 	e.mu.Lock()
 	row, version := e.row, e.version
 	e.mu.Unlock()
@@ -290,7 +295,8 @@
 		return
 	}
 	row.Beat++
-	row.Workers = workers
+	row.Workers, row.Lost = roster.Workers, roster.Lost
+	l.rosterSent(roster)
 	now := time.Now()
 	written, err := e.write(ctx, row, version)
 	if err != nil {
@@ -304,7 +310,7 @@
 		e.adopt(row, written)
 	}
 	e.mu.Unlock()
-	l.rosterRecorded(workers)
+	l.rosterRecorded(roster)
 }
 
 // write commits the row over a version. After a lost answer or a conflict the
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -22,6 +22,10 @@
 	// feedPause lets the jobs of several callers share a call of the feed. The VMs
 	// tell the leader of new jobs themselves; the feed brings what it did not hear.
 	feedPause = 120 * time.Millisecond
+	// leaseTerm is how long runs go on without a leader: a takeover after a silent
+	// death takes three seconds. Runs on a worker that was lost wait it out before
+	// they start elsewhere, so it should not be longer than that needs.
+	leaseTerm = 5 * time.Second
 	// lateOrders is how much longer than its lease an order of an earlier leader
 	// may count: its leader may have sent it up to the expiry of its row.
 	lateOrders = expireAfter + time.Second
@@ -68,10 +72,10 @@
 	}
 	l.engine = engine.New(engine.Options{
 		Epoch:       row.Epoch,
-		MaxLease:    n.opts.MaxLease,
+		MaxLease:    min(n.opts.MaxLease, leaseTerm),
 		StopTime:    n.opts.StopTime,
-		Former:      row.Workers,
-		FormerUntil: began.Add(n.opts.MaxLease*102/100 + lateOrders),
+		Former:      engine.Roster{Workers: row.Workers, Lost: row.Lost},
+		FormerUntil: began.Add(min(n.opts.MaxLease, leaseTerm)*102/100 + lateOrders),
 		Logger:      n.opts.Logger,
 	})
 	l.records = newRecorder(l)
@@ -315,16 +319,22 @@
 	return l.engine.Superseded()
 }
 
-func (l *leader) wantedRoster() ([]string, bool) {
+func (l *leader) wantedRoster() (engine.Roster, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.engine.WantedRoster()
+	return l.engine.WantedRoster(time.Now())
 }
 
-func (l *leader) rosterRecorded(ids []string) {
+func (l *leader) rosterSent(r engine.Roster) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.engine.RosterRecorded(ids)
+	l.engine.RosterSent(r)
+}
+
+func (l *leader) rosterRecorded(r engine.Roster) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.engine.RosterRecorded(r)
 }
 
 // sleep waits, and reports whether ctx still holds.
--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -174,7 +174,7 @@
 // so that the answer is there by then.
 func (e *Engine) askAhead(p *pass) {
 	for _, j := range e.active {
-		if j.Queue.Advice == nil || len(j.Steps) < 2 || p.full[j.Queue.Name] || j.inherited && !e.settled() {
+		if j.Queue.Advice == nil || len(j.Steps) < 2 || p.full[j.Queue.Name] || !e.settled(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -15,8 +15,8 @@
 	MaxLease time.Duration
 	// StopTime is the longest that a worker takes to stop a run.
 	StopTime time.Duration
-	// Former names the workers where runs of earlier leaders may be.
-	Former []string
+	// Former is what the last leader has put on record.
+	Former Roster
 	// FormerUntil is when the leases there have lapsed at the latest.
 	FormerUntil time.Time
 	// Logger is told each decision; it may be nil.
@@ -45,12 +45,14 @@
 	order []*worker
 	jobs  map[jobs.ID]*job
 	// active are the jobs that are not final, in the order of their arrival.
-	active  []*job
-	former  map[string]bool
+	active []*job
+	// former are the workers where runs of earlier leaders may be, with the jobs
+	// that these may be of, or nil for any.
+	former  map[string][]jobs.ID
 	stats   map[string]*queueStats
 	helpers []*helper
-	// roster are the workers whose use is on record; see Roster.
-	roster     map[string]bool
+	// roster is what is on record.
+	roster     Roster
 	dirty      map[jobs.ID]*job
 	commands   []Command
 	superseded bool
@@ -70,14 +72,13 @@
 		opts:    opts,
 		workers: make(map[string]*worker),
 		jobs:    make(map[jobs.ID]*job),
-		former:  make(map[string]bool),
+		former:  make(map[string][]jobs.ID),
 		stats:   make(map[string]*queueStats),
-		roster:  make(map[string]bool),
+		roster:  opts.Former,
 		dirty:   make(map[jobs.ID]*job),
 	}
-	for _, id := range opts.Former {
-		e.former[id] = true
-		e.roster[id] = true
+	for _, id := range opts.Former.Workers {
+		e.former[id] = opts.Former.Lost[id]
 	}
 	return e
 }
@@ -180,6 +181,3 @@
 		clear(e.former)
 	}
 }
-
-// settled reports whether no unknown run of an earlier leader can be left.
-func (e *Engine) settled() bool { return len(e.former) == 0 || e.opts.unsafe.skipFormer }
--- a/core/engine/lease_test.go
+++ b/core/engine/lease_test.go
@@ -53,8 +53,8 @@
 		b.apply(WorkerListed{Worker: w})
 		b.look(w.ID, Report{})
 	}
-	ids, _ := b.WantedRoster()
-	b.RosterRecorded(ids)
+	roster, _ := b.WantedRoster(b.now)
+	b.RosterRecorded(roster)
 	return b
 }
 
--- a/core/engine/order.go
+++ b/core/engine/order.go
@@ -47,7 +47,7 @@
 func (e *Engine) readySteps(now time.Time) []*step {
 	var list []*step
 	for _, j := range e.active {
-		if j.inherited && !e.settled() {
+		if !e.settled(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -107,7 +107,7 @@
 		if s.job.Queue.Advice != nil && !s.advice.allows(now, w.ID) {
 			continue
 		}
-		if !e.suits(now, s, w) || !e.roster[w.ID] || p.held[w.ID] != nil {
+		if !e.suits(now, s, w) || !e.onRecord(w.ID) || p.held[w.ID] != nil {
 			continue
 		}
 		fits := s.fits(w, limit)
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -502,33 +502,3 @@
 	}
 	return ids
 }
-
-// WantedRoster returns the workers that this leader may use, if they are not all
-// on record yet. A later leader looks at the workers on record before it starts
-// anything again, so none may be used before.
-func (e *Engine) WantedRoster() ([]string, bool) {
-	missing := false
-	var ids []string
-	for _, w := range e.order {
-		if !w.listed && len(w.runs) == 0 && !e.former[w.ID] {
-			continue
-		}
-		ids = append(ids, w.ID)
-		missing = missing || !e.roster[w.ID]
-	}
-	for id := range e.former {
-		if e.workers[id] == nil {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids, missing
-}
-
-// RosterRecorded says that the workers are on record.
-func (e *Engine) RosterRecorded(ids []string) {
-	clear(e.roster)
-	for _, id := range ids {
-		e.roster[id] = true
-	}
-}
--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -28,7 +28,7 @@
 	canceled map[jobs.ID]time.Time
 	accepted map[jobs.ID]int64
 	version  int64
-	roster   []string
+	roster   Roster
 	epoch    int64
 	// acked are tasks whose end as done was confirmed to a worker.
 	acked map[jobs.TaskID]bool
@@ -212,7 +212,7 @@
 	l := &simLeader{epoch: w.epoch}
 	l.Engine = New(Options{
 		Epoch: w.epoch, MaxLease: testLease, StopTime: 300 * time.Millisecond,
-		Former: slices.Clone(w.roster), FormerUntil: w.now.Add(testLease*102/100 + 3*time.Second), unsafe: w.unsafe,
+		Former: w.roster, FormerUntil: w.now.Add(testLease*102/100 + 3*time.Second), unsafe: w.unsafe,
 		Logger: simLogger{w, w.epoch},
 	})
 	w.leaders = append(w.leaders, l)
@@ -257,11 +257,12 @@
 		}
 	}
 	w.apply(l, WorkersListed{Workers: entries})
-	if ids, missing := l.WantedRoster(); missing && l.epoch == w.epoch {
+	if roster, _ := l.WantedRoster(w.now); l.epoch == w.epoch {
+		l.RosterSent(roster)
 		w.after(w.delay(), func() {
 			if l.epoch == w.epoch {
-				w.roster = ids
-				l.RosterRecorded(ids)
+				w.roster = roster
+				l.RosterRecorded(roster)
 			}
 		})
 	}
