--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -249,6 +249,13 @@
 	e.dirty[j.ID] = j
 }
 
+// presume takes a run as over that its worker does not list as ended.
+func (e *Engine) presume(now time.Time, r *run, how jobs.End, why string) {
+	e.log("run taken as over", "task", r.task, "run", r.run, "worker", r.worker.ID, "why", why,
+		"age", now.Sub(r.orderedAt), "worker-seen-before", now.Sub(r.worker.lastSeen))
+	e.finish(now, r, how, "")
+}
+
 // finish takes a run off its worker and settles how it ended.
 func (e *Engine) finish(now time.Time, r *run, how jobs.End, saved string) {
 	r.worker.remove(r)
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -223,7 +223,7 @@
 	w.seen, w.confirmable, w.marks = 0, 0, nil
 	for _, r := range w.sortedRuns() {
 		if r.arrived {
-			e.finish(now, r, jobs.EndLapsed, "")
+			e.presume(now, r, jobs.EndLapsed, "the worker started anew")
 			continue
 		}
 		r.ghost, r.since = true, now
@@ -360,14 +360,13 @@
 		}
 		switch {
 		case r.ghost && sent.After(r.since):
-			e.finish(now, r, jobs.EndLapsed, "")
+			e.presume(now, r, jobs.EndLapsed, "the worker started anew and does not list it")
 		case r.phase == present && sent.After(r.since):
-			e.log("run is gone without an end", "task", r.task, "run", r.run, "worker", w.ID)
-			e.finish(now, r, jobs.EndLapsed, "")
+			e.presume(now, r, jobs.EndLapsed, "the worker no longer lists it")
 		case r.phase == doubtful && sent.After(r.since):
 			e.stop(now, r)
 		case r.phase == stopping && !r.stoppedAt.IsZero() && sent.After(r.stoppedAt):
-			e.finish(now, r, jobs.EndStopped, "")
+			e.presume(now, r, jobs.EndStopped, "a stop was confirmed and the worker does not list it")
 		}
 	}
 }
@@ -419,7 +418,7 @@
 	w.synced = false
 	for _, r := range w.sortedRuns() {
 		if !r.ghost {
-			e.finish(now, r, jobs.EndLapsed, "")
+			e.presume(now, r, jobs.EndLapsed, "the worker's lease has lapsed")
 		}
 	}
 }
@@ -428,7 +427,7 @@
 func (e *Engine) checkGhosts(now time.Time, w *worker) {
 	for _, r := range w.sortedRuns() {
 		if r.ghost && !w.synced && now.Sub(r.orderedAt) > ghostTime+e.opts.MaxLease {
-			e.finish(now, r, jobs.EndLapsed, "")
+			e.presume(now, r, jobs.EndLapsed, "an order to an earlier life of the worker is too old to arrive")
 		}
 	}
 }
