--- a/core/cell/order.go
+++ b/core/cell/order.go
@@ -73,7 +73,7 @@
 	answer, err := c.leader.askThrough(ctx, c.ask)
 	observe(c.leader.node.metrics.question, began)
 	c.leader.node.metrics.questions.WithLabelValues(outcomeOf(err)).Inc()
-	event := engine.AdviceAnswered{Step: c.ask.Step, Helper: c.ask.Helper, Asked: c.ask.Workers}
+	event := engine.AdviceAnswered{Step: c.ask.Step, Helper: c.ask.Helper, Asked: c.ask.Workers, Cost: c.ask.Cost, Took: time.Since(began)}
 	if err != nil {
 		c.leader.node.opts.Logger.Warn("advice failed", "step", c.ask.Step, "helper", c.ask.Helper, "error", err)
 		event.Failed = true
--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"tanagerstack.org/core/jobs"
@@ -79,11 +80,31 @@
 	// freeAt is when its questions are answered, by their cost.
 	freeAt    time.Time
 	questions int
+	// detour is how much longer than its cost an answer through it takes, averaged.
+	detour time.Duration
+}
+
+const (
+	// detourMemory is how many answers the detour is averaged over.
+	detourMemory = 8
+	// detourStep is the difference in detours that changes the order of the VMs:
+	// less than the way to another region and back.
+	detourStep = 15 * time.Millisecond
+)
+
+// observe takes in how long an answer took beyond its cost.
+func (h *helper) observe(detour time.Duration) {
+	h.detour += (max(0, detour) - h.detour) / detourMemory
 }
 
 func (e *Engine) helpersChanged(now time.Time, names []string) {
 	slices.Sort(names)
-	if slices.EqualFunc(e.helpers, names, func(h *helper, name string) bool { return h.name == name }) {
+	present := make([]string, 0, len(e.helpers))
+	for _, h := range e.helpers {
+		present = append(present, h.name)
+	}
+	slices.Sort(present)
+	if slices.Equal(present, names) {
 		return
 	}
 	e.log("helpers changed", "helpers", len(names))
@@ -295,14 +316,7 @@
 
 // adviceAnswered takes in an answer.
 func (e *Engine) adviceAnswered(now time.Time, ev AdviceAnswered) {
-	for _, h := range e.helpers {
-		if h.name == ev.Helper && h.questions > 0 {
-			h.questions--
-			if h.questions == 0 {
-				h.freeAt = now
-			}
-		}
-	}
+	e.releaseHelper(now, ev)
 	j := e.jobs[ev.Step.Job]
 	if j == nil || ev.Step.Occurrence >= len(j.occurrences) || ev.Step.Step >= len(j.Steps) {
 		return
@@ -323,6 +337,26 @@
 	}
 }
 
+// releaseHelper notes that a VM's question is answered. The VMs are kept with the
+// nearest first, so that the quickest questions go the shortest way.
+func (e *Engine) releaseHelper(now time.Time, ev AdviceAnswered) {
+	for _, h := range e.helpers {
+		if h.name != ev.Helper || h.questions == 0 {
+			continue
+		}
+		h.questions--
+		if h.questions == 0 {
+			h.freeAt = now
+		}
+		if !ev.Failed && h.questions == 0 {
+			h.observe(ev.Took - ev.Cost)
+		}
+	}
+	slices.SortStableFunc(e.helpers, func(a, b *helper) int {
+		return cmp.Or(cmp.Compare(a.detour/detourStep, b.detour/detourStep), strings.Compare(a.name, b.name))
+	})
+}
+
 // learn takes in which workers are good and their tickets. It returns how many
 // of the workers that it had not heard of are good, and how many there were.
 func (a *stepAdvice) learn(now time.Time, ev AdviceAnswered) (good, fresh int) {
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -96,6 +96,8 @@
 	Asked   []string
 	Tickets []Ticket
 	Valid   time.Duration
+	// Cost is what the adviser needed, Took how long the answer was under way.
+	Cost, Took time.Duration
 	// Failed says that there is no answer; Overloaded that the adviser refused.
 	Failed     bool
 	Overloaded bool
