--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -60,7 +60,8 @@
 	}
 }
 
-// heldShare is the part of the workers whose room may be kept for gangs.
+// heldShare is the part of the workers whose room may be kept for gangs. The first
+// gang in the order may have more: it would wait for good otherwise.
 const heldShare = 0.5
 
 // holdRoom keeps the room of workers for a gang that has to wait for it: those
@@ -79,6 +80,9 @@
 		list = append(list, candidate{worker: w, room: w.free(), fits: ledger.Count(s.room(), w.Capacity, missing)})
 	}
 	limit := int(heldShare * float64(len(e.order)))
+	if len(p.held) == 0 {
+		limit = len(e.order)
+	}
 	for _, c := range roomiest(list, float64(missing), 1, len(list)) {
 		if len(p.held) >= limit {
 			return
@@ -144,7 +148,26 @@
 
 // suits reports whether a worker may ever run tasks of the step, as it is now.
 func (e *Engine) suits(now time.Time, s *step, w *worker) bool {
-	return w.usable(now) && w.Service == s.job.Queue.Service && w.hasLabel(s.Label) && !w.health.quarantined(now)
+	return w.usable(now) && w.Service == s.job.Queue.Service && w.hasLabel(s.Label) && !w.health.quarantined(now) && !w.disturbs(s)
+}
+
+// disturbs reports whether tasks of the step must not share a worker with what
+// runs there: fillers slow down tasks that serve users under a latency objective,
+// by amounts that nobody knows before.
+func (w *worker) disturbs(s *step) bool {
+	if !s.Filler && s.TailTarget == 0 {
+		return false
+	}
+	for _, r := range w.runs {
+		if r.owner == nil {
+			continue
+		}
+		other := r.owner.step
+		if s.Filler && other.TailTarget > 0 || s.TailTarget > 0 && other.Filler {
+			return true
+		}
+	}
+	return false
 }
 
 // fits returns how many more tasks of the step the worker takes, at most limit.
--- /dev/null
+++ b/core/engine/place_test.go
@@ -0,0 +1,134 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/roster"
+)
+
+// TestPlacementConstraints checks on which workers a step's tasks may start.
+func TestPlacementConstraints(t *testing.T) {
+	other := testWorker("w2")
+	other.Rack, other.Labels = "r2", []string{"b", "r2"}
+	cases := map[string]struct {
+		change func(*jobs.Step)
+		// want is how many tasks start on w1 and w2; there is room for four each.
+		want map[string]int
+	}{
+		"none":            {func(*jobs.Step) {}, map[string]int{"w1": 4, "w2": 2}},
+		"label":           {func(s *jobs.Step) { s.Label = "b" }, map[string]int{"w2": 4}},
+		"data's rack":     {func(s *jobs.Step) { s.DataRack = "r2" }, map[string]int{"w1": 2, "w2": 4}},
+		"per worker":      {func(s *jobs.Step) { s.PerWorker = 1 }, map[string]int{"w1": 1, "w2": 1}},
+		"gang too wide":   {func(s *jobs.Step) { s.Gang, s.Count = true, 9 }, map[string]int{}},
+		"gang that fits":  {func(s *jobs.Step) { s.Gang = true }, map[string]int{"w1": 4, "w2": 2}},
+		"gang on a rack":  {func(s *jobs.Step) { s.Gang, s.SameRack, s.Count = true, true, 4 }, map[string]int{"w1": 4}},
+		"more than there": {func(s *jobs.Step) { s.Each.Millicores = 5000 }, map[string]int{}},
+		"memory":          {func(s *jobs.Step) { s.Each.MemoryBytes = 3 << 30 }, map[string]int{"w1": 1, "w2": 1}},
+		"fillers":         {func(s *jobs.Step) { s.Filler = true; s.Each.MemoryBytes = 0 }, map[string]int{"w1": 6}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{}, testWorker("w1"), other)
+			job := testJob("job", 6)
+			c.change(&job.Steps[0])
+			b.apply(JobAccepted{Job: job})
+			got := make(map[string]int)
+			for _, s := range only[Start](b.pass(0)) {
+				got[s.Worker]++
+			}
+			if fmt.Sprint(got) != fmt.Sprint(c.want) {
+				t.Errorf("started %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestFillersKeepAwayFromServing checks that tasks with a latency objective and
+// fillers never share a worker.
+func TestFillersKeepAwayFromServing(t *testing.T) {
+	serving := func(s *jobs.Step) { s.Service, s.TailTarget = true, 50*time.Millisecond }
+	filling := func(s *jobs.Step) { s.Filler = true }
+	cases := map[string]struct{ first, second func(*jobs.Step) }{
+		"fillers after": {serving, filling},
+		"serving after": {filling, serving},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{}, testWorker("w1"), testWorker("w2"))
+			workers := make(map[string]bool)
+			for i, change := range []func(*jobs.Step){c.first, c.second} {
+				job := testJob(jobs.ID(fmt.Sprint("job", i)), 1)
+				change(&job.Steps[0])
+				b.apply(JobAccepted{Job: job})
+				starts := only[Start](b.pass(0))
+				if len(starts) != 1 {
+					t.Fatalf("%d starts of job %d, want 1", len(starts), i)
+				}
+				workers[starts[0].Worker] = true
+			}
+			if len(workers) != 2 {
+				t.Errorf("both run on %v", workers)
+			}
+		})
+	}
+}
+
+// TestWideGangGetsItsRoom plays the load that holding room answers: small tasks
+// arrive all the time, and a gang that needs a whole worker waits among them. Its
+// caller must not wait much longer than the tasks that run when it comes.
+func TestWideGangGetsItsRoom(t *testing.T) {
+	b := newBench(t, Options{}, testWorker("w1"), testWorker("w2"))
+	ends := make(map[jobs.TaskID]time.Time)
+	where := make(map[jobs.TaskID]Start)
+	sequence := make(map[string]int64)
+	begin := func(commands []Command) (gang bool) {
+		for _, s := range only[Start](commands) {
+			b.apply(StartAnswered{Worker: s.Worker, Task: s.Task, Run: s.Run, Outcome: StartAccepted})
+			ends[s.Task], where[s.Task] = b.now.Add(time.Second), s
+			gang = gang || s.Task.Job == "gang"
+		}
+		return gang
+	}
+	for i := range 400 {
+		if i%2 == 0 {
+			b.apply(JobAccepted{Job: testJob(jobs.ID(fmt.Sprint("small", i)), 1)})
+		}
+		if i == 30 {
+			gang := testJob("gang", 4)
+			gang.Steps[0].Gang = true
+			gang.Steps[0].Each = roster.Resources{Millicores: 2000, MemoryBytes: 1 << 30}
+			b.apply(JobAccepted{Job: gang})
+		}
+		for _, id := range []string{"w1", "w2"} {
+			b.look(id, endReport(b, id, ends, where, sequence))
+		}
+		if begin(b.pass(50 * time.Millisecond)) {
+			if waited := time.Duration(i-30) * 50 * time.Millisecond; waited > 5*time.Second {
+				t.Errorf("the gang waited %s among tasks of a second", waited)
+			}
+			return
+		}
+	}
+	t.Error("the gang never started")
+}
+
+// endReport lists what runs on a worker and what has ended there since.
+func endReport(b *bench, id string, ends map[jobs.TaskID]time.Time, where map[jobs.TaskID]Start, sequence map[string]int64) Report {
+	var report Report
+	for task, start := range where {
+		if start.Worker != id {
+			continue
+		}
+		if b.now.Before(ends[task]) {
+			report.Running = append(report.Running, Running{Task: task, Run: start.Run, Percent: 50})
+			continue
+		}
+		sequence[id]++
+		report.Ended = append(report.Ended, Ended{Sequence: sequence[id], Task: task, Run: start.Run, End: jobs.EndDone})
+		delete(where, task)
+	}
+	return report
+}
