--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -213,6 +213,13 @@
 	}
 }
 
+// inContact reports whether the last watch of the leader row succeeded.
+func (e *elector) inContact() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.contactSince.IsZero()
+}
+
 // holderGone notes that the process of an instance does not exist anymore.
 func (e *elector) holderGone(instance, why string) {
 	e.mu.Lock()
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -74,6 +74,7 @@
 		Epoch:       row.Epoch,
 		MaxLease:    min(n.opts.MaxLease, leaseTerm),
 		StopTime:    n.opts.StopTime,
+		Began:       began,
 		Former:      engine.Roster{Workers: row.Workers, Lost: row.Lost},
 		FormerUntil: began.Add(min(n.opts.MaxLease, leaseTerm)*102/100 + lateOrders),
 		Logger:      n.opts.Logger,
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -262,8 +262,13 @@
 }
 
 // hear takes in a row before the feed brings it. Before the stored jobs are read
-// it is left to the feed, which keeps the order.
+// it is left to the feed, which keeps the order. So it is while the store does not
+// answer: another VM may have taken over since.
 func (l *leader) hear(n news) {
+	if !l.node.elector.inContact() {
+		l.node.opts.Logger.Info("news left to the feed", "key", n.Row.Key, "why", "the store does not answer")
+		return
+	}
 	l.mu.Lock()
 	loaded := l.loaded
 	l.mu.Unlock()
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -15,6 +15,8 @@
 	MaxLease time.Duration
 	// StopTime is the longest that a worker takes to stop a run.
 	StopTime time.Duration
+	// Began is when the leadership was taken.
+	Began time.Time
 	// Former is what the last leader has put on record.
 	Former Roster
 	// FormerUntil is when the leases there have lapsed at the latest.
@@ -27,7 +29,7 @@
 
 // unsafeOptions turn protections off, so that tests can show that they notice.
 type unsafeOptions struct {
-	skipFormer, confirmEarly, forgetUnanswered, forgetLost, forgetFailures bool
+	skipFormer, skipOverlap, confirmEarly, forgetUnanswered, forgetLost, forgetFailures bool
 }
 
 // Logger writes structured lines: a message, then keys and values in turn.
@@ -66,6 +68,11 @@
 	NoRoom, NoTicket, Unknown                    int64
 }
 
+// overlap is how long after a takeover the leader before may still hear of new
+// jobs: other VMs learn of the takeover from the store within a second, and a
+// message of theirs may be on its way for half of one.
+const overlap = 2 * time.Second
+
 // New returns an engine that knows no jobs and no workers.
 func New(opts Options) *Engine {
 	e := &Engine{
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -109,7 +109,8 @@
 	if e.jobs[ev.Job.ID] != nil || ev.Job.Refused {
 		return
 	}
-	j := &job{Job: ev.Job, acceptedAt: now, inherited: ev.Inherited, begun: ev.Progress.Begun}
+	inherited := ev.Inherited || now.Sub(e.opts.Began) < overlap && !e.opts.unsafe.skipOverlap
+	j := &job{Job: ev.Job, acceptedAt: now, inherited: inherited, begun: ev.Progress.Begun}
 	objective := time.Duration(ev.Job.Queue.Stretch*float64(e.chain(&ev.Job))) + ev.Job.Queue.Slack
 	j.deadline = ev.Job.Arrived.Add(objective)
 	j.hopeless = ev.Job.Arrived.Add(lateFactor * objective)
@@ -121,7 +122,7 @@
 	j.build()
 	j.restore(ev.Progress, e.opts.unsafe)
 	e.log("job taken in", "job", ev.Job.ID, "queue", ev.Job.Queue.Name, "steps", len(ev.Job.Steps),
-		"age", now.Sub(ev.Job.Arrived), "objective", objective, "inherited", ev.Inherited, "state", j.state)
+		"age", now.Sub(ev.Job.Arrived), "objective", objective, "inherited", inherited, "state", j.state)
 	if !j.final() {
 		e.active = append(e.active, j)
 	}
--- a/core/engine/world_rapid_test.go
+++ b/core/engine/world_rapid_test.go
@@ -46,7 +46,7 @@
 		w.after(within(r, simLoad), w.lead)
 	}
 	w.run(simLoad)
-	w.faults = simFaults{staleLeader: faults.staleLeader, advice: faults.advice, slowStore: faults.slowStore}
+	w.faults = simFaults{staleLeader: faults.staleLeader, advice: faults.advice, slowStore: faults.slowStore, slowLooks: faults.slowLooks}
 	w.run(simLoad + simSettle)
 	return w
 }
@@ -87,6 +87,7 @@
 			takeovers:   rapid.IntRange(0, 3).Draw(t, "takeovers"),
 			staleLeader: rapid.Bool().Draw(t, "stale-leader"),
 			advice:      rapid.Bool().Draw(t, "advice"),
+			slowLooks:   rapid.Bool().Draw(t, "slow-looks"),
 			slowStore:   rapid.Bool().Draw(t, "slow-store"),
 		}
 		w := play(seed, faults, unsafeOptions{})
@@ -121,6 +122,9 @@
 		"leases are waited out": {
 			unsafeOptions{forgetLost: true}, simFaults{cuts: 4},
 		},
+		"jobs stored during a takeover wait as well": {
+			unsafeOptions{skipOverlap: true}, simFaults{takeovers: 6, staleLeader: true, slowLooks: true},
+		},
 		"failures are counted over leaders": {
 			unsafeOptions{forgetFailures: true}, simFaults{failTask: 0.5, takeovers: 3},
 		},
--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -30,6 +30,7 @@
 	version  int64
 	roster   Roster
 	epoch    int64
+	ledAt    time.Time
 	// acked are tasks whose end as done was confirmed to a worker.
 	acked map[jobs.TaskID]bool
 	// failed counts confirmed failures of tasks.
@@ -82,6 +83,8 @@
 	crashes, cuts, takeovers         int
 	staleLeader                      bool
 	advice                           bool
+	// slowLooks makes looks take up to a second.
+	slowLooks bool
 	// slowStore makes commits take up to two seconds.
 	slowStore bool
 }
@@ -208,11 +211,12 @@
 	}
 	w.epoch++
 	w.version++
+	w.ledAt = w.now
 	taken := w.version
 	l := &simLeader{epoch: w.epoch}
 	l.Engine = New(Options{
 		Epoch: w.epoch, MaxLease: testLease, StopTime: 300 * time.Millisecond,
-		Former: w.roster, FormerUntil: w.now.Add(testLease*102/100 + 3*time.Second), unsafe: w.unsafe,
+		Began: w.now, Former: w.roster, FormerUntil: w.now.Add(testLease*102/100 + 3*time.Second), unsafe: w.unsafe,
 		Logger: simLogger{w, w.epoch},
 	})
 	w.leaders = append(w.leaders, l)
@@ -385,7 +389,11 @@
 	}
 	sent := w.now
 	lost := w.chance(w.faults.loseAnswer)
-	w.after(w.delay(), func() {
+	arrives := w.delay()
+	if w.faults.slowLooks {
+		arrives += within(w.rand, time.Second)
+	}
+	w.after(arrives, func() {
 		s := w.workers[id]
 		if s.down || s.cut {
 			w.after(500*time.Millisecond, func() { w.apply(l, LookFailed{Worker: id}); w.look(l, id) })
@@ -595,10 +603,16 @@
 	w.jobs[job.ID] = job
 	w.accepted[job.ID] = w.version
 	for _, l := range w.leaders {
-		w.after(w.delay(), func() { w.apply(l, JobAccepted{Job: job}) })
+		// VMs that have not heard of a takeover tell the leader before it.
+		if l.epoch == w.epoch || w.now.Sub(w.ledAt) < hearsay {
+			w.after(w.delay(), func() { w.apply(l, JobAccepted{Job: job}) })
+		}
 	}
 }
 
+// hearsay is how long after a takeover the leader before is told of new jobs.
+const hearsay = 1500 * time.Millisecond
+
 func (w *world) cancel(id jobs.ID) {
 	if _, ok := w.jobs[id]; !ok {
 		return
