--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -281,7 +281,7 @@
 // takeover writes a row of the next epoch.
 func (e *elector) takeover(ctx context.Context) {
 	e.mu.Lock()
-	before, version := e.row, e.version
+	before, version, gone := e.row, e.version, e.vacant || e.row.Released
 	e.mu.Unlock()
 	next := leaderRow{
 		Epoch:    before.Epoch + 1,
@@ -299,13 +299,18 @@
 	}
 	e.node.metrics.takeovers.Inc()
 	e.node.opts.Logger.Info("took over", "epoch", next.Epoch, "after", before.Holder, "former-workers", len(before.Workers), "took", time.Since(began))
-	e.lead(ctx, next, written, began)
+	until := began.Add(longestLease(e.node.opts.MaxLease))
+	if !gone {
+		until = until.Add(lateOrders)
+	}
+	e.lead(ctx, next, written, began, until)
 }
 
 // lead starts to act as the leader.
-func (e *elector) lead(ctx context.Context, row leaderRow, version int64, began time.Time) {
+// until is when leases that earlier leaders gave have lapsed.
+func (e *elector) lead(ctx context.Context, row leaderRow, version int64, began, until time.Time) {
 	sessionCtx, cancel := context.WithCancel(ctx)
-	l := newLeader(e.node, row, version, began)
+	l := newLeader(e.node, row, version, began, until)
 	e.mu.Lock()
 	e.adopt(row, version)
 	e.session = cancel
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -26,8 +26,8 @@
 	// death takes three seconds. Runs on a worker that was lost wait it out before
 	// they start elsewhere, so it should not be longer than that needs.
 	leaseTerm = 5 * time.Second
-	// lateOrders is how much longer than its lease an order of an earlier leader
-	// may count: its leader may have sent it up to the expiry of its row.
+	// lateOrders is how much longer leases of an earlier leader may run whose end
+	// is not proved: it may have given them up to the expiry of its row, and after.
 	lateOrders = expireAfter + time.Second
 )
 
@@ -60,7 +60,11 @@
 	seenAt time.Time
 }
 
-func newLeader(n *Node, row leaderRow, version int64, began time.Time) *leader {
+// longestLease is how long runs may go on that were given a lease just now, by a
+// worker's clock that is 2% slow.
+func longestLease(most time.Duration) time.Duration { return min(most, leaseTerm) * 102 / 100 }
+
+func newLeader(n *Node, row leaderRow, version int64, began, until time.Time) *leader {
 	l := &leader{
 		node:    n,
 		epoch:   row.Epoch,
@@ -76,7 +80,7 @@
 		StopTime:    n.opts.StopTime,
 		Began:       began,
 		Former:      engine.Roster{Workers: row.Workers, Lost: row.Lost},
-		FormerUntil: began.Add(min(n.opts.MaxLease, leaseTerm)*102/100 + lateOrders),
+		FormerUntil: until,
 		Logger:      n.opts.Logger,
 	})
 	l.records = newRecorder(l)
--- a/core/engine/roster.go
+++ b/core/engine/roster.go
@@ -9,8 +9,8 @@
 )
 
 // lostAfter is how long a worker must not have answered for its runs to be put on
-// record by job.
-const lostAfter = 2 * freshFor
+// record by job. It gets no new work from then on.
+const lostAfter = freshFor
 
 // Roster is what a leader puts on record for the next one: where runs may be.
 type Roster struct {
