--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -24,7 +24,7 @@
 	// other steps take some of it before the answer is there.
 	spareRoom = 2.0
 	// gangSpareRoom is the same for steps that need all their room at once.
-	gangSpareRoom = 4.0
+	gangSpareRoom = 2.5
 	// fewestAsked is the least number of workers in a first question.
 	fewestAsked = 8
 	// mostAsked is the most that the adviser takes in a question.
@@ -228,7 +228,7 @@
 func (e *Engine) freshToAsk(s *step, fresh []candidate, missing int) []candidate {
 	advice := s.job.Queue.Advice
 	most := mostAsked
-	if advice.Each > 0 {
+	if advice.Each > 0 && !s.Gang {
 		// Naming workers should not take longer than half of the decision.
 		most = max(fewestAsked, int(advice.Decide/(2*advice.Each)))
 	}
