--- a/core/engine/roster.go
+++ b/core/engine/roster.go
@@ -16,8 +16,8 @@
 type Roster struct {
 	// Workers are those that the leader may use, or that may have runs of it.
 	Workers []string
-	// Lost has those of them that do not answer, with the jobs that may run there.
-	// Nothing else may: nothing is started on a worker that is on record as lost.
+	// Lost has those of them that leave or do not answer, with the jobs that may run
+	// there. Nothing else may: nothing is started on a worker that is on record here.
 	Lost map[string][]jobs.ID
 }
 
@@ -31,7 +31,7 @@
 			continue
 		}
 		wanted.Workers = append(wanted.Workers, w.ID)
-		if w.synced && len(w.runs) > 0 && now.Sub(w.lastSeen) > lostAfter {
+		if w.synced && (w.Leaving || !w.listed || now.Sub(w.lastSeen) > lostAfter) {
 			wanted.Lost[w.ID] = w.jobsOfRuns()
 			continue
 		}
@@ -83,7 +83,12 @@
 	for key := range w.runs {
 		set[key.task.Job] = true
 	}
-	return slices.Sorted(maps.Keys(set))
+	ids := make([]jobs.ID, 0, len(set))
+	for id := range set {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
 }
 
 // settled reports whether no unknown run of a job by an earlier leader can be
--- a/core/engine/roster_test.go
+++ b/core/engine/roster_test.go
@@ -34,6 +34,35 @@
 	}
 }
 
+// TestLeavingWorkerIsPutOnRecord checks that a worker that leaves is on record
+// with the jobs that may run there, so that others need not wait for it.
+func TestLeavingWorkerIsPutOnRecord(t *testing.T) {
+	cases := map[string]struct {
+		count int
+		want  []jobs.ID
+	}{
+		"with a run":   {1, []jobs.ID{"job1"}},
+		"without runs": {0, []jobs.ID{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{}, testWorker("w1"))
+			if c.count > 0 {
+				b.apply(JobAccepted{Job: testJob("job1", c.count)})
+				b.pass(0)
+			}
+			leaving := testWorker("w1")
+			leaving.Leaving = true
+			b.apply(WorkerListed{Worker: leaving})
+			roster, _ := b.WantedRoster(b.now)
+			got, listed := roster.Lost["w1"]
+			if !listed || got == nil || !slices.Equal(got, c.want) {
+				t.Errorf("on record with %v (%v), want %v", got, listed, c.want)
+			}
+		})
+	}
+}
+
 // TestLostWorkerIsPutOnRecord checks that a worker that does not answer is put on
 // record with its jobs, and gets work again only once it is off it.
 func TestLostWorkerIsPutOnRecord(t *testing.T) {
