--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -281,7 +281,7 @@
 // takeover writes a row of the next epoch.
 func (e *elector) takeover(ctx context.Context) {
 	e.mu.Lock()
-	before, version, gone := e.row, e.version, e.vacant || e.row.Released
+	before, version, gone, changed := e.row, e.version, e.vacant || e.row.Released, e.changedAt
 	e.mu.Unlock()
 	next := leaderRow{
 		Epoch:    before.Epoch + 1,
@@ -298,19 +298,14 @@
 		return
 	}
 	e.node.metrics.takeovers.Inc()
-	e.node.opts.Logger.Info("took over", "epoch", next.Epoch, "after", before.Holder, "former-workers", len(before.Workers), "took", time.Since(began))
-	until := began.Add(longestLease(e.node.opts.MaxLease))
-	if !gone {
-		until = until.Add(lateOrders)
-	}
-	e.lead(ctx, next, written, began, until)
+	e.node.opts.Logger.Info("took over", "epoch", next.Epoch, "after", before.Holder, "former-workers", len(before.Workers), "former-lost", len(before.Lost), "row-age", began.Sub(changed), "proved", gone, "took", time.Since(began))
+	e.lead(ctx, next, written, began, predecessorOf(began, gone, e.node.opts.MaxLease))
 }
 
 // lead starts to act as the leader.
-// until is when leases that earlier leaders gave have lapsed.
-func (e *elector) lead(ctx context.Context, row leaderRow, version int64, began, until time.Time) {
+func (e *elector) lead(ctx context.Context, row leaderRow, version int64, began time.Time, before predecessor) {
 	sessionCtx, cancel := context.WithCancel(ctx)
-	l := newLeader(e.node, row, version, began, until)
+	l := newLeader(e.node, row, version, began, before)
 	e.mu.Lock()
 	e.adopt(row, version)
 	e.session = cancel
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -26,6 +26,10 @@
 	// death takes three seconds. Runs on a worker that was lost wait it out before
 	// they start elsewhere, so it should not be longer than that needs.
 	leaseTerm = 5 * time.Second
+	// overlap is how long after a takeover the leader before may still hear of new
+	// jobs: other VMs learn of the takeover from the store within a second, and a
+	// message of theirs may be on its way for half of one.
+	overlap = 2 * time.Second
 	// lateOrders is how much longer leases of an earlier leader may run whose end
 	// is not proved: it may have given them up to the expiry of its row, and after.
 	lateOrders = expireAfter + time.Second
@@ -60,11 +64,30 @@
 	seenAt time.Time
 }
 
+// predecessor is what the leader before may still do.
+type predecessor struct {
+	// leasedUntil is when the leases that it gave have lapsed.
+	leasedUntil time.Time
+	// heardUntil is until when it may hear of new jobs; zero if it is gone.
+	heardUntil time.Time
+}
+
+// predecessorOf returns what the leader before may still do after a takeover
+// began; gone says that its process is proved to have ended, or has stepped down.
+func predecessorOf(began time.Time, gone bool, most time.Duration) predecessor {
+	p := predecessor{leasedUntil: began.Add(longestLease(most))}
+	if !gone {
+		p.leasedUntil = p.leasedUntil.Add(lateOrders)
+		p.heardUntil = began.Add(overlap)
+	}
+	return p
+}
+
 // longestLease is how long runs may go on that were given a lease just now, by a
 // worker's clock that is 2% slow.
 func longestLease(most time.Duration) time.Duration { return min(most, leaseTerm) * 102 / 100 }
 
-func newLeader(n *Node, row leaderRow, version int64, began, until time.Time) *leader {
+func newLeader(n *Node, row leaderRow, version int64, began time.Time, before predecessor) *leader {
 	l := &leader{
 		node:    n,
 		epoch:   row.Epoch,
@@ -78,9 +101,9 @@
 		Epoch:       row.Epoch,
 		MaxLease:    min(n.opts.MaxLease, leaseTerm),
 		StopTime:    n.opts.StopTime,
-		Began:       began,
+		HeardUntil:  before.heardUntil,
 		Former:      engine.Roster{Workers: row.Workers, Lost: row.Lost},
-		FormerUntil: until,
+		FormerUntil: before.leasedUntil,
 		Logger:      n.opts.Logger,
 	})
 	l.records = newRecorder(l)
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -15,8 +15,9 @@
 	MaxLease time.Duration
 	// StopTime is the longest that a worker takes to stop a run.
 	StopTime time.Duration
-	// Began is when the leadership was taken.
-	Began time.Time
+	// HeardUntil is until when the leader before may still hear of new jobs and
+	// start them; zero if that leader is proved to be gone.
+	HeardUntil time.Time
 	// Former is what the last leader has put on record.
 	Former Roster
 	// FormerUntil is when the leases there have lapsed at the latest.
@@ -68,11 +69,6 @@
 	NoRoom, NoTicket, Unknown                    int64
 }
 
-// overlap is how long after a takeover the leader before may still hear of new
-// jobs: other VMs learn of the takeover from the store within a second, and a
-// message of theirs may be on its way for half of one.
-const overlap = 2 * time.Second
-
 // New returns an engine that knows no jobs and no workers.
 func New(opts Options) *Engine {
 	e := &Engine{
@@ -184,7 +180,9 @@
 		e.rescue(now)
 	}
 	if len(e.former) > 0 && now.After(e.opts.FormerUntil) {
-		e.log("leases of earlier leaders have lapsed", "workers", len(e.former))
+		for id, ids := range e.former {
+			e.log("lease of an earlier leader has lapsed", "worker", id, "any-job", ids == nil, "jobs", len(ids))
+		}
 		clear(e.former)
 	}
 }
