--- /dev/null
+++ b/core/cell/helper.go
@@ -0,0 +1,61 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"tanagerstack.org/core/engine"
+)
+
+// greet takes in a VM's report.
+func (l *leader) greet(h hello) helloReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.helpers[h.Name] = &helperVM{hello: h, seenAt: time.Now()}
+	return helloReply{Leading: true, Epoch: l.epoch, Pending: l.pendingLocked(), Instance: l.node.instance}
+}
+
+// reportHelpers tells the engine which VMs can ask the adviser.
+func (l *leader) reportHelpers() {
+	now := time.Now()
+	names := []string{l.node.opts.Name}
+	l.mu.Lock()
+	for name, vm := range l.helpers {
+		if now.Sub(vm.seenAt) > helperFresh {
+			delete(l.helpers, name)
+			l.node.opts.Logger.Warn("vm lost", "vm", name, "last-seen", now.Sub(vm.seenAt))
+			continue
+		}
+		if name != l.node.opts.Name {
+			names = append(names, name)
+		}
+	}
+	l.mu.Unlock()
+	l.apply(engine.HelpersChanged{Names: names})
+}
+
+// askThrough passes a question to the VM that is to ask it.
+func (l *leader) askThrough(ctx context.Context, ask engine.Ask) (Answer, error) {
+	if ask.Helper == l.node.opts.Name {
+		return l.node.opts.Adviser.Ask(ctx, ask.Step, ask.Workers)
+	}
+	l.mu.Lock()
+	vm := l.helpers[ask.Helper]
+	l.mu.Unlock()
+	if vm == nil {
+		return Answer{}, fmt.Errorf("vm %s is gone", ask.Helper)
+	}
+	question := adviceQuestion{Step: ask.Step, Workers: ask.Workers, Timeout: 2*ask.Cost + askMargin}
+	reply, err := exchange[adviceQuestion, adviceReply](ctx, l.node.peers, vm.hello.Address, pathAsk, question)
+	switch {
+	case err != nil:
+		return Answer{}, err
+	case reply.Overloaded:
+		return Answer{}, ErrOverloaded
+	case reply.Problem != "":
+		return Answer{}, fmt.Errorf("vm %s: %s", ask.Helper, reply.Problem)
+	default:
+		return reply.Answer, nil
+	}
+}
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
 	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/jobs"
-	"tanagerstack.org/core/store"
 )
 
 const (
@@ -64,29 +62,6 @@
 	seenAt time.Time
 }
 
-// predecessor is what the leader before may still do.
-type predecessor struct {
-	// leasedUntil is when the leases that it gave have lapsed.
-	leasedUntil time.Time
-	// heardUntil is until when it may hear of new jobs; zero if it is gone.
-	heardUntil time.Time
-}
-
-// predecessorOf returns what the leader before may still do after a takeover
-// began; gone says that its process is proved to have ended, or has stepped down.
-func predecessorOf(began time.Time, gone bool, most time.Duration) predecessor {
-	p := predecessor{leasedUntil: began.Add(longestLease(most))}
-	if !gone {
-		p.leasedUntil = p.leasedUntil.Add(lateOrders)
-		p.heardUntil = began.Add(overlap)
-	}
-	return p
-}
-
-// longestLease is how long runs may go on that were given a lease just now, by a
-// worker's clock that is 2% slow.
-func longestLease(most time.Duration) time.Duration { return min(most, leaseTerm) * 102 / 100 }
-
 func newLeader(n *Node, row leaderRow, version int64, began time.Time, before predecessor) *leader {
 	l := &leader{
 		node:    n,
@@ -123,141 +98,12 @@
 	loops := []func(context.Context){l.runWorkers, l.runJobs, l.records.run, l.records.runClose, l.runTicks}
 	for _, loop := range loops {
 		l.finished.Add(1)
-		go l.node.runLoop(ctx, &l.finished, loop)
+		go (&task{call: loop, done: &l.finished}).run(ctx)
 	}
 	l.runSchedule(ctx)
 	l.finished.Wait()
 }
 
-// load reads progress and then jobs, so that no job is taken in without what is
-// known of it. It reports false if ctx ended first.
-func (l *leader) load(ctx context.Context) bool {
-	for ctx.Err() == nil {
-		began := time.Now()
-		progress, err := l.node.opts.Store.Scan(ctx, progressTable, "")
-		if err == nil {
-			var rows []store.Row
-			rows, err = l.node.opts.Store.Scan(ctx, JobsTable, "")
-			if err == nil {
-				l.takeIn(rows, l.decodeProgress(progress))
-				l.mu.Lock()
-				l.loaded = true
-				l.mu.Unlock()
-				l.node.opts.Logger.Info("jobs read", "epoch", l.epoch, "rows", len(rows), "progress", len(progress), "took", time.Since(began))
-				return true
-			}
-		}
-		l.node.opts.Logger.Warn("jobs cannot be read", "error", err)
-		sleep(ctx, tickEvery)
-	}
-	return false
-}
-
-func (l *leader) decodeProgress(rows []store.Row) map[jobs.ID]jobs.Progress {
-	list := make(map[jobs.ID]jobs.Progress, len(rows))
-	for _, row := range rows {
-		p, err := jobs.Decode[jobs.Progress](row.Value)
-		if err != nil {
-			l.node.opts.Logger.Warn("progress cannot be read", "job", row.Key, "error", err)
-			continue
-		}
-		list[jobs.ID(row.Key)] = p
-		l.records.versions[jobs.ID(row.Key)] = row.Version
-	}
-	return list
-}
-
-// takeIn gives the engine stored jobs and cancellations.
-func (l *leader) takeIn(rows []store.Row, progress map[jobs.ID]jobs.Progress) {
-	var canceled []jobs.ID
-	for _, row := range rows {
-		if id, isCancel := strings.CutSuffix(row.Key, cancelSuffix); isCancel {
-			canceled = append(canceled, jobs.ID(id))
-			continue
-		}
-		job, err := jobs.Decode[jobs.Job](row.Value)
-		if err != nil {
-			l.node.opts.Logger.Warn("job cannot be read", "job", row.Key, "error", err)
-			continue
-		}
-		l.apply(engine.JobAccepted{Job: job, Progress: progress[job.ID], Inherited: row.Version <= l.version})
-	}
-	for _, id := range canceled {
-		l.apply(engine.JobCanceled{ID: id})
-	}
-}
-
-// runJobs follows the stored jobs.
-func (l *leader) runJobs(ctx context.Context) {
-	watcher := &store.Watcher{
-		Feed:       l.node.opts.Store,
-		Table:      JobsTable,
-		Pause:      feedPause,
-		OnSnapshot: func(rows []store.Row) { l.takeIn(rows, nil) },
-		OnChanges:  func(changes []store.RowChange) { l.takeIn(written(changes), nil) },
-		OnError:    l.node.watchFailed(JobsTable),
-	}
-	watcher.Run(ctx)
-}
-
-// written returns the rows of changes that were not removals.
-func written(changes []store.RowChange) []store.Row {
-	rows := make([]store.Row, 0, len(changes))
-	for _, change := range changes {
-		if !change.Removed {
-			rows = append(rows, change.Row)
-		}
-	}
-	return rows
-}
-
-// runWorkers follows the directory of workers.
-func (l *leader) runWorkers(ctx context.Context) {
-	watcher := &store.Watcher{
-		Feed:       l.node.opts.Store,
-		Table:      l.node.opts.Directory.WorkerTable,
-		OnSnapshot: l.workerRows,
-		OnChanges:  l.workerChanges,
-		OnError:    l.node.watchFailed(l.node.opts.Directory.WorkerTable),
-	}
-	watcher.Run(ctx)
-}
-
-func (l *leader) workerRows(rows []store.Row) {
-	var list []engine.Worker
-	for _, row := range rows {
-		if w, ok := l.decodeWorker(row); ok {
-			list = append(list, w)
-		}
-	}
-	l.apply(engine.WorkersListed{Workers: list})
-	l.startLooks()
-}
-
-func (l *leader) workerChanges(changes []store.RowChange) {
-	for _, change := range changes {
-		if change.Removed {
-			l.apply(engine.WorkerUnlisted{ID: change.Key})
-			continue
-		}
-		if w, ok := l.decodeWorker(change.Row); ok {
-			l.apply(engine.WorkerListed{Worker: w})
-		} else {
-			l.apply(engine.WorkerUnlisted{ID: change.Key})
-		}
-	}
-	l.startLooks()
-}
-
-func (l *leader) decodeWorker(row store.Row) (engine.Worker, bool) {
-	w, err := l.node.opts.Directory.Worker(row)
-	if err != nil {
-		l.node.opts.Logger.Warn("directory entry names no worker", "worker", row.Key, "error", err)
-		return engine.Worker{}, false
-	}
-	return w, true
-}
-
 // startLooks starts a loop for each worker that has none.
 func (l *leader) startLooks() {
 	l.mu.Lock()
@@ -269,7 +115,7 @@
 		looker := &looker{leader: l, worker: id}
 		l.looks[id] = looker
 		l.finished.Add(1)
-		go l.node.runLoop(l.ctx, &l.finished, looker.run)
+		go (&task{call: looker.run, done: &l.finished}).run(l.ctx)
 	}
 }
 
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -86,7 +86,7 @@
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){server.run, n.runConfig, n.elector.run, n.runHello} {
 		loops.Add(1)
-		go n.runLoop(ctx, &loops, loop)
+		go (&task{call: loop, done: &loops}).run(ctx)
 	}
 	<-ctx.Done()
 	n.HandOver()
@@ -95,9 +95,15 @@
 	return nil
 }
 
-func (n *Node) runLoop(ctx context.Context, loops *sync.WaitGroup, loop func(context.Context)) {
-	defer loops.Done()
-	loop(ctx)
+// task is a call that runs beside others until its context ends.
+type task struct {
+	call func(context.Context)
+	done *sync.WaitGroup
+}
+
+func (t *task) run(ctx context.Context) {
+	defer t.done.Done()
+	t.call(ctx)
 }
 
 // HandOver gives the leadership up, if this VM has it, and takes it no more. The
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -19,14 +19,6 @@
 	"tanagerstack.org/core/store"
 )
 
-// The paths of the exchanges between VMs. Bodies are CBOR.
-const (
-	pathHello  = "/peer/hello"
-	pathStatus = "/peer/status"
-	pathAsk    = "/peer/ask"
-	pathNews   = "/peer/news"
-)
-
 const (
 	// helloEvery is how often a VM reports to the leader.
 	helloEvery = 400 * time.Millisecond
@@ -47,58 +39,6 @@
 	peerBodyBytes = 1 << 20
 )
 
-// hello is what a VM reports to the leader.
-type hello struct {
-	Name    string         `cbor:"1,keyasint"`
-	Address netip.AddrPort `cbor:"2,keyasint"`
-	// Epoch is the latest leadership that the VM has heard of.
-	Epoch int64 `cbor:"3,keyasint"`
-}
-
-// helloReply is what the leader answers.
-type helloReply struct {
-	Leading bool           `cbor:"1,keyasint"`
-	Epoch   int64          `cbor:"2,keyasint"`
-	Pending map[string]int `cbor:"3,keyasint"`
-	// Instance identifies the process that answers.
-	Instance string `cbor:"4,keyasint"`
-}
-
-// news is a row of the table of jobs that was just stored.
-type news struct {
-	Row storedRow `cbor:"1,keyasint"`
-}
-
-type storedRow struct {
-	Key     string `cbor:"1,keyasint"`
-	Value   []byte `cbor:"2,keyasint"`
-	Version int64  `cbor:"3,keyasint"`
-}
-
-type newsReply struct{}
-
-type statusQuestion struct {
-	Job jobs.ID `cbor:"1,keyasint"`
-}
-
-type statusReply struct {
-	Leading bool       `cbor:"1,keyasint"`
-	Known   bool       `cbor:"2,keyasint"`
-	State   jobs.State `cbor:"3,keyasint"`
-}
-
-type adviceQuestion struct {
-	Step    jobs.StepID   `cbor:"1,keyasint"`
-	Workers []string      `cbor:"2,keyasint"`
-	Timeout time.Duration `cbor:"3,keyasint"`
-}
-
-type adviceReply struct {
-	Answer     Answer `cbor:"1,keyasint"`
-	Overloaded bool   `cbor:"2,keyasint"`
-	Problem    string `cbor:"3,keyasint"`
-}
-
 // peerClient sends messages to other VMs.
 type peerClient struct {
 	http *http.Client
@@ -144,96 +84,6 @@
 	return reply, nil
 }
 
-// peerServer answers other VMs.
-type peerServer struct {
-	node     *Node
-	listener net.Listener
-	server   *http.Server
-}
-
-func newPeerServer(n *Node) (*peerServer, error) {
-	listener, err := net.Listen("tcp", n.opts.Peers.String())
-	if err != nil {
-		return nil, err
-	}
-	s := &peerServer{node: n, listener: listener}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+pathHello, handle(s.hello))
-	mux.HandleFunc("POST "+pathStatus, handle(s.status))
-	mux.HandleFunc("POST "+pathAsk, handle(s.ask))
-	mux.HandleFunc("POST "+pathNews, handle(s.news))
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: peerIdleTimeout}
-	return s, nil
-}
-
-// run serves until the server is closed.
-func (s *peerServer) run(context.Context) {
-	if err := s.server.Serve(s.listener); err != nil && err != http.ErrServerClosed {
-		s.node.opts.Logger.Warn("peer server ended", "error", err)
-	}
-}
-
-func (s *peerServer) close() { _ = s.server.Close() }
-
-// handle reads a question, answers it and writes the reply.
-func handle[Q, R any](answer func(context.Context, Q) R) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		var question Q
-		data, err := io.ReadAll(io.LimitReader(r.Body, peerBodyBytes))
-		if err == nil {
-			err = cbor.Unmarshal(data, &question)
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		body, err := cbor.Marshal(answer(r.Context(), question))
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		_, _ = w.Write(body)
-	}
-}
-
-func (s *peerServer) hello(_ context.Context, h hello) helloReply {
-	l := s.node.leader()
-	if l == nil {
-		return helloReply{Epoch: s.node.elector.current().Epoch, Instance: s.node.instance}
-	}
-	if h.Epoch > l.epoch {
-		s.node.elector.abandon(l.epoch, "a peer knows a later leader")
-		return helloReply{Instance: s.node.instance}
-	}
-	return l.greet(h)
-}
-
-func (s *peerServer) news(_ context.Context, n news) newsReply {
-	if l := s.node.leader(); l != nil {
-		l.hear(n)
-	}
-	return newsReply{}
-}
-
-func (s *peerServer) status(_ context.Context, q statusQuestion) statusReply {
-	l := s.node.leader()
-	if l == nil {
-		return statusReply{}
-	}
-	status := l.status(q.Job)
-	return statusReply{Leading: true, Known: status.Known, State: status.State}
-}
-
-func (s *peerServer) ask(ctx context.Context, q adviceQuestion) adviceReply {
-	ctx, cancel := context.WithTimeout(ctx, q.Timeout)
-	defer cancel()
-	answer, err := s.node.opts.Adviser.Ask(ctx, q.Step, q.Workers)
-	if err != nil {
-		return adviceReply{Problem: err.Error(), Overloaded: isOverloaded(err)}
-	}
-	return adviceReply{Answer: answer}
-}
-
 // tellLeader passes a row on without waiting, so that the leader need not wait for
 // its feed. A message that is lost costs only that time.
 func (n *Node) tellLeader(message news) {
@@ -277,64 +127,12 @@
 	}
 }
 
-// greet takes in a VM's report.
-func (l *leader) greet(h hello) helloReply {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.helpers[h.Name] = &helperVM{hello: h, seenAt: time.Now()}
-	return helloReply{Leading: true, Epoch: l.epoch, Pending: l.pendingLocked(), Instance: l.node.instance}
-}
-
 func (l *leader) status(id jobs.ID) engine.Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.engine.Status(id)
 }
 
-// reportHelpers tells the engine which VMs can ask the adviser.
-func (l *leader) reportHelpers() {
-	now := time.Now()
-	names := []string{l.node.opts.Name}
-	l.mu.Lock()
-	for name, vm := range l.helpers {
-		if now.Sub(vm.seenAt) > helperFresh {
-			delete(l.helpers, name)
-			l.node.opts.Logger.Warn("vm lost", "vm", name, "last-seen", now.Sub(vm.seenAt))
-			continue
-		}
-		if name != l.node.opts.Name {
-			names = append(names, name)
-		}
-	}
-	l.mu.Unlock()
-	l.apply(engine.HelpersChanged{Names: names})
-}
-
-// askThrough passes a question to the VM that is to ask it.
-func (l *leader) askThrough(ctx context.Context, ask engine.Ask) (Answer, error) {
-	if ask.Helper == l.node.opts.Name {
-		return l.node.opts.Adviser.Ask(ctx, ask.Step, ask.Workers)
-	}
-	l.mu.Lock()
-	vm := l.helpers[ask.Helper]
-	l.mu.Unlock()
-	if vm == nil {
-		return Answer{}, fmt.Errorf("vm %s is gone", ask.Helper)
-	}
-	question := adviceQuestion{Step: ask.Step, Workers: ask.Workers, Timeout: 2*ask.Cost + askMargin}
-	reply, err := exchange[adviceQuestion, adviceReply](ctx, l.node.peers, vm.hello.Address, pathAsk, question)
-	switch {
-	case err != nil:
-		return Answer{}, err
-	case reply.Overloaded:
-		return Answer{}, ErrOverloaded
-	case reply.Problem != "":
-		return Answer{}, fmt.Errorf("vm %s: %s", ask.Helper, reply.Problem)
-	default:
-		return reply.Answer, nil
-	}
-}
-
 // runHello reports to the leader until ctx ends.
 func (n *Node) runHello(ctx context.Context) {
 	for sleep(ctx, helloEvery) {
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"tanagerstack.org/core/jobs"
@@ -48,8 +47,6 @@
 	advice   stepAdvice
 	// rank is by what the step's job is still worth, as of the last pass.
 	rank lateness
-	// readyAt is when the last step that it waits for was done.
-	readyAt time.Time
 }
 
 // task is a task of a step.
@@ -58,10 +55,9 @@
 	step *step
 	done bool
 	// run is the run that may exist, or nil.
-	run       *run
-	failures  int
-	saved     string
-	startedAt time.Time
+	run      *run
+	failures int
+	saved    string
 	// took is how long the run took that made the task done, and where.
 	took   time.Duration
 	tookOn *worker
@@ -250,158 +246,6 @@
 	e.dirty[j.ID] = j
 }
 
-// presume takes a run as over that its worker does not list as ended.
-func (e *Engine) presume(now time.Time, r *run, how jobs.End, why string) {
-	e.log("run taken as over", "task", r.task, "run", r.run, "worker", r.worker.ID, "why", why,
-		"age", now.Sub(r.orderedAt), "worker-seen-before", now.Sub(r.worker.lastSeen))
-	e.finish(now, r, how, "")
-}
-
-// finish takes a run off its worker and settles how it ended.
-func (e *Engine) finish(now time.Time, r *run, how jobs.End, saved string) {
-	r.worker.remove(r)
-	switch how {
-	case jobs.EndDone:
-		e.counters.EndsDone++
-	case jobs.EndFailed:
-		e.counters.EndsFailed++
-	case jobs.EndLapsed:
-		e.counters.EndsLapsed++
-	default:
-		e.counters.EndsBroken++
-	}
-	t := r.owner
-	if t == nil {
-		return
-	}
-	if t.run == r {
-		t.run = nil
-	}
-	if saved != "" {
-		t.saved = saved
-	}
-	if how == jobs.EndDone {
-		e.learn(now, r)
-	}
-	if how == jobs.EndFailed {
-		t.avoid = append(t.avoid, r.worker.ID)
-	}
-	e.settleEnd(now, t, r.run, how)
-}
-
-// settleEnd notes what the end of a run means for its task and job.
-func (e *Engine) settleEnd(now time.Time, t *task, number int, how jobs.End) {
-	s, j := t.step, t.step.job
-	if j.final() || t.done {
-		return
-	}
-	switch {
-	case s.Service:
-	case how == jobs.EndDone:
-		e.taskDone(now, t)
-	case how == jobs.EndFailed:
-		e.taskFailed(now, t, number)
-	}
-	if s.Gang && !t.done && !j.final() {
-		e.stopAll(now, s)
-	}
-}
-
-func (e *Engine) taskDone(now time.Time, t *task) {
-	s, j := t.step, t.step.job
-	s.markDone(t)
-	e.touch(j)
-	if !s.Gang && t.run != nil {
-		e.stop(now, t.run)
-	}
-	if s.left == 0 {
-		e.stepDone(now, s)
-	}
-}
-
-// stepDone lets the steps after it start, or ends the job.
-func (e *Engine) stepDone(now time.Time, s *step) {
-	for _, next := range s.occ.steps {
-		if slices.Contains(next.After, s.id.Step) {
-			next.readyAt = now
-		}
-	}
-	for _, o := range s.job.occurrences {
-		if o.left > 0 {
-			return
-		}
-	}
-	e.conclude(now, s.job, jobs.Done)
-}
-
-func (e *Engine) taskFailed(now time.Time, t *task, number int) {
-	s, j := t.step, t.step.job
-	if !s.addFailure(t, number) {
-		return
-	}
-	e.touch(j)
-	failures := s.tasks[t.id.Index].failures
-	if s.Gang {
-		failures = s.tasks[0].failures
-	}
-	if failures >= max(j.Queue.Attempts, 1) {
-		e.conclude(now, j, jobs.Failed)
-	}
-}
-
-// recorded takes in what was committed and what ends may be confirmed now.
-func (e *Engine) recorded(ev Recorded) {
-	for _, mark := range ev.Records {
-		if j := e.jobs[mark.Job]; j != nil {
-			j.committed = max(j.committed, mark.Revision)
-		}
-	}
-	for _, w := range e.workers {
-		w.advanceMarks()
-	}
-}
-
-// closed returns what is kept of a job that is final.
-func (j *job) closed() jobs.Job {
-	return jobs.Job{ID: j.ID, Queue: jobs.Queue{Name: j.Queue.Name}, Arrived: j.Arrived, Closed: j.state}
-}
-
-// record returns the command that stores the job's progress.
-func (j *job) record() Record {
-	p := jobs.Progress{State: j.state, Begun: j.begun}
-	if !j.final() {
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if sp, any := s.progress(); any {
-					p.Steps = append(p.Steps, sp)
-				}
-			}
-		}
-	}
-	record := Record{Mark: RecordMark{Job: j.ID, Revision: j.revision}, Progress: p}
-	if j.final() {
-		closed := j.closed()
-		record.Closed = &closed
-	}
-	return record
-}
-
-func (s *step) progress() (jobs.StepProgress, bool) {
-	sp := jobs.StepProgress{Occurrence: s.id.Occurrence, Step: s.id.Step, Failures: s.failures}
-	switch s.left {
-	case 0:
-		sp.AllDone = true
-	case s.Count:
-	default:
-		for n, t := range s.tasks {
-			if t.done {
-				sp.Done = append(sp.Done, n)
-			}
-		}
-	}
-	return sp, sp.AllDone || len(sp.Done) > 0 || len(sp.Failures) > 0
-}
-
 // task returns the task with a name, or nil.
 func (e *Engine) task(id jobs.TaskID) *task {
 	j := e.jobs[id.Job]
@@ -414,52 +258,3 @@
 	}
 	return steps[id.Step].tasks[id.Index]
 }
-
-// Status is what a caller may be told of a job.
-type Status struct {
-	State jobs.State
-	// Known is false for jobs that this engine has not taken in.
-	Known bool
-}
-
-// Status returns what a caller may be told: a final state only once it is stored.
-func (e *Engine) Status(id jobs.ID) Status {
-	j := e.jobs[id]
-	switch {
-	case j == nil:
-		return Status{}
-	case j.final() && j.committed >= j.revision:
-		return Status{State: j.state, Known: true}
-	case j.state == jobs.Canceled:
-		return Status{State: jobs.Canceled, Known: true}
-	case j.begun:
-		return Status{State: jobs.Running, Known: true}
-	default:
-		return Status{State: jobs.Queued, Known: true}
-	}
-}
-
-// Pending returns how many jobs of each queue have not begun.
-func (e *Engine) Pending() map[string]int {
-	counts := make(map[string]int)
-	for _, j := range e.active {
-		if !j.begun {
-			counts[j.Queue.Name]++
-		}
-	}
-	return counts
-}
-
-func compareRuns(a, b runKey) int {
-	if c := strings.Compare(string(a.task.Job), string(b.task.Job)); c != 0 {
-		return c
-	}
-	for _, c := range []int{
-		a.task.Occurrence - b.task.Occurrence, a.task.Step - b.task.Step, a.task.Index - b.task.Index, a.run - b.run,
-	} {
-		if c != 0 {
-			return c
-		}
-	}
-	return 0
-}
--- /dev/null
+++ b/core/engine/start.go
@@ -0,0 +1,120 @@
+package engine
+
+import (
+	"time"
+)
+
+// runsPerEpoch leaves each leader run numbers of its own, so that none repeats
+// one that it has not heard of.
+const runsPerEpoch = 1000
+
+// nextRun returns a run number that no task of the step has had.
+func (e *Engine) nextRun(s *step) int {
+	return max(s.lastRun, int(e.opts.Epoch-1)*runsPerEpoch) + 1
+}
+
+// start orders a run.
+func (e *Engine) start(now time.Time, t *task, w *worker, number int) {
+	s := t.step
+	r := &run{
+		runKey: runKey{t.id, number}, worker: w, each: s.room(), owner: t,
+		phase: starting, fence: e.fence(w), since: now, orderedAt: now, movedAt: now,
+	}
+	w.add(r)
+	t.run = r
+	e.counters.Starts++
+	ticket := s.advice.tickets[w.ID].value
+	checkpoint := t.saved
+	if s.Gang {
+		checkpoint = s.gangCheckpoint()
+	}
+	r.resumed = checkpoint != ""
+	e.log("run started", "task", t.id, "run", number, "worker", w.ID, "seen-before", now.Sub(w.lastSeen),
+		"free-millicores", w.free().Millicores, "waited", now.Sub(s.job.Arrived), "late-by", now.Sub(s.job.deadline), "saved", checkpoint)
+	e.emit(Start{
+		Target: w.target(), Task: t.id, Run: number, Spec: s.job.Spec, Until: e.lease(now, w),
+		Fence: r.fence, Ticket: ticket, Checkpoint: checkpoint,
+	})
+}
+
+// gangCheckpoint returns the newest checkpoint of any member: all of a gang's
+// tasks must start from the same one.
+func (s *step) gangCheckpoint() string {
+	newest := ""
+	for _, t := range s.tasks {
+		newest = max(newest, t.saved)
+	}
+	return newest
+}
+
+// startAnswered settles what is known of a start.
+func (e *Engine) startAnswered(now time.Time, ev StartAnswered) {
+	w := e.workers[ev.Worker]
+	if w == nil {
+		return
+	}
+	r := w.runs[runKey{ev.Task, ev.Run}]
+	if ev.Outcome != StartAccepted {
+		e.log("start answered", "task", ev.Task, "run", ev.Run, "worker", ev.Worker, "outcome", ev.Outcome)
+	}
+	if r == nil {
+		return
+	}
+	if ev.Outcome == StartFenced && r.fence == e.fence(w) {
+		e.supersede("start", ev.Worker)
+	}
+	switch ev.Outcome {
+	case StartUnknown:
+		e.counters.Unknown++
+		if e.opts.unsafe.forgetUnanswered {
+			e.startRefused(now, r, ev.Outcome)
+			return
+		}
+		if r.phase == starting {
+			r.phase, r.since = doubtful, now
+		}
+	case StartAccepted:
+		r.arrive()
+		if r.phase == starting {
+			r.phase, r.since = present, now
+		}
+	default:
+		e.startRefused(now, r, ev.Outcome)
+	}
+}
+
+// startRefused takes in that a start did nothing.
+func (e *Engine) startRefused(now time.Time, r *run, outcome StartOutcome) {
+	w, t := r.worker, r.owner
+	switch outcome {
+	case StartNoTicket:
+		e.counters.NoTicket++
+		if t != nil {
+			delete(t.step.advice.tickets, w.ID)
+		}
+	case StartNoRoom:
+		e.counters.NoRoom++
+	case StartUnhealthy:
+		w.health.until = now.Add(firstQuarantine)
+	}
+	w.remove(r)
+	if t == nil || t.run != r {
+		return
+	}
+	t.run = nil
+	t.step.lastRun = max(t.step.lastRun, r.run)
+	if t.step.Gang {
+		e.stopAll(now, t.step)
+	}
+}
+
+// stopAnswered settles what is known of a stop.
+func (e *Engine) stopAnswered(now time.Time, ev StopAnswered) {
+	w := e.workers[ev.Worker]
+	if w == nil || !ev.Confirmed {
+		return
+	}
+	if r := w.runs[runKey{ev.Task, ev.Run}]; r != nil && r.phase == stopping {
+		r.stoppedAt = now
+	}
+}
--- a/core/jobs/codec.go
+++ b/core/jobs/codec.go
@@ -10,7 +10,7 @@
 
 func mustEncoding() cbor.EncMode {
 	options := cbor.CoreDetEncOptions()
-	options.Time = cbor.TimeUnixMicro
+	options.Time = cbor.TimeRFC3339NanoUTC
 	mode, err := options.EncMode()
 	if err != nil {
 		panic(err)
--- a/core/jobs/config.go
+++ b/core/jobs/config.go
@@ -6,8 +6,6 @@
 type Config struct {
 	Version int64
 	Queues  []Queue
-	// Services are the names of groups of workers that queues send work to.
-	Services []string
 	// MaxBodyBytes bounds a caller's request, if above zero.
 	MaxBodyBytes int64
 }
--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -20,8 +20,6 @@
 	Arrived time.Time `cbor:"5,keyasint"`
 	// Repeat is set for jobs whose steps run several times.
 	Repeat *Repeat `cbor:"6,keyasint,omitempty"`
-	// Attempt tells the writes of different attempts to submit the job apart.
-	Attempt string `cbor:"7,keyasint"`
 	// Refused marks the row of a job that was refused: no attempt from before
 	// the row can be accepted anymore.
 	Refused bool `cbor:"8,keyasint,omitempty"`
@@ -141,12 +139,3 @@
 	}
 	return longest
 }
-
-// Work returns the estimated processor time of one occurrence.
-func (j *Job) Work() time.Duration {
-	var work float64
-	for _, step := range j.Steps {
-		work += float64(step.Count) * float64(step.Each.Millicores) / 1000 * float64(step.Estimate)
-	}
-	return time.Duration(work)
-}
--- /dev/null
+++ b/core/jobs/jobs_test.go
@@ -0,0 +1,95 @@
+package jobs
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"tanagerstack.org/core/roster"
+)
+
+func validJob() Job {
+	return Job{
+		ID:    "job",
+		Queue: Queue{Name: "queue", Service: "service", Attempts: 2, Stretch: 1.5, Slack: time.Second},
+		Spec:  "spec",
+		Steps: []Step{
+			{Count: 2, Each: roster.Resources{Millicores: 500}, Estimate: time.Second},
+			{Count: 1, Each: roster.Resources{Millicores: 500}, Estimate: 3 * time.Second},
+			{Count: 1, Each: roster.Resources{Millicores: 500}, Estimate: 4 * time.Second, After: []int{0, 1}},
+		},
+		Arrived: time.UnixMilli(1_800_000_000_123),
+	}
+}
+
+func ExampleJob_Objective() {
+	job := validJob()
+	fmt.Println(job.Chain(), job.Objective())
+	// Output: 7s 11.5s
+}
+
+func ExampleConfig_Route() {
+	config := Config{Queues: []Queue{
+		{Name: "all", Host: "a.example", Prefix: "/p/"},
+		{Name: "some", Host: "a.example", Prefix: "/p/some/"},
+	}}
+	queue, rest, found := config.Route("a.example", "/p/some/5c0e")
+	fmt.Println(queue.Name, rest, found)
+	// Output: some 5c0e true
+}
+
+func TestCheck(t *testing.T) {
+	cases := map[string]struct {
+		change func(*Job)
+		valid  bool
+	}{
+		"as it is":              {func(*Job) {}, true},
+		"no steps":              {func(j *Job) { j.Steps = nil }, false},
+		"a step without tasks":  {func(j *Job) { j.Steps[0].Count = 0 }, false},
+		"after itself":          {func(j *Job) { j.Steps[2].After = []int{2} }, false},
+		"after a later one":     {func(j *Job) { j.Steps[0].After = []int{1} }, false},
+		"after none there is":   {func(j *Job) { j.Steps[2].After = []int{-1} }, false},
+		"less than nothing":     {func(j *Job) { j.Steps[0].Each.MemoryBytes = -1 }, false},
+		"too many tasks":        {func(j *Job) { j.Steps[0].Count = MaxTasks + 1 }, false},
+		"spec too long":         {func(j *Job) { j.Spec = string(make([]byte, MaxSpecBytes+1)) }, false},
+		"longest spec":          {func(j *Job) { j.Spec = string(make([]byte, MaxSpecBytes)) }, true},
+		"no occurrences":        {func(j *Job) { j.Repeat = &Repeat{} }, false},
+		"occurrences":           {func(j *Job) { j.Repeat = &Repeat{Count: 3, Every: time.Second} }, true},
+		"occurrences back-to-0": {func(j *Job) { j.Repeat = &Repeat{Count: 3, Every: -time.Second} }, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			job := validJob()
+			c.change(&job)
+			if err := job.Check(); (err == nil) != c.valid || err != nil && !errors.Is(err, ErrInvalid) {
+				t.Errorf("Check: %v, want valid: %v", err, c.valid)
+			}
+		})
+	}
+}
+
+func TestCodecKeepsAll(t *testing.T) {
+	job := validJob()
+	job.Repeat = &Repeat{First: time.UnixMilli(1_800_000_001_000), Every: time.Minute, Count: 2}
+	job.Queue.Advice = &Advice{Decide: time.Second, Each: time.Millisecond, Valid: 2 * time.Second}
+	data, err := Encode(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode[Job](data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !got.Arrived.Equal(job.Arrived) || !got.Repeat.First.Equal(job.Repeat.First) {
+		t.Errorf("instants %s and %s, want %s and %s", got.Arrived, got.Repeat.First, job.Arrived, job.Repeat.First)
+	}
+	got.Arrived, got.Repeat.First = job.Arrived, job.Repeat.First
+	if !reflect.DeepEqual(got, job) {
+		t.Errorf("decoded %+v, want %+v", got, job)
+	}
+	if _, err := Decode[Job](data[:len(data)/2]); err == nil {
+		t.Error("half of a job was decoded")
+	}
+}
