--- a/core/cell/fake_test.go
+++ b/core/cell/fake_test.go
@@ -217,7 +217,7 @@
 }
 
 func (f *fakeWorkers) Look(ctx context.Context, order engine.LookOrder, wait time.Duration) (engine.Report, error) {
-	sleep(ctx, min(wait, 20*time.Millisecond))
+	store.Pause(ctx, min(wait, 20*time.Millisecond))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if order.Fence < f.fence {
--- a/core/cell/feed.go
+++ b/core/cell/feed.go
@@ -29,7 +29,7 @@
 			}
 		}
 		l.node.opts.Logger.Warn("jobs cannot be read", "error", err)
-		sleep(ctx, tickEvery)
+		store.Pause(ctx, tickEvery)
 	}
 	return false
 }
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -7,6 +7,7 @@
 
 	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/store"
 )
 
 const (
@@ -148,7 +149,7 @@
 		l.mu.Unlock()
 		took := time.Since(began)
 		l.carryOut(commands)
-		sleep(ctx, max(schedulePause, scheduleShare*took))
+		store.Pause(ctx, max(schedulePause, scheduleShare*took))
 	}
 }
 
@@ -210,15 +211,3 @@
 	defer l.mu.Unlock()
 	l.engine.RosterRecorded(r)
 }
-
-// sleep waits, and reports whether ctx still holds.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/core/cell/order.go
+++ b/core/cell/order.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerstack.org/core/engine"
+	"tanagerstack.org/core/store"
 )
 
 const (
@@ -139,7 +140,7 @@
 	}
 	k.noteReached(false, err)
 	k.leader.apply(engine.LookFailed{Worker: k.worker, Superseded: errors.Is(err, ErrSuperseded), Fence: order.Fence})
-	sleep(ctx, lookRetry)
+	store.Pause(ctx, lookRetry)
 }
 
 // noteReached logs a worker that was lost or regained.
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -135,7 +135,7 @@
 
 // runHello reports to the leader until ctx ends.
 func (n *Node) runHello(ctx context.Context) {
-	for sleep(ctx, helloEvery) {
+	for store.Pause(ctx, helloEvery) {
 		row := n.elector.current()
 		if !row.Address.IsValid() || row.Released {
 			continue
--- a/core/store/swap.go
+++ b/core/store/swap.go
@@ -49,7 +49,7 @@
 		if present, readErr := t.Read(ctx, row.Table, row.Key); readErr == nil && present.Version != row.Version {
 			return settleConflict(&ConflictError{Rows: []Row{present}}, row, value, unsettled)
 		}
-		if !pause(ctx, waits.NextBackOff()) {
+		if !Pause(ctx, waits.NextBackOff()) {
 			return Row{}, fmt.Errorf("row %s/%s: %w: %w", row.Table, row.Key, ErrUnsettled, ctx.Err())
 		}
 	}
@@ -68,8 +68,8 @@
 	return Row{}, conflict
 }
 
-// pause waits, and reports whether ctx still holds.
-func pause(ctx context.Context, wait time.Duration) bool {
+// Pause waits, and reports whether ctx still holds.
+func Pause(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/core/store/watch.go
+++ b/core/store/watch.go
@@ -46,7 +46,7 @@
 			waits.Reset()
 			version = next
 			if w.Pause > 0 {
-				pause(ctx, w.Pause)
+				Pause(ctx, w.Pause)
 			}
 			continue
 		}
@@ -57,7 +57,7 @@
 		if w.OnError != nil && ctx.Err() == nil {
 			w.OnError(err)
 		}
-		pause(ctx, waits.NextBackOff())
+		Pause(ctx, waits.NextBackOff())
 	}
 }
 
