Tell a peer which of its messages were not handled when a connection closes

Ruled out: lost answers of handled messages (Close waits for handlers). Change: a connection is closed with the number of messages taken from it, and a message that was not taken gets its stream reset with a code of its own; both mean ErrNotSent. Also: Node.Close and the sweeper no longer hold the node's lock while they close.

--- a/core/peer/call.go
+++ b/core/peer/call.go
@@ -56,6 +56,9 @@
 	}
 	defer c.leave()
 	answer, err := c.ask(ctx, stream, data)
+	if err != nil && provesNotTaken(stream, err) {
+		return nil, notSent(to, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("message %s to %s: %w: %w", q.Kind(), to.Name, ErrNoAnswer, err)
 	}
--- a/core/peer/connection.go
+++ b/core/peer/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,8 +22,24 @@
 	heardAt atomic.Int64
 	suspect atomic.Bool
 	calls   atomic.Int64
+
+	mu sync.Mutex
+	// taken is how many messages of the peer this node has begun to handle.
+	taken  int64
+	closed bool
 }
 
+// streamNotTaken is the code of a stream whose message was not handled.
+const streamNotTaken quic.StreamErrorCode = 1
+
+// closedBase is added to the number of messages that were taken, to make the code
+// that a connection is closed with: the peer can tell which ones were not. Codes
+// below it say nothing.
+const closedBase quic.ApplicationErrorCode = 1 << 16
+
+// streamsPerID is the distance between the IDs of two streams that one end opens.
+const streamsPerID = 4
+
 func newConnection(n *Node, conn *quic.Conn, transport *quic.Transport) (*connection, error) {
 	certs := conn.ConnectionState().TLS.PeerCertificates
 	if len(certs) == 0 || len(certs[0].DNSNames) == 0 {
@@ -44,9 +61,9 @@
 		if err != nil {
 			return
 		}
-		if !c.node.enter() {
-			stream.CancelRead(0)
-			stream.CancelWrite(0)
+		if !c.take(stream) {
+			stream.CancelRead(streamNotTaken)
+			stream.CancelWrite(streamNotTaken)
 			continue
 		}
 		c.heard()
@@ -54,8 +71,44 @@
 	}
 }
 
+// take counts the message of a stream as one that is handled. It reports false
+// once the node or the connection is closing: the message is not handled then.
+// Streams arrive in the order of their IDs.
+func (c *connection) take(stream *quic.Stream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.node.enter() {
+		return false
+	}
+	c.taken = int64(stream.StreamID())/streamsPerID + 1
+	return true
+}
+
+// close ends the connection and tells the peer which of its messages were taken.
+func (c *connection) close(why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	_ = c.conn.CloseWithError(closedBase+quic.ApplicationErrorCode(c.taken), why)
+}
+
+// provesNotTaken reports whether the error of a stream means that the peer has
+// not handled its message.
+func provesNotTaken(stream *quic.Stream, err error) bool {
+	var reset *quic.StreamError
+	if errors.As(err, &reset) {
+		return reset.Remote && reset.ErrorCode == streamNotTaken
+	}
+	var closed *quic.ApplicationError
+	if !errors.As(err, &closed) || !closed.Remote || closed.ErrorCode < closedBase {
+		return false
+	}
+	taken := int64(closed.ErrorCode - closedBase)
+	return int64(stream.StreamID())/streamsPerID >= taken
+}
+
 func (c *connection) end() {
-	_ = c.conn.CloseWithError(0, "end")
+	c.close("end")
 	c.node.untrack(c)
 	if c.transport != nil {
 		_ = c.transport.Close()
@@ -85,7 +138,7 @@
 // last call.
 func (c *connection) leave() {
 	if c.calls.Add(-1) == 0 && c.suspect.Load() {
-		_ = c.conn.CloseWithError(0, "replaced")
+		c.close("replaced")
 	}
 }
 
@@ -114,11 +167,9 @@
 }
 
 func (s *sweeper) sweep() {
-	s.node.mu.Lock()
-	defer s.node.mu.Unlock()
-	for c := range s.node.connections {
+	for _, c := range s.node.open() {
 		if c.transport != nil && c.calls.Load() == 0 && c.silence() > unusedFor {
-			_ = c.conn.CloseWithError(0, "unused")
+			c.close("unused")
 		}
 	}
 }
--- a/core/peer/errors.go
+++ b/core/peer/errors.go
@@ -5,7 +5,8 @@
 	"fmt"
 )
 
-// ErrNotSent means that no byte of the message reached the peer.
+// ErrNotSent means that the peer has not handled the message and never will: no
+// byte of it was sent, or the peer has told so.
 var ErrNotSent = errors.New("message not sent")
 
 // ErrNoAnswer means that the peer may have handled the message.
--- a/core/peer/node.go
+++ b/core/peer/node.go
@@ -6,8 +6,10 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -150,14 +152,19 @@
 	case <-ctx.Done():
 	}
 	n.cancel()
-	n.mu.Lock()
-	for c := range n.connections {
-		_ = c.conn.CloseWithError(0, "shutdown")
+	for _, c := range n.open() {
+		c.close("shutdown")
 	}
-	n.mu.Unlock()
 	return errors.Join(n.listener.Close(), n.transport.Close(), n.transport.Conn.Close())
 }
 
+// open returns the connections that have not ended.
+func (n *Node) open() []*connection {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Collect(maps.Keys(n.connections))
+}
+
 // waiter turns the end of a group into a channel.
 type waiter struct {
 	group *sync.WaitGroup
