Take an idle worker for reachable while it holds a look back

Cause: an idle worker answers a look after its wait of a second, and the engine counted the worker's age from when the look was sent. Just before the next answer that is two seconds, beyond the 1.6 s after which a worker counts as lost. So idle workers got no work for a fifth of the time, went on record as lost and came back, and each return asked for a renewal of the leader row at once: ten a second, each read by all VMs. Change: a worker's age counts from its last answer. Test: TestIdleWorkerGetsWorkAtAnyInstant, which failed 570 ms after a look began.

--- a/core/engine/lease_test.go
+++ b/core/engine/lease_test.go
@@ -143,3 +143,24 @@
 		})
 	}
 }
+
+// TestIdleWorkerGetsWorkAtAnyInstant checks that a worker whose looks are held
+// back for their whole wait, since nothing ends there, is never taken for lost.
+func TestIdleWorkerGetsWorkAtAnyInstant(t *testing.T) {
+	const lookTakes, step = 1030 * time.Millisecond, 10 * time.Millisecond
+	b := newBench(t, Options{}, testWorker("w1"))
+	sent := b.now
+	for range 500 {
+		b.now = b.now.Add(step)
+		if b.now.Sub(sent) >= lookTakes {
+			b.apply(Looked{Worker: "w1", Sent: sent, Report: Report{Born: start, Clock: b.now.Sub(start) + time.Minute}})
+			sent = b.now
+		}
+		if !b.workers["w1"].usable(b.now) {
+			t.Fatalf("no work would go to the worker %s after a look began", b.now.Sub(sent))
+		}
+		if roster, urgent := b.WantedRoster(b.now); urgent || len(roster.Lost) > 0 {
+			t.Fatalf("the worker would go on record as lost %s after a look began", b.now.Sub(sent))
+		}
+	}
+}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// freshFor is how old the last report of a worker may be for it to get new
-	// work: a look waits a second at most, so half as long again is a missed one.
+	// freshFor is how long ago a worker may have answered for it to get new work: a
+	// look waits a second at most, so half as long again is a missed one.
 	freshFor = 1600 * time.Millisecond
 	// ticketMargin is how long a ticket must still hold for a start: the way to a
 	// worker in another region and a repeated packet.
@@ -40,7 +40,8 @@
 	raises int64
 	clock  clock
 	// leased is the latest reading of its clock to which a lease was given.
-	leased   time.Duration
+	leased time.Duration
+	// lastSeen is when it last answered a look.
 	lastSeen time.Time
 	runs     map[runKey]*run
 	used     roster.Resources
@@ -186,9 +187,8 @@
 		return
 	}
 	w.clock.observe(now, ev.Report.Clock)
-	if ev.Sent.After(w.lastSeen) {
-		w.lastSeen = ev.Sent
-	}
+	// An idle worker holds a look back, and then tells how it is when it answers.
+	w.lastSeen = now
 	for _, end := range ev.Report.Ended {
 		e.ended(now, w, end)
 	}
