Call the store less often: paced feed of workers, longer watches

Change: the feed of workers has the pause that the feed of jobs has (120 ms); the leader row is watched for 0.7 s a call, the configuration for 2 s.

--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -30,8 +30,9 @@
 	smallDelay = 600 * time.Millisecond
 	// electStep is how often the elector decides.
 	electStep = 100 * time.Millisecond
-	// leaderWait bounds a watch of the leader row.
-	leaderWait = 500 * time.Millisecond
+	// leaderWait bounds a watch of the leader row: longer than the time between two
+	// renewals, so that no call ends just before one.
+	leaderWait = 700 * time.Millisecond
 	// electTimeout bounds a write of the row.
 	electTimeout = 1500 * time.Millisecond
 )
--- a/core/cell/feed.go
+++ b/core/cell/feed.go
@@ -97,6 +97,7 @@
 	watcher := &store.Watcher{
 		Feed:       l.node.opts.Store,
 		Table:      l.node.opts.Directory.WorkerTable,
+		Pause:      feedPause,
 		OnSnapshot: l.workerRows,
 		OnChanges:  l.workerChanges,
 		OnError:    l.node.watchFailed(l.node.opts.Directory.WorkerTable),
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -18,8 +18,9 @@
 	scheduleShare = 4
 	// tickEvery is how often the engine is told that time passes.
 	tickEvery = 50 * time.Millisecond
-	// feedPause lets the jobs of several callers share a call of the feed. The VMs
-	// tell the leader of new jobs themselves; the feed brings what it did not hear.
+	// feedPause lets changes share a call of the feed: the jobs of several callers,
+	// which the VMs also tell the leader themselves, and the workers' reports. A
+	// leaving worker must get nothing new within seconds, so it costs little there.
 	feedPause = 120 * time.Millisecond
 	// leaseTerm is how long runs go on without a leader: a takeover after a silent
 	// death takes three seconds. Runs on a worker that was lost wait it out before
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -31,6 +31,10 @@
 	cancelSuffix  = "/cancel"
 )
 
+// configWait bounds a watch of the configuration. A connection that goes silent is
+// noticed after it, and a change must be in force within four seconds (the brief).
+const configWait = 2 * time.Second
+
 // Options configure a Node. All fields are needed but those with a default.
 type Options struct {
 	// Name is the name of this VM, Peers the address where other VMs reach it.
@@ -126,6 +130,7 @@
 	watcher := &store.Watcher{
 		Feed:       n.opts.Store,
 		Table:      n.opts.Directory.ConfigTable,
+		Wait:       configWait,
 		OnSnapshot: n.configRows,
 		OnChanges:  n.configChanges,
 		OnError:    n.watchFailed("config"),
