Pass calls to the store through another VM while the store does not answer this one

Callers keep their connections to these VMs, were refused there or left without an answer, and came back a second later or more; a leader that was turned away could not record ends, and lost the leadership 2 s later. Ruled out: the way between VMs (reports to the leader went on). Change: the leader's row lists the VMs that report to it; a client of the store whose calls fail twice in a row passes them to one of these VMs, which carries them out if the store answers it, until a probe of the direct way succeeds. Errors keep their meaning: what no VM took was not done. A renewal is settled within 1.1 s, so that a leader can renew by the detour in time.

--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -33,8 +33,11 @@
 	// leaderWait bounds a watch of the leader row: longer than the time between two
 	// renewals, so that no call ends just before one.
 	leaderWait = 700 * time.Millisecond
-	// electTimeout bounds a write of the row.
-	electTimeout = 1500 * time.Millisecond
+	// electTimeout bounds a write of the row, and readTimeout the read that settles a
+	// lost answer: a leader that the store has stopped answering must renew its row by
+	// a detour before it expires.
+	electTimeout = 600 * time.Millisecond
+	readTimeout  = 450 * time.Millisecond
 )
 
 // leaderRow is the stored form of the leadership, in JSON.
@@ -48,6 +51,8 @@
 	// those of them that do not answer, with the jobs that may run there.
 	Workers []string             `json:"workers"`
 	Lost    map[string][]jobs.ID `json:"lost,omitempty"`
+	// VMs are those that report to the leader, by name, with where they can be reached.
+	VMs map[string]netip.AddrPort `json:"vms,omitempty"`
 	// Beat makes each renewal a change.
 	Beat int64 `json:"beat"`
 }
--- a/core/cell/fake_test.go
+++ b/core/cell/fake_test.go
@@ -252,6 +252,12 @@
 
 // testNode starts a node and returns it with a function that stops it.
 func testNode(t *testing.T, name string, platform *memoryPlatform, workers *fakeWorkers) (node *Node, stop func()) {
+	t.Helper()
+	return testNodeOn(t, name, platform, workers)
+}
+
+// testNodeOn is testNode with a way of its own to the platform.
+func testNodeOn(t *testing.T, name string, platform store.Transport, workers *fakeWorkers) (node *Node, stop func()) {
 	t.Helper()
 	client, err := store.New(store.Options{Transport: platform, CommitTimeout: 200 * time.Millisecond})
 	if err != nil {
--- a/core/cell/helper.go
+++ b/core/cell/helper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"tanagerstack.org/core/engine"
@@ -16,6 +17,17 @@
 	return helloReply{Leading: true, Epoch: l.epoch, Pending: l.pendingLocked(), Instance: l.node.instance}
 }
 
+// addresses returns where the VMs of the cell can be reached.
+func (l *leader) addresses() map[string]netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := map[string]netip.AddrPort{l.node.opts.Name: l.node.opts.Peers}
+	for name, vm := range l.helpers {
+		list[name] = vm.hello.Address
+	}
+	return list
+}
+
 // reportHelpers tells the engine which VMs can ask the adviser.
 func (l *leader) reportHelpers() {
 	now := time.Now()
--- a/core/cell/message.go
+++ b/core/cell/message.go
@@ -13,6 +13,7 @@
 	pathStatus = "/peer/status"
 	pathAsk    = "/peer/ask"
 	pathNews   = "/peer/news"
+	pathStore  = "/peer/store"
 )
 
 // hello is what a VM reports to the leader.
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -78,6 +78,7 @@
 	n.peers = newPeerClient()
 	n.metrics = newMetrics(n)
 	n.elector = newElector(n)
+	opts.Store.SetDetour(&detour{node: n}, LeaderTable, LeaderKey)
 	return n
 }
 
--- a/core/cell/serve.go
+++ b/core/cell/serve.go
@@ -27,6 +27,7 @@
 	mux.HandleFunc("POST "+pathStatus, handle(s.status))
 	mux.HandleFunc("POST "+pathAsk, handle(s.ask))
 	mux.HandleFunc("POST "+pathNews, handle(s.news))
+	mux.HandleFunc("POST "+pathStore, handle(s.store))
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: peerIdleTimeout}
 	return s, nil
 }
--- a/core/cell/takeover.go
+++ b/core/cell/takeover.go
@@ -46,6 +46,7 @@
 		Address:  e.node.opts.Peers,
 		Workers:  before.Workers,
 		Lost:     before.Lost,
+		VMs:      before.VMs,
 	}
 	began := time.Now()
 	written, err := e.write(ctx, next, version, store.Put{Table: LeaderTable, Key: epochKey, Value: fmt.Append(nil, next.Epoch)})
@@ -82,6 +83,7 @@
 	}
 	row.Beat++
 	row.Workers, row.Lost = roster.Workers, roster.Lost
+	row.VMs = l.addresses()
 	l.rosterSent(roster)
 	now := time.Now()
 	written, err := e.write(ctx, row, version)
@@ -117,8 +119,11 @@
 	if !errors.As(err, &conflict) && !errors.Is(err, store.ErrUnsettled) {
 		return 0, err
 	}
-	stored, readErr := e.node.opts.Store.Read(ctx, LeaderTable, LeaderKey)
+	readCtx, done := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
+	defer done()
+	stored, readErr := e.node.opts.Store.Read(readCtx, LeaderTable, LeaderKey)
 	if readErr != nil {
+		e.node.opts.Store.Suspect()
 		return 0, errors.Join(err, readErr)
 	}
 	if slices.Equal(stored.Value, data) {
--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -174,11 +174,7 @@
 		return roomiest(good, spareRoom*float64(missing), 1, len(good))
 	}
 	list := roomiest(good, reservedRoom*float64(missing), 1, len(good))
-	kept := append([]candidate(nil), list...)
-	for _, c := range e.candidates(&pass{now: now}, s, missing) {
-		kept = append(kept, c)
-	}
-	e.reserve(s, kept, now)
+	e.reserve(s, slices.Concat(list, e.candidates(&pass{now: now}, s, missing)), now)
 	return list
 }
 
--- a/core/store/breaker.go
+++ b/core/store/breaker.go
@@ -25,7 +25,9 @@
 type breaker struct {
 	mu       *sync.Mutex
 	failures int
-	waits    *backoff.ExponentialBackOff
+	// limit is how many failures in a row open it.
+	limit int
+	waits *backoff.ExponentialBackOff
 	// retryAt is when the next probe may go out; probing is set while it is out.
 	retryAt time.Time
 	probing bool
@@ -36,21 +38,21 @@
 	waits.InitialInterval = firstRetry
 	waits.MaxInterval = longestRetry
 	waits.Multiplier = 2
-	return breaker{mu: &sync.Mutex{}, waits: waits}
+	return breaker{mu: &sync.Mutex{}, waits: waits, limit: failuresToOpen}
 }
 
 // closed reports whether calls go through.
 func (b *breaker) closed() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.failures < failuresToOpen
+	return b.failures < b.limit
 }
 
 // allow reports whether a call may go out at now.
 func (b *breaker) allow(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.failures < failuresToOpen {
+	if b.failures < b.limit {
 		return true
 	}
 	if b.probing || now.Before(b.retryAt) {
@@ -73,7 +75,24 @@
 	defer b.mu.Unlock()
 	b.failures++
 	b.probing = false
-	if b.failures >= failuresToOpen {
+	if b.failures >= b.limit {
+		b.retryAt = now.Add(b.waits.NextBackOff())
+	}
+}
+
+// setLimit sets how many failures in a row open the breaker.
+func (b *breaker) setLimit(limit int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+}
+
+// open keeps calls back until one succeeds.
+func (b *breaker) open(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failures < b.limit {
+		b.failures = b.limit
 		b.retryAt = now.Add(b.waits.NextBackOff())
 	}
 }
--- a/core/store/client.go
+++ b/core/store/client.go
@@ -68,6 +68,8 @@
 	// Failures are calls that the service did not answer as it should;
 	// Rejected are those that the breaker kept back.
 	Failures, Rejected atomic.Int64
+	// Detours are calls that took the detour.
+	Detours atomic.Int64
 }
 
 // Client is the table service over HTTP. It is safe for concurrent use.
@@ -75,6 +77,7 @@
 	opts     Options
 	remote   Transport
 	breaker  breaker
+	detour   atomic.Pointer[detour]
 	pace     *rate.Limiter
 	stats    Stats
 	pending  chan *pending
@@ -178,8 +181,8 @@
 func (c *Client) Read(ctx context.Context, table, key string) (Row, error) {
 	c.stats.Reads.Add(1)
 	var row Row
-	err := c.guard(ctx, c.opts.ReadTimeout, func(ctx context.Context) (err error) {
-		row, err = c.remote.Read(ctx, table, key)
+	err := c.guard(ctx, c.opts.ReadTimeout, func(ctx context.Context, t Transport) (err error) {
+		row, err = t.Read(ctx, table, key)
 		return err
 	})
 	if err != nil {
@@ -202,8 +205,8 @@
 	for {
 		c.stats.Scans.Add(1)
 		var page Page
-		err := c.guard(ctx, scanTimeout, func(ctx context.Context) (err error) {
-			page, err = c.remote.Scan(ctx, table, prefix, cursor)
+		err := c.guard(ctx, scanTimeout, func(ctx context.Context, t Transport) (err error) {
+			page, err = t.Scan(ctx, table, prefix, cursor)
 			return err
 		})
 		if err != nil {
@@ -226,24 +229,39 @@
 // Watch returns what changed in a table. It is not kept back by the breaker: a
 // watch is what notices first that the service is back.
 func (c *Client) Watch(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error) {
-	source, ok := c.remote.(interface {
-		Watch(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error)
-	})
+	source, ok := c.remote.(watchSource)
 	if !ok {
 		return Changes{}, fmt.Errorf("watching %s: the service has no feed: %w", table, ErrRejected)
 	}
 	c.stats.Watches.Add(1)
+	parent := ctx
 	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
+	around := c.around()
+	if around != nil {
+		source = around
+	}
 	changes, err := source.Watch(ctx, table, after, wait)
-	if err != nil {
-		return Changes{}, fmt.Errorf("watching %s: %w", table, err)
+	if err == nil {
+		return changes, nil
 	}
-	return changes, nil
+	if around == nil && parent.Err() == nil && !errors.Is(err, ErrHistoryGone) && c.detour.Load() != nil {
+		c.breaker.failed(time.Now())
+	}
+	return Changes{}, fmt.Errorf("watching %s: %w", table, err)
+}
+
+// watchSource is a transport with a feed.
+type watchSource interface {
+	Watch(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error)
 }
 
-// guard runs one call under the breaker and a timeout.
-func (c *Client) guard(ctx context.Context, timeout time.Duration, call func(context.Context) error) error {
+// guard runs one call under the breaker and a timeout, or on the detour. A service
+// that is too busy for this client may have time for others.
+func (c *Client) guard(ctx context.Context, timeout time.Duration, call func(context.Context, Transport) error) error {
+	if d := c.around(); d != nil {
+		return c.takeDetour(ctx, d, timeout, call)
+	}
 	if !c.breaker.allow(time.Now()) {
 		c.stats.Rejected.Add(1)
 		return errBreakerOpen
@@ -251,9 +269,9 @@
 	parent := ctx
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	err := call(ctx)
+	err := call(ctx, c.remote)
 	switch {
-	case err == nil || errors.Is(err, ErrRejected) || errors.Is(err, ErrBusy):
+	case err == nil || errors.Is(err, ErrRejected) || errors.Is(err, ErrBusy) && c.detour.Load() == nil:
 		c.breaker.succeeded()
 	case parent.Err() != nil:
 		// The caller gave up early; that says nothing about the service.
--- a/core/store/lane.go
+++ b/core/store/lane.go
@@ -107,8 +107,8 @@
 // single transactions count for the breaker as those of the call.
 func (c *Client) commit(ctx context.Context, group []Transaction) ([]Result, error) {
 	var results []Result
-	err := c.guard(ctx, c.opts.CommitTimeout, func(ctx context.Context) (err error) {
-		results, err = c.remote.Commit(ctx, group)
+	err := c.guard(ctx, c.opts.CommitTimeout, func(ctx context.Context, t Transport) (err error) {
+		results, err = t.Commit(ctx, group)
 		if err != nil {
 			return err
 		}
--- a/model/play/tally.go
+++ b/model/play/tally.go
@@ -1,7 +1,6 @@
 package play
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -42,7 +41,7 @@
 	if len(q.waits) == 0 {
 		return 0
 	}
-	slices.SortFunc(q.waits, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+	slices.Sort(q.waits)
 	return q.waits[min(len(q.waits)-1, int(share*float64(len(q.waits))))]
 }
 
--- a/model/play/worker.go
+++ b/model/play/worker.go
@@ -38,7 +38,6 @@
 type look struct {
 	order engine.LookOrder
 	sent  time.Time
-	done  bool
 }
 
 // lookWait is how long a worker holds a look back.
@@ -71,9 +70,6 @@
 	r.worker.cell.after(r.takes, r.finish)
 }
 
-// failsAfter is the part of its work after which a run that fails does so.
-const failsAfter = 0.5
-
 // finish ends a run, and its gang with it.
 func (r *run) finish() {
 	if r.worker.running[r.task] != r {
--- a/model/run.go
+++ b/model/run.go
@@ -48,7 +48,7 @@
   tanager-model run model/scenes/*.yaml --seeds 8 --load 1,1.5,2.5 --policy product,naive`,
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var faults []error
+			faults := make([]error, 0, len(args))
 			for _, path := range args {
 				faults = append(faults, o.run(cmd.OutOrStdout(), path))
 			}
@@ -87,16 +87,16 @@
 
 // compare plays a scene at one load with each policy and prints a table.
 func (o *runOptions) compare(w io.Writer, scene *play.Scene, load float64) error {
-	fmt.Fprintf(w, "%s at %.2f times its load, %d seeds\n", scene.Name, load, o.seeds)
+	_, _ = fmt.Fprintf(w, "%s at %.2f times its load, %d seeds\n", scene.Name, load, o.seeds)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "policy\tworth\tspread\tby queue\twaits p50/p95\tpacked\twasted\tstarts\tquestions\tlongest pass")
+	_, _ = fmt.Fprintln(table, "policy\tworth\tspread\tby queue\twaits p50/p95\tpacked\twasted\tstarts\tquestions\tlongest pass")
 	means := make([]float64, 0, len(o.policies))
 	for _, name := range o.policies {
 		tallies := o.playAll(scene, policies[name], load)
 		mean, spread := shares(tallies)
 		means = append(means, mean)
 		last := tallies[len(tallies)-1]
-		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%s\t%s\t%.2f\t%.3f\t%d\t%d\t%s\n", name, mean, spread, byQueue(scene, tallies), waits(scene, last),
+		_, _ = fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%s\t%s\t%.2f\t%.3f\t%d\t%d\t%s\n", name, mean, spread, byQueue(scene, tallies), waits(scene, last),
 			last.Packed(), last.WastedCoreSeconds/last.BusyCoreSeconds, last.Starts, last.Questions, last.LongestPass.Round(100*time.Microsecond))
 	}
 	if err := table.Flush(); err != nil {
@@ -152,7 +152,7 @@
 }
 
 func byQueue(scene *play.Scene, tallies []*play.Tally) string {
-	var parts []string
+	parts := make([]string, 0, len(scene.Queues))
 	for _, q := range scene.Queues {
 		mean := 0.0
 		for _, t := range tallies {
@@ -164,7 +164,7 @@
 }
 
 func waits(scene *play.Scene, t *play.Tally) string {
-	var parts []string
+	parts := make([]string, 0, len(scene.Queues))
 	for _, q := range scene.Queues {
 		queue := t.Queues[q.Name]
 		parts = append(parts, fmt.Sprintf("%.2f/%.1f", queue.Wait(0.5).Seconds(), queue.Wait(0.95).Seconds()))
