--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -85,7 +85,8 @@
 
 // requestAdvice asks for workers that may run the step's waiting tasks. It
 // reports false if no VM is free to ask for the step's queue.
-func (e *Engine) requestAdvice(now time.Time, s *step, missing int) bool {
+func (e *Engine) requestAdvice(p *pass, s *step, missing int) bool {
+	now := p.now
 	a := &s.advice
 	if now.Before(a.askAfter) || a.asking(now) {
 		return true
@@ -94,7 +95,7 @@
 	if first == nil {
 		return false
 	}
-	list := e.workersToAsk(now, s, missing)
+	list := e.workersToAsk(p, s, missing)
 	if len(list) == 0 {
 		return true
 	}
@@ -142,11 +143,11 @@
 
 // workersToAsk returns the workers to name in questions: known good ones with room
 // now, where they are enough, or else ones that were not asked yet.
-func (e *Engine) workersToAsk(now time.Time, s *step, missing int) []candidate {
+func (e *Engine) workersToAsk(p *pass, s *step, missing int) []candidate {
 	a := &s.advice
 	var good, fresh []candidate
-	for _, w := range e.order {
-		if !e.suits(now, s, w) || a.bad[w.ID] || a.allows(now, w.ID) {
+	for _, w := range p.open {
+		if !s.suits(w) || a.bad[w.ID] || a.allows(p.now, w.ID) {
 			continue
 		}
 		c := candidate{worker: w, room: w.freeFor(s), fits: s.fits(w, missing)}
@@ -161,26 +162,26 @@
 	if !s.Gang {
 		needed = 1
 	}
-	if len(good) > 0 && totalFits(good)+e.ticketedFits(now, s, missing) >= needed {
-		return e.knownToAsk(now, s, good, missing)
+	if len(good) > 0 && totalFits(good)+e.ticketedFits(p, s, missing) >= needed {
+		return e.knownToAsk(p, s, good, missing)
 	}
 	return e.freshToAsk(s, fresh, missing)
 }
 
 // knownToAsk picks workers that are known to be good. For a gang their room is kept
 // until the answer is there.
-func (e *Engine) knownToAsk(now time.Time, s *step, good []candidate, missing int) []candidate {
+func (e *Engine) knownToAsk(p *pass, s *step, good []candidate, missing int) []candidate {
 	if !s.Gang || e.opts.Policy.NoReservations {
 		return roomiest(good, spareRoom*float64(missing), 1, len(good))
 	}
 	list := roomiest(good, reservedRoom*float64(missing), 1, len(good))
-	e.reserve(s, slices.Concat(list, e.candidates(&pass{now: now}, s, missing)), now)
+	e.reserve(s, slices.Concat(list, e.candidates(p.unheld(), s, missing)), p.now)
 	return list
 }
 
 // ticketedFits returns how many tasks fit where tickets hold.
-func (e *Engine) ticketedFits(now time.Time, s *step, limit int) int {
-	return totalFits(e.candidates(&pass{now: now}, s, limit))
+func (e *Engine) ticketedFits(p *pass, s *step, limit int) int {
+	return totalFits(e.candidates(p.unheld(), s, limit))
 }
 
 // askAhead asks for steps whose turn comes when the tasks that run now are done,
@@ -192,7 +193,7 @@
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if e.nearlyReady(p.now, s) && !e.requestAdvice(p.now, s, s.left) {
+				if e.nearlyReady(p.now, s) && !e.requestAdvice(p, s, s.left) {
 					p.full[j.Queue.Name] = true
 				}
 			}
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -75,6 +75,7 @@
 	dirty      map[jobs.ID]*job
 	commands   []Command
 	superseded bool
+	rescuedAt  time.Time
 	counters   Counters
 }
 
@@ -192,7 +193,8 @@
 		e.checkLapse(now, w)
 		e.repeatStops(now, w)
 	}
-	if !e.superseded {
+	if !e.superseded && now.Sub(e.rescuedAt) >= rescueEvery {
+		e.rescuedAt = now
 		e.rescue(now)
 	}
 	if len(e.former) > 0 && now.After(e.opts.FormerUntil) {
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -31,6 +31,9 @@
 	due   time.Time
 	steps []*step
 	left  int
+	// rank is by what the occurrence is still worth, as of rankedAt.
+	rank     lateness
+	rankedAt time.Time
 }
 
 // step is a step of an occurrence.
@@ -47,6 +50,8 @@
 	advice   stepAdvice
 	// reserved is the room that is kept for the step, or nil.
 	reserved *reservation
+	// tryAt is when the step is looked at again, if that is not at once.
+	tryAt time.Time
 	// waitingSince is when tasks of the step first found no room.
 	waitingSince time.Time
 	// rank is by what the step's job is still worth, as of the last pass.
@@ -93,6 +98,16 @@
 	return true
 }
 
+// anyWaiting reports whether a task of the step has no run.
+func (s *step) anyWaiting() bool {
+	for _, t := range s.tasks {
+		if !t.done && t.run == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // waiting returns the tasks that have no run and are not done.
 func (s *step) waiting() []*task {
 	var list []*task
--- a/core/engine/lease.go
+++ b/core/engine/lease.go
@@ -43,8 +43,11 @@
 
 // checkGhosts ends orders to an earlier life that are too old to arrive.
 func (e *Engine) checkGhosts(now time.Time, w *worker) {
+	if w.synced {
+		return
+	}
 	for _, r := range w.sortedRuns() {
-		if r.ghost && !w.synced && now.Sub(r.orderedAt) > ghostTime+e.opts.MaxLease {
+		if r.ghost && now.Sub(r.orderedAt) > ghostTime+e.opts.MaxLease {
 			e.presume(now, r, jobs.EndLapsed, "an order to an earlier life of the worker is too old to arrive")
 		}
 	}
--- a/core/engine/order.go
+++ b/core/engine/order.go
@@ -54,10 +54,9 @@
 			if o.left == 0 || now.Before(o.due) {
 				continue
 			}
-			rank := e.lateness(now, o, j)
 			for _, s := range o.steps {
-				if s.ready(now) {
-					s.rank = rank
+				if s.ready(now) && s.anyWaiting() {
+					s.rank = e.rankOf(now, o, j)
 					list = append(list, s)
 				}
 			}
@@ -69,6 +68,18 @@
 	return list
 }
 
+// rankEvery is how long the rank of an occurrence holds: objectives are a second
+// long or more.
+const rankEvery = 50 * time.Millisecond
+
+// rankOf returns the rank of an occurrence, anew only once in a while.
+func (e *Engine) rankOf(now time.Time, o *occurrence, j *job) lateness {
+	if o.rankedAt.IsZero() || now.Sub(o.rankedAt) > rankEvery {
+		o.rank, o.rankedAt = e.lateness(now, o, j), now
+	}
+	return o.rank
+}
+
 func compareSteps(a, b *step) int {
 	return cmp.Or(
 		cmp.Compare(a.rank, b.rank),
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -11,6 +11,7 @@
 	e.releaseHelpers(now)
 	e.expireReservations(now)
 	pass := &pass{now: now, full: make(map[string]bool), ticketed: make(map[string]int), held: make(map[string]*step)}
+	pass.open = e.openWorkers(now)
 	for _, s := range e.readySteps(now) {
 		e.scheduleStep(pass, s)
 	}
@@ -20,6 +21,8 @@
 // pass is what one pass over the steps has found out.
 type pass struct {
 	now time.Time
+	// open are the workers that may get work, by ID.
+	open []*worker
 	// full are the queues for which no VM is free to ask the adviser.
 	full map[string]bool
 	// ticketed counts the steps of a queue that hold tickets and wait for room.
@@ -28,7 +31,13 @@
 	held map[string]*step
 }
 
+// unheld returns the pass without the workers that are held for gangs.
+func (p *pass) unheld() *pass { return &pass{now: p.now, open: p.open} }
+
 func (e *Engine) scheduleStep(p *pass, s *step) {
+	if p.now.Before(s.tryAt) {
+		return
+	}
 	tasks := s.waiting()
 	if len(tasks) == 0 {
 		return
@@ -56,9 +65,27 @@
 			p.full[queue] = true
 		}
 	}
-	if !e.requestAdvice(p.now, s, missing) {
+	if !e.requestAdvice(p, s, missing) {
 		p.full[queue] = true
 	}
+	if s.Gang && s.advice.open == 0 {
+		s.tryAt = p.now.Add(gangRetry)
+	}
+}
+
+// gangRetry is the pause before a gang that found too little room, and nobody to ask,
+// is tried again: each try looks at all workers, and gangs wait for seconds.
+const gangRetry = 30 * time.Millisecond
+
+// openWorkers returns the workers that may get work now.
+func (e *Engine) openWorkers(now time.Time) []*worker {
+	list := make([]*worker, 0, len(e.order))
+	for _, w := range e.order {
+		if w.usable(now) && !w.health.quarantined(now) && e.onRecord(w.ID) {
+			list = append(list, w)
+		}
+	}
+	return list
 }
 
 // holdAfter is how long a gang looks for room among what is free before room is held
@@ -79,8 +106,8 @@
 		return
 	}
 	var list []candidate
-	for _, w := range e.order {
-		if !e.suits(p.now, s, w) || advised && !s.advice.good[w.ID] {
+	for _, w := range p.open {
+		if !s.suits(w) || advised && !s.advice.good[w.ID] {
 			continue
 		}
 		list = append(list, candidate{worker: w, room: w.free(), fits: ledger.Count(s.room(), w.Capacity, missing)})
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"tanagerstack.org/core/ledger"
 	"tanagerstack.org/core/roster"
@@ -25,11 +24,11 @@
 		return nil
 	}
 	var list []candidate
-	for _, w := range e.order {
+	for _, w := range p.open {
 		if s.job.Queue.Advice != nil && !s.advice.allows(now, w.ID) {
 			continue
 		}
-		if !e.suits(now, s, w) || !e.onRecord(w.ID) || p.held[w.ID] != nil {
+		if !s.suits(w) || p.held[w.ID] != nil {
 			continue
 		}
 		fits := s.fits(w, limit)
@@ -64,9 +63,9 @@
 	}
 }
 
-// suits reports whether a worker may ever run tasks of the step, as it is now.
-func (e *Engine) suits(now time.Time, s *step, w *worker) bool {
-	return w.usable(now) && w.Service == s.job.Queue.Service && w.hasLabel(s.Label) && !w.health.quarantined(now) && !w.disturbs(s)
+// suits reports whether a worker that gets work may run tasks of the step, as it is now.
+func (s *step) suits(w *worker) bool {
+	return w.Service == s.job.Queue.Service && w.hasLabel(s.Label) && !w.disturbs(s)
 }
 
 // disturbs reports whether tasks of the step must not share a worker with what
--- a/core/engine/rescue.go
+++ b/core/engine/rescue.go
@@ -10,6 +10,9 @@
 // task starts elsewhere from its last checkpoint.
 
 const (
+	// rescueEvery is the time between two looks for runs to move: they are judged by
+	// progress over most of a second.
+	rescueEvery = 200 * time.Millisecond
 	// stalledAfter is how long a run may show no progress, at least; a run that is
 	// predicted to take longer shows less of it, so stalledShare of its predicted
 	// time is allowed as well.
