Send a start again that got no answer, as the same run

A gang of twenty loses a member two times in three; it was found missing a second later and the whole gang was stopped. Ruled out: lost looks alone (they delay ends, and break nothing). Change: a start without an answer after 0.3 s is sent again with the same run number, which the worker answers as present if it has it. Only an acceptance of the second counts: a refusal says nothing of the first, which may yet arrive. Tests: TestLostStartIsSentAgain, TestSettledStart; the simulated world sends starts twice too.

--- a/core/cell/fake_test.go
+++ b/core/cell/fake_test.go
@@ -179,16 +179,24 @@
 	starts  map[jobs.TaskID]int
 	last    int64
 	takes   time.Duration
+	// losesFirst says that the first order of each start gets no answer and does nothing.
+	losesFirst bool
+	tried      map[jobs.TaskID]int
 }
 
 func newFakeWorkers(takes time.Duration) *fakeWorkers {
 	return &fakeWorkers{
 		born: time.Now().Truncate(time.Millisecond), takes: takes,
 		running: make(map[string]engine.Running), starts: make(map[jobs.TaskID]int),
+		tried: make(map[jobs.TaskID]int),
 	}
 }
 
-func (f *fakeWorkers) Start(_ context.Context, order engine.Start) (engine.StartOutcome, error) {
+func (f *fakeWorkers) Start(ctx context.Context, order engine.Start) (engine.StartOutcome, error) {
+	if f.lose(order.Task) {
+		<-ctx.Done()
+		return engine.StartUnknown, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if order.Fence < f.fence {
@@ -201,6 +209,14 @@
 	return engine.StartAccepted, nil
 }
 
+// lose counts an order and reports whether it is lost.
+func (f *fakeWorkers) lose(task jobs.TaskID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tried[task]++
+	return f.losesFirst && f.tried[task] == 1
+}
+
 func (f *fakeWorkers) end(name string, how jobs.End) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/cell/order.go
+++ b/core/cell/order.go
@@ -13,7 +13,10 @@
 	// startTimeout bounds a start, and stopTimeout a stop. A worker in another
 	// region answers in a thirtieth of it.
 	startTimeout = 900 * time.Millisecond
-	stopTimeout  = 900 * time.Millisecond
+	// startRepeat is how long a start may go unanswered before it is sent again. The
+	// gang that a lost start belongs to would wait for it in vain.
+	startRepeat = 300 * time.Millisecond
+	stopTimeout = 900 * time.Millisecond
 	// lookWait is how long a worker holds a look back until a run ends.
 	lookWait = time.Second
 	// lookMargin is how long after its wait the answer to a look may take.
@@ -34,16 +37,35 @@
 }
 
 func (c *startCall) run() {
-	ctx, cancel := context.WithTimeout(c.leader.ctx, startTimeout)
-	defer cancel()
 	began := time.Now()
-	outcome, err := c.leader.node.opts.Workers.Start(ctx, c.order)
+	outcome, err := c.try(startRepeat)
+	repeated := outcome == engine.StartUnknown
+	if repeated {
+		outcome, err = c.try(startTimeout - startRepeat)
+		outcome = settledStart(outcome)
+	}
 	observe(c.leader.node.metrics.start, began)
 	c.leader.node.metrics.starts.WithLabelValues(outcome.String()).Inc()
 	if err != nil {
 		c.leader.node.opts.Logger.Warn("start failed", "task", c.order.Task, "run", c.order.Run, "worker", c.order.Worker, "outcome", outcome, "error", err)
 	}
-	c.leader.apply(engine.StartAnswered{Worker: c.order.Worker, Task: c.order.Task, Run: c.order.Run, Outcome: outcome})
+	c.leader.apply(engine.StartAnswered{Worker: c.order.Worker, Task: c.order.Task, Run: c.order.Run, Outcome: outcome, Repeated: repeated})
+}
+
+// try sends the start once.
+func (c *startCall) try(timeout time.Duration) (engine.StartOutcome, error) {
+	ctx, cancel := context.WithTimeout(c.leader.ctx, timeout)
+	defer cancel()
+	return c.leader.node.opts.Workers.Start(ctx, c.order)
+}
+
+// settledStart returns what is known of a start whose first sending got no answer. A
+// worker that refuses the second may have carried out the first, or may do so yet.
+func settledStart(second engine.StartOutcome) engine.StartOutcome {
+	if second == engine.StartAccepted {
+		return second
+	}
+	return engine.StartUnknown
 }
 
 // stopCall sends one stop.
--- /dev/null
+++ b/core/cell/order_test.go
@@ -0,0 +1,56 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"tanagerstack.org/core/engine"
+	"tanagerstack.org/core/jobs"
+)
+
+// TestLostStartIsSentAgain checks that a start without an answer is sent again as the
+// same run, and that each task still runs once.
+func TestLostStartIsSentAgain(t *testing.T) {
+	workers := newFakeWorkers(10 * time.Millisecond)
+	workers.losesFirst = true
+	_, nodes, _ := startCell(t, workers, "a")
+	job := testJob("job")
+	if err := nodes[0].Submit(t.Context(), job); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the job is done", func() bool {
+		state, err := nodes[0].Status(t.Context(), "job")
+		return err == nil && state == jobs.Done
+	})
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	for task, starts := range workers.starts {
+		if starts != 1 || workers.tried[task] != 2 {
+			t.Errorf("task %s ran %d times after %d orders, want once after two", task, starts, workers.tried[task])
+		}
+	}
+}
+
+// TestSettledStart checks what is known of a start that was sent twice: a worker that
+// refuses the second order may have carried out the first.
+func TestSettledStart(t *testing.T) {
+	cases := map[string]struct{ second, want engine.StartOutcome }{
+		"accepted":    {engine.StartAccepted, engine.StartAccepted},
+		"no answer":   {engine.StartUnknown, engine.StartUnknown},
+		"old":         {engine.StartOld, engine.StartUnknown},
+		"no room":     {engine.StartNoRoom, engine.StartUnknown},
+		"no ticket":   {engine.StartNoTicket, engine.StartUnknown},
+		"unhealthy":   {engine.StartUnhealthy, engine.StartUnknown},
+		"fenced":      {engine.StartFenced, engine.StartUnknown},
+		"other life":  {engine.StartOtherLife, engine.StartUnknown},
+		"late":        {engine.StartLate, engine.StartUnknown},
+		"not decoded": {engine.StartInvalid, engine.StartUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := settledStart(c.second); got != c.want {
+				t.Errorf("got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -79,6 +79,9 @@
 	Task    jobs.TaskID
 	Run     int
 	Outcome StartOutcome
+	// Repeated says that the order was sent twice, and that the first may still
+	// arrive: it does nothing where the run is, or was.
+	Repeated bool
 }
 
 // StopAnswered says whether the worker confirmed a Stop.
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -49,6 +49,8 @@
 	// arrived says that the order was answered or the run was listed: it cannot
 	// arrive again.
 	arrived bool
+	// repeated says that the order was sent twice, so that it can arrive again.
+	repeated bool
 	// ghost says that the order went to an earlier life of the worker.
 	ghost bool
 	// percent is how much of the work is done, startPercent what the first report
--- a/core/engine/start.go
+++ b/core/engine/start.go
@@ -75,6 +75,7 @@
 		}
 	case StartAccepted:
 		r.arrive()
+		r.repeated = ev.Repeated
 		if r.phase == starting {
 			r.phase, r.since = present, now
 		}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -175,7 +175,7 @@
 	w.leased = 0
 	w.seen, w.confirmable, w.marks = 0, 0, nil
 	for _, r := range w.sortedRuns() {
-		if r.arrived {
+		if r.arrived && !r.repeated {
 			e.presume(now, r, jobs.EndLapsed, "the worker started anew")
 			continue
 		}
--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -292,9 +292,7 @@
 	for _, command := range commands {
 		switch c := command.(type) {
 		case Start:
-			w.send(l, c.Worker, func(s *simWorker) Event {
-				return StartAnswered{Worker: c.Worker, Task: c.Task, Run: c.Run, Outcome: s.start(c)}
-			}, StartAnswered{Worker: c.Worker, Task: c.Task, Run: c.Run, Outcome: StartUnknown})
+			w.sendStart(l, c)
 		case Stop:
 			w.send(l, c.Worker, func(s *simWorker) Event {
 				return StopAnswered{Worker: c.Worker, Task: c.Task, Run: c.Run, Confirmed: s.stop(c)}
@@ -336,15 +334,46 @@
 	w.after(w.delay(), func() { w.apply(l, Recorded{Records: []RecordMark{c.Mark}}) })
 }
 
-// send takes an order to a worker: at once, late, or not at all, and its answer
-// back or not.
+// sendStart sends a start, and again if it is not answered soon.
+func (w *world) sendStart(l *simLeader, c Start) {
+	unanswered := StartAnswered{Worker: c.Worker, Task: c.Task, Run: c.Run, Outcome: StartUnknown}
+	order := func(s *simWorker) Event {
+		return StartAnswered{Worker: c.Worker, Task: c.Task, Run: c.Run, Outcome: s.start(c)}
+	}
+	w.try(l, c.Worker, 300*time.Millisecond, order, func(answer Event) {
+		if answer != nil {
+			w.apply(l, answer)
+			return
+		}
+		w.try(l, c.Worker, 600*time.Millisecond, order, func(answer Event) {
+			if second, ok := answer.(StartAnswered); ok && second.Outcome == StartAccepted {
+				second.Repeated = true
+				w.apply(l, second)
+				return
+			}
+			w.apply(l, unanswered)
+		})
+	})
+}
+
+// send sends an order once.
 func (w *world) send(l *simLeader, id string, order func(*simWorker) Event, unanswered Event) {
-	const timeout = 900 * time.Millisecond
+	w.try(l, id, 900*time.Millisecond, order, func(answer Event) {
+		if answer == nil {
+			answer = unanswered
+		}
+		w.apply(l, answer)
+	})
+}
+
+// try takes an order to a worker: at once, late, or not at all, and its answer back
+// or not; done is given the answer, or nil after the timeout.
+func (w *world) try(l *simLeader, id string, timeout time.Duration, order func(*simWorker) Event, done func(Event)) {
 	arrives := w.delay()
 	answered := true
 	switch {
 	case w.chance(w.faults.loseOrder):
-		w.after(timeout, func() { w.apply(l, unanswered) })
+		w.after(timeout, func() { done(nil) })
 		return
 	case w.chance(w.faults.lateOrder):
 		arrives = 2*time.Second + within(w.rand, 10*time.Second)
@@ -367,12 +396,12 @@
 		answer := order(s)
 		if answered {
 			told = true
-			w.after(w.delay(), func() { w.apply(l, answer) })
+			w.after(w.delay(), func() { done(answer) })
 		}
 	})
 	w.after(timeout, func() {
 		if !told {
-			w.apply(l, unanswered)
+			done(nil)
 		}
 	})
 }
