Hand the leadership over when the store answers only other VMs

Change: such a leader stops starting anything, writes its row as released through the detour, and a VM that the store answers takes over at once. Where the store answers nobody it goes on. Test: TestTurnedAwayVMServesItsCallers demands that another VM leads.

--- a/core/cell/detour_test.go
+++ b/core/cell/detour_test.go
@@ -125,6 +125,9 @@
 			if away.opts.Store.Stats().Detours.Load() == 0 {
 				t.Error("no call went through another VM")
 			}
+			eventually(t, "a VM that the store answers leads", func() bool {
+				return countLeaders(nodes) == 1 && away.leader() == nil
+			})
 			doors[away].refusal.Store(int32(served))
 			eventually(t, "the direct way is taken again", func() bool { return away.opts.Store.Direct() != nil })
 		})
--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -79,6 +79,8 @@
 	// renewNow asks for a renewal before its time.
 	renewNow chan struct{}
 	renewAt  time.Time
+	// detourSince is since when the store is reached only through other VMs.
+	detourSince time.Time
 	// vacant says that the holder's process was proved to be gone.
 	vacant bool
 	// session ends the leadership.
@@ -240,6 +242,25 @@
 	return e.row
 }
 
+// detourContact is how old the last word of the store through another VM may be for
+// a leader to hand over by it: a watch of the row answers at least that often.
+const detourContact = leaderWait + 300*time.Millisecond
+
+// shouldStepDown reports whether the store answers other VMs and not this one. Where
+// it answers nobody, the leader goes on: nobody can replace it.
+func (e *elector) shouldStepDown(now time.Time) bool {
+	if e.node.opts.Store.Direct() != nil {
+		e.detourSince = time.Time{}
+		return false
+	}
+	if e.detourSince.IsZero() {
+		e.detourSince = now
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastContact.After(e.detourSince) && now.Sub(e.lastContact) < detourContact
+}
+
 // step takes or renews the leadership, as the present instant demands.
 func (e *elector) step(ctx context.Context) {
 	now := time.Now()
@@ -248,6 +269,10 @@
 			e.abandon(l.epoch, "a worker has obeyed a later leader")
 			return
 		}
+		if e.shouldStepDown(now) {
+			e.stepDown(l)
+			return
+		}
 		if roster, urgent := l.wantedRoster(); urgent || now.After(e.renewAt) {
 			e.renew(ctx, l, roster)
 		}
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -53,6 +53,9 @@
 	// helpers are the VMs that report to this leader.
 	helpers map[string]*helperVM
 
+	// paused says that nothing is to be started.
+	paused bool
+
 	kick     chan struct{}
 	records  *recorder
 	finished sync.WaitGroup
@@ -145,15 +148,30 @@
 		case <-l.kick:
 		}
 		began := time.Now()
-		l.mu.Lock()
-		commands := l.engine.Schedule(began)
-		l.mu.Unlock()
+		commands := l.schedule(began)
 		took := time.Since(began)
 		l.carryOut(commands)
 		store.Pause(ctx, max(schedulePause, scheduleShare*took))
 	}
 }
 
+// schedule makes one pass, unless nothing is to be started.
+func (l *leader) schedule(now time.Time) []engine.Command {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.paused {
+		return nil
+	}
+	return l.engine.Schedule(now)
+}
+
+// pause lets the engine start nothing, or go on.
+func (l *leader) pause(paused bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused = paused
+}
+
 // apply gives the engine an event and carries out what it wants done.
 func (l *leader) apply(event engine.Event) {
 	l.mu.Lock()
--- a/core/cell/takeover.go
+++ b/core/cell/takeover.go
@@ -16,7 +16,7 @@
 func (e *elector) wantsTakeover(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.known || e.session != nil || e.contactSince.IsZero() || e.node.stopping.Load() {
+	if !e.known || e.session != nil || e.contactSince.IsZero() || e.node.stopping.Load() || e.node.opts.Store.Direct() == nil {
 		return false
 	}
 	if e.version == store.Absent || e.row.Released || e.vacant {
@@ -133,6 +133,25 @@
 	return 0, err
 }
 
+// stepDown hands the leadership over to a VM that the store answers. The next leader
+// takes a released row as proof that this one starts no job that is stored after it,
+// so nothing is started from here on unless the row is known to be unchanged.
+func (e *elector) stepDown(l *leader) {
+	l.pause(true)
+	e.mu.Lock()
+	row, version := e.row, e.version
+	e.mu.Unlock()
+	row.Released = true
+	row.Beat++
+	_, err := e.write(context.Background(), row, version)
+	if errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrUnsettled) {
+		e.node.opts.Logger.Warn("leadership not handed over", "epoch", row.Epoch, "error", err)
+		l.pause(false)
+		return
+	}
+	e.abandon(l.epoch, "the store answers only other VMs")
+}
+
 // release hands the leadership over at once, if this node has it.
 func (e *elector) release() {
 	e.mu.Lock()
