--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -340,12 +340,12 @@
 	order := func(s *simWorker) Event {
 		return StartAnswered{Worker: c.Worker, Task: c.Task, Run: c.Run, Outcome: s.start(c)}
 	}
-	w.try(l, c.Worker, 300*time.Millisecond, order, func(answer Event) {
+	w.try(c.Worker, 300*time.Millisecond, order, func(answer Event) {
 		if answer != nil {
 			w.apply(l, answer)
 			return
 		}
-		w.try(l, c.Worker, 600*time.Millisecond, order, func(answer Event) {
+		w.try(c.Worker, 600*time.Millisecond, order, func(answer Event) {
 			if second, ok := answer.(StartAnswered); ok && second.Outcome == StartAccepted {
 				second.Repeated = true
 				w.apply(l, second)
@@ -358,7 +358,7 @@
 
 // send sends an order once.
 func (w *world) send(l *simLeader, id string, order func(*simWorker) Event, unanswered Event) {
-	w.try(l, id, 900*time.Millisecond, order, func(answer Event) {
+	w.try(id, 900*time.Millisecond, order, func(answer Event) {
 		if answer == nil {
 			answer = unanswered
 		}
@@ -368,7 +368,7 @@
 
 // try takes an order to a worker: at once, late, or not at all, and its answer back
 // or not; done is given the answer, or nil after the timeout.
-func (w *world) try(l *simLeader, id string, timeout time.Duration, order func(*simWorker) Event, done func(Event)) {
+func (w *world) try(id string, timeout time.Duration, order func(*simWorker) Event, done func(Event)) {
 	arrives := w.delay()
 	answered := true
 	switch {
