Count a run that a new life of a worker may have accepted until it was looked at

Cause: a worker had started anew 0.1 s before a start reached it, and the new life accepted the start. The leader heard of the new life 58 ms later, took all answered runs there as lost with the earlier one, and started the task elsewhere. Ruled out: the repeated order (the first was answered), the lease (the worker was up). Change: only runs that a report of the earlier life has listed are taken as lost; all others count until the new life was looked at under a higher fence. Also: a step stands once in the list of those with kept room.

--- a/core/engine/lease_test.go
+++ b/core/engine/lease_test.go
@@ -144,6 +144,26 @@
 	}
 }
 
+// TestStartTakenByNewLife checks that a run which a worker accepted after it had
+// started anew, before anybody knew that, is not started a second time.
+func TestStartTakenByNewLife(t *testing.T) {
+	b := newBench(t, Options{}, testWorker("w1"), testWorker("w2"))
+	b.apply(JobAccepted{Job: testJob("job", 1)})
+	order := only[Start](b.pass(0))[0]
+	b.apply(StartAnswered{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: StartAccepted})
+	reborn := testWorker(order.Worker)
+	reborn.Born = start.Add(time.Millisecond)
+	b.apply(WorkerListed{Worker: reborn})
+	if again := only[Start](b.pass(10 * time.Millisecond)); len(again) > 0 {
+		t.Fatalf("started again before anybody looked at the new life: %+v", again)
+	}
+	b.now = b.now.Add(10 * time.Millisecond)
+	b.look(order.Worker, Report{Running: []Running{{Task: order.Task, Run: order.Run}}})
+	if again := only[Start](b.pass(10 * time.Millisecond)); len(again) > 0 {
+		t.Errorf("started again although the new life runs it: %+v", again)
+	}
+}
+
 // TestIdleWorkerGetsWorkAtAnyInstant checks that a worker whose looks are held
 // back for their whole wait, since nothing ends there, is never taken for lost.
 func TestIdleWorkerGetsWorkAtAnyInstant(t *testing.T) {
--- a/core/engine/reserve.go
+++ b/core/engine/reserve.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"tanagerstack.org/core/ledger"
@@ -31,7 +32,9 @@
 		c.worker.reserved = ledger.Sum(c.worker.reserved, ledger.Times(s.room(), c.fits))
 	}
 	s.reserved = r
-	e.reserving = append(e.reserving, s)
+	if !slices.Contains(e.reserving, s) {
+		e.reserving = append(e.reserving, s)
+	}
 }
 
 // unreserve gives up what is kept for a step.
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -46,12 +46,11 @@
 	stopSentAt time.Time
 	// stoppedAt is when the worker confirmed a stop.
 	stoppedAt time.Time
-	// arrived says that the order was answered or the run was listed: it cannot
-	// arrive again.
-	arrived bool
+	// listed says that a report of the worker's present life has listed the run.
+	listed bool
 	// repeated says that the order was sent twice, so that it can arrive again.
 	repeated bool
-	// ghost says that the order went to an earlier life of the worker.
+	// ghost says that the order went out before the worker was known to have started anew.
 	ghost bool
 	// percent is how much of the work is done, startPercent what the first report
 	// said, and movedAt when it last grew.
@@ -64,7 +63,7 @@
 
 // arrive notes that the worker has the run, or had it.
 func (r *run) arrive() {
-	r.arrived, r.ghost = true, false
+	r.ghost = false
 	if r.owner != nil {
 		r.owner.step.job.begun = true
 	}
@@ -78,6 +77,7 @@
 		r = e.adopt(now, w, row)
 	}
 	r.arrive()
+	r.listed = true
 	if r.phase == starting || r.phase == doubtful {
 		r.phase, r.since = present, now
 	}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -162,9 +162,9 @@
 	e.log("worker unlisted", "worker", id, "runs", len(w.runs), "last-seen", now.Sub(w.lastSeen))
 }
 
-// reborn takes in that a worker has started anew. Runs that it had confirmed are
-// gone. Orders that it had not answered may still reach the new life until it was
-// looked at under a higher fence, so they count until then.
+// reborn takes in that a worker has started anew. Runs that its earlier life has listed
+// are gone. Others may be at the new life, which may have accepted them, or reach it
+// until it was looked at under a higher fence, so they count until then.
 func (e *Engine) reborn(now time.Time, w *worker, born time.Time) {
 	e.log("worker started anew", "worker", w.ID, "runs", len(w.runs), "born", born)
 	delete(e.former, w.ID)
@@ -175,10 +175,11 @@
 	w.leased = 0
 	w.seen, w.confirmable, w.marks = 0, 0, nil
 	for _, r := range w.sortedRuns() {
-		if r.arrived && !r.repeated {
+		if r.listed && !r.repeated {
 			e.presume(now, r, jobs.EndLapsed, "the worker started anew")
 			continue
 		}
+		r.listed = false
 		r.ghost, r.since = true, now
 	}
 }
--- a/model/play/play_test.go
+++ b/model/play/play_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 
 	"tanagerstack.org/core/engine"
@@ -34,9 +35,15 @@
 	const part, seeds = 0.4, 3
 	scene := readScene(t, "inspection", part)
 	earned := func(policy engine.Policy) float64 {
+		var plays sync.WaitGroup
+		earnings := make([]float64, seeds)
+		for seed := range seeds {
+			plays.Go(func() { earnings[seed] = Play(scene, policy, uint64(seed+1), 1).Queues["sonar-sweep"].Earned })
+		}
+		plays.Wait()
 		sum := 0.0
-		for seed := range uint64(seeds) {
-			sum += Play(scene, policy, seed+1, 1).Queues["sonar-sweep"].Earned
+		for _, e := range earnings {
+			sum += e
 		}
 		return sum
 	}
