--- a/model/play/cell.go
+++ b/model/play/cell.go
@@ -1,16 +1,13 @@
 package play
 
 import (
-	"cmp"
+	"container/heap"
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
-	"container/heap"
-
 	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/roster"
@@ -48,12 +45,6 @@
 	return c.settle()
 }
 
-// ticketKey names a ticket.
-type ticketKey struct {
-	step   jobs.StepID
-	worker string
-}
-
 // cell is one play.
 type cell struct {
 	scene   *Scene
@@ -254,39 +245,6 @@
 	q.waits = append(q.waits, c.now.Sub(p.Arrived))
 }
 
-// ask lets the adviser answer after the questions that came through the VM before.
-func (c *cell) ask(a engine.Ask) {
-	c.tally.Questions++
-	c.tally.AdviserBusy += a.Cost
-	begins := c.now
-	if c.freeAt[a.Helper].After(begins) {
-		begins = c.freeAt[a.Helper]
-	}
-	ends := begins.Add(a.Cost)
-	c.freeAt[a.Helper] = ends
-	way := time.Duration(c.scene.Workers.Distances[int(a.Helper[len(a.Helper)-1])%len(c.scene.Workers.Distances)])
-	c.events.add(ends.Add(way), func() { c.advise(a, ends.Sub(begins)+2*way, way) })
-}
-
-func (c *cell) advise(a engine.Ask, took, way time.Duration) {
-	advice := c.plans[a.Step.Job].queue.Advice
-	event := engine.AdviceAnswered{Step: a.Step, Helper: a.Helper, Asked: a.Workers, Cost: a.Cost, Took: took, Valid: time.Duration(advice.Valid)}
-	for _, id := range a.Workers {
-		if goodness(a.Step, id) < advice.GoodShare {
-			event.Tickets = append(event.Tickets, engine.Ticket{Worker: id, Value: "ticket"})
-			c.tickets[ticketKey{a.Step, id}] = c.now.Add(time.Duration(advice.Valid))
-		}
-	}
-	c.after(way, func() { c.apply(event) })
-}
-
-// goodness spreads the workers of a step evenly from 0 to 1.
-func goodness(step jobs.StepID, worker string) float64 {
-	hash := fnv.New64a()
-	_, _ = fmt.Fprintf(hash, "%s/%s", step, worker)
-	return rand.New(rand.NewPCG(hash.Sum64(), 0)).Float64()
-}
-
 // recorded tells the engine that progress is stored, and a caller that its job is done.
 func (c *cell) recorded(r engine.Record) {
 	if r.Progress.State == jobs.Done && c.done[r.Mark.Job].IsZero() {
@@ -295,49 +253,6 @@
 	c.apply(engine.Recorded{Records: []engine.RecordMark{r.Mark}})
 }
 
-// members returns the runs of a gang that are present.
-func (c *cell) members(step jobs.StepID, number int) []*run {
-	var list []*run
-	for _, w := range c.workers {
-		for _, r := range w.running {
-			if r.task.StepID == step && r.number == number {
-				list = append(list, r)
-			}
-		}
-	}
-	sortRuns(list)
-	return list
-}
-
-// startGang lets a gang begin to work: it takes as long as its slowest member.
-func (c *cell) startGang(members []*run) {
-	var longest time.Duration
-	for _, r := range members {
-		longest = max(longest, r.takes)
-	}
-	for _, r := range members {
-		r.takes = longest
-		r.work()
-	}
-}
-
-func (w *worker) sorted() []*run {
-	list := make([]*run, 0, len(w.running))
-	for _, r := range w.running {
-		list = append(list, r)
-	}
-	sortRuns(list)
-	return list
-}
-
-func sortRuns(list []*run) {
-	slices.SortFunc(list, func(a, b *run) int {
-		return cmp.Or(
-			cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Step, b.task.Step), cmp.Compare(a.task.Index, b.task.Index),
-		)
-	})
-}
-
 // settle counts what each job's caller got.
 func (c *cell) settle() *Tally {
 	ids := make([]jobs.ID, 0, len(c.plans))
