Send the time that a caller has left with a call through another VM, not its deadline

The deadline went out as CBOR, which cuts an instant down to whole seconds, so a call had up to a second less than its caller, or none; the hand-over of a leader failed so, and the next took over two seconds later. Ruled out: the VM that carries the call (it answered others meanwhile), clocks. Change: the remaining time is sent, which also holds where the clocks of VMs differ. Test: TestDetourKeepsTheCallersTime.

--- a/core/cell/detour.go
+++ b/core/cell/detour.go
@@ -83,11 +83,8 @@
 // pass offers a call to several VMs, one after the other. A call that may have
 // been carried out is offered to no other one.
 func (d *detour) pass(ctx context.Context, q storeQuestion) (storeReply, error) {
-	if deadline, ok := ctx.Deadline(); ok {
-		q.Deadline = deadline
-	}
 	for _, address := range d.candidates() {
-		reply, err := exchange[storeQuestion, storeReply](ctx, d.node.peers, address, pathStore, q)
+		reply, err := exchange[storeQuestion, storeReply](ctx, d.node.peers, address, pathStore, d.question(ctx, q))
 		switch {
 		case err == nil && !reply.NotTaken:
 			d.took(address)
@@ -102,6 +99,14 @@
 	return storeReply{}, store.ErrNoDetour
 }
 
+// question adds how long the caller still waits.
+func (d *detour) question(ctx context.Context, q storeQuestion) storeQuestion {
+	if deadline, ok := ctx.Deadline(); ok {
+		q.Timeout = max(time.Until(deadline), time.Millisecond)
+	}
+	return q
+}
+
 // notSent reports whether an exchange failed before anything was sent.
 func notSent(err error) bool {
 	var op *net.OpError
@@ -153,13 +158,10 @@
 	if direct == nil {
 		return storeReply{NotTaken: true}
 	}
-	if !q.Deadline.IsZero() {
-		limited, cancel := context.WithTimeout(ctx, min(time.Until(q.Deadline), detourLongest))
+	if q.Timeout > 0 {
+		limited, cancel := context.WithTimeout(ctx, q.Timeout)
 		defer cancel()
 		ctx = limited
 	}
 	return q.carryOut(ctx, direct)
 }
-
-// detourLongest bounds a call for another VM; the clocks of VMs may differ.
-const detourLongest = 3 * time.Second
--- a/core/cell/detour_test.go
+++ b/core/cell/detour_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/store"
 )
@@ -133,3 +135,30 @@
 		})
 	}
 }
+
+// TestDetourKeepsTheCallersTime checks that a call through another VM has all the time
+// that its caller has, at any instant within a second.
+func TestDetourKeepsTheCallersTime(t *testing.T) {
+	workers := newFakeWorkers(10 * time.Millisecond)
+	_, nodes, _ := startCell(t, workers, "a", "b")
+	eventually(t, "the VMs know each other", func() bool {
+		return len(nodes[0].elector.current().VMs) == len(nodes)
+	})
+	way := &detour{node: nodes[0]}
+	for i := range 20 {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second+time.Duration(i)*50*time.Millisecond)
+		question := way.question(ctx, storeQuestion{})
+		cancel()
+		if question.Timeout < 19*time.Second {
+			t.Fatalf("%s of 20 s are left", question.Timeout)
+		}
+		data, err := cbor.Marshal(question)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var received storeQuestion
+		if err := cbor.Unmarshal(data, &received); err != nil || received.Timeout != question.Timeout {
+			t.Fatalf("%s became %s: %v", question.Timeout, received.Timeout, err)
+		}
+	}
+}
--- a/core/cell/storemsg.go
+++ b/core/cell/storemsg.go
@@ -15,8 +15,9 @@
 	Read   *rowName        `cbor:"2,keyasint,omitempty"`
 	Scan   *scanQuestion   `cbor:"3,keyasint,omitempty"`
 	Watch  *watchQuestion  `cbor:"4,keyasint,omitempty"`
-	// Deadline is when the caller stops waiting.
-	Deadline time.Time `cbor:"5,keyasint"`
+	// Timeout is how long the caller still waits, or zero for no bound. It is no
+	// deadline, since the clocks of VMs may differ.
+	Timeout time.Duration `cbor:"5,keyasint"`
 }
 
 type rowName struct {
