--- a/core/engine/health.go
+++ b/core/engine/health.go
@@ -43,6 +43,11 @@
 	if len(h.failed) < failuresToQuarantine {
 		return
 	}
+	h.suspect(now)
+}
+
+// suspect keeps new work away for a while, twice as long each time.
+func (h *health) suspect(now time.Time) {
 	h.wait = min(max(2*h.wait, firstQuarantine), lastQuarantine)
 	h.until = now.Add(h.wait)
 }
--- a/core/engine/rescue.go
+++ b/core/engine/rescue.go
@@ -140,9 +140,3 @@
 		e.stopAll(now, t.step)
 	}
 }
-
-// suspect keeps new work away from a worker whose tasks lag.
-func (h *health) suspect(now time.Time) {
-	h.wait = min(max(2*h.wait, firstQuarantine), lastQuarantine)
-	h.until = now.Add(h.wait)
-}
