Review case 4: the lease of a restarted worker is longer than the leader assumes

Cause: a poll by the clock of the earlier lifetime gives the new one a lease of hold_max_ms; the leader assumes 5 s.

--- a/review/sim/worker.go
+++ b/review/sim/worker.go
@@ -115,7 +115,9 @@
 	last       int64
 	changed    chan struct{}
 	failing    bool
-	seq        int64
+	// cut is closed when the partition of the worker ends; nil if there is none.
+	cut chan struct{}
+	seq int64
 	// MostListed is the greatest number of unacknowledged results.
 	MostListed int
 }
@@ -182,7 +184,7 @@
 	for {
 		time.Sleep(1500 * time.Millisecond)
 		w.mu.Lock()
-		up := w.server != nil
+		up := w.server != nil && w.cut == nil
 		w.mu.Unlock()
 		if up {
 			w.Register()
@@ -246,10 +248,49 @@
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		w.dropIfCut(r)
 		h(rw, r)
 	}
 }
 
+// dropIfCut drops a request, or the answer to it, if the worker is cut off: nothing arrives, and the
+// channel delivers nothing further.
+func (w *Worker) dropIfCut(r *http.Request) {
+	w.mu.Lock()
+	cut := w.cut
+	w.mu.Unlock()
+	if cut == nil {
+		return
+	}
+	select {
+	case <-cut:
+	case <-r.Context().Done():
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// CutOff partitions the worker from all machines for a time. What runs there goes on.
+func (w *Worker) CutOff(length time.Duration) {
+	cut := make(chan struct{})
+	w.mu.Lock()
+	w.cut = cut
+	w.mu.Unlock()
+	w.fleet.Record.Say("worker %s is cut off for %s", w.ID, length)
+	time.Sleep(length)
+	w.mu.Lock()
+	w.cut = nil
+	w.mu.Unlock()
+	close(cut)
+	w.fleet.Record.Say("the cut of worker %s ends", w.ID)
+}
+
+// Lease returns how long the worker's lease still lasts.
+func (w *Worker) Lease() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Until(w.leaseUntil)
+}
+
 func (w *Worker) refuse(rw http.ResponseWriter, reason string) {
 	rw.WriteHeader(http.StatusConflict)
 	reply(rw, map[string]any{"clock_ms": w.clock(), "reason": reason})
@@ -439,6 +480,7 @@
 			return
 		}
 	}
+	w.dropIfCut(r)
 	w.mu.Lock()
 	w.lapse()
 	runs, ended := make([][]any, 0, len(w.running)), make([][]any, 0, min(len(w.results), resultsPerAnswer))
