--- a/review/4/main.go
+++ b/review/4/main.go
@@ -37,7 +37,7 @@
 	a := sim.Kind{CPU: 64000, MemMB: 262144, Labels: []string{"a", "r1"}}
 	b := sim.Kind{CPU: 64000, MemMB: 262144, Labels: []string{"b", "r1"}}
 	var last *sim.Worker
-	for i, kind := range []sim.Kind{a, a, a, b, b, b} {
+	for i, kind := range []sim.Kind{a, a, a, a, a, b, b, b} {
 		if last, err = sim.NewWorker(fleet, fmt.Sprintf("w-%d", i+1), kind, maxHold, 200*time.Millisecond); err != nil {
 			return false, err
 		}
