Wait out the longest lease of a worker after a restart or a takeover

Cause: a lease is a reading of the worker's clock. Until the leader learns of a restart, its polls and starts carry readings of the earlier clock, which a restarted worker shortens to the longest lease that it accepts, 10 s on that site. The engine assumed 5 s from the first report on. A new leader assumed the same for workers that it polls first, and for those of the previous leader that it cannot reach; starts sent to an earlier incarnation counted from their sending, not from the last poll.

Change: Options.LeaseTerm is what the engine grants, MaxLease what a worker accepts. The first report of an incarnation, a previous leader and a start to an earlier incarnation count with MaxLease, by a clock 2% slow. A report counts as the first one only if its poll carried the current fencing token; an older token leaves room for one more command of the old clock.

TestWorldHolds now grants less than its workers accept.

--- a/core/cell/commands.go
+++ b/core/cell/commands.go
@@ -124,7 +124,7 @@
 	k.leader.node.metrics.polls.WithLabelValues(outcomeOf(err)).Inc()
 	if err == nil {
 		k.noteReached(true, nil)
-		k.leader.apply(engine.WorkerPolled{Worker: k.worker, Sent: sent, Report: report})
+		k.leader.apply(engine.WorkerPolled{Worker: k.worker, Sent: sent, Fence: request.Fence, Report: report})
 		return
 	}
 	if ctx.Err() != nil {
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -86,7 +86,8 @@
 	}
 	l.engine = engine.New(engine.Options{
 		Epoch:               row.Epoch,
-		MaxLease:            min(n.opts.MaxLease, leaseTerm),
+		LeaseTerm:           min(n.opts.MaxLease, leaseTerm),
+		MaxLease:            n.opts.MaxLease,
 		StopTime:            n.opts.StopTime,
 		PreviousActiveUntil: previous.activeUntil,
 		PreviousRoster:      engine.Roster{Workers: row.Workers, Lost: row.Lost},
--- a/core/cell/predecessor.go
+++ b/core/cell/predecessor.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"tanagerstack.org/core/engine"
 )
 
 // predecessor bounds in time what the previous leader may still do.
@@ -17,14 +19,12 @@
 // instant. ended means that its process is proved to have ended, or that it has stepped down.
 // maxLease is the longest lease that workers grant.
 func predecessorOf(began time.Time, ended bool, maxLease time.Duration) predecessor {
-	p := predecessor{leasesUntil: began.Add(longestLease(maxLease))}
+	// The previous leader granted leases of leaseTerm, but a worker that had just restarted without
+	// its knowledge may hold the longest lease that workers accept.
+	p := predecessor{leasesUntil: began.Add(engine.LongestLease(maxLease))}
 	if !ended {
 		p.leasesUntil = p.leasesUntil.Add(lateLeaseGrace)
 		p.activeUntil = began.Add(predecessorOverlap)
 	}
 	return p
 }
-
-// longestLease returns how long runs that were granted a lease just now may go on, on a worker
-// whose clock is 2% slow.
-func longestLease(maxLease time.Duration) time.Duration { return min(maxLease, leaseTerm) * 102 / 100 }
--- a/core/engine/clock.go
+++ b/core/engine/clock.go
@@ -6,6 +6,11 @@
 // be 2% slow.
 const minClockRate = 0.98
 
+// LongestLease returns the longest time that a lease takes to expire by a worker's clock.
+func LongestLease(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) / minClockRate)
+}
+
 // clock estimates a worker's monotonic clock from its last reading.
 type clock struct {
 	reading time.Duration
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -7,11 +7,14 @@
 	"tanagerstack.org/core/jobs"
 )
 
-// Options configures an Engine. Epoch and MaxLease are required.
+// Options configures an Engine. Epoch, LeaseTerm and MaxLease are required.
 type Options struct {
 	// Epoch is the number of this leadership. Workers drop commands with a lower epoch.
 	Epoch int64
-	// MaxLease is the longest lease that a worker accepts.
+	// LeaseTerm is the length of the leases that this engine grants.
+	LeaseTerm time.Duration
+	// MaxLease is the longest lease that a worker accepts. It shortens longer ones to it, such as
+	// a lease that was granted by the clock of an earlier incarnation.
 	MaxLease time.Duration
 	// StopTime is the longest time that a worker takes to stop a run.
 	StopTime time.Duration
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -62,10 +62,12 @@
 type JobCanceled struct{ ID jobs.ID }
 
 // WorkerPolled carries a worker's report. Sent is the time at which the poll was sent: the report
-// may lack the effects of commands that were unanswered at that time.
+// may lack the effects of commands that were unanswered at that time. Fence is the fencing token
+// of the poll.
 type WorkerPolled struct {
 	Worker string
 	Sent   time.Time
+	Fence  int64
 	Report Report
 }
 
--- a/core/engine/lease.go
+++ b/core/engine/lease.go
@@ -46,13 +46,14 @@
 }
 
 // expireCommandsBeforeRestart ends runs whose start command went to an earlier incarnation and is
-// too old to arrive.
+// too old to arrive. Polls that were sent until the restart was known may have renewed the lease
+// of the new incarnation.
 func (e *Engine) expireCommandsBeforeRestart(now time.Time, w *worker) {
 	if w.synced {
 		return
 	}
 	for _, r := range w.sortedRuns() {
-		if r.sentBeforeRestart && now.Sub(r.startSentAt) > maxCommandDelay+e.opts.MaxLease {
+		if r.sentBeforeRestart && now.Sub(r.phaseSince) > maxCommandDelay+LongestLease(e.opts.MaxLease) {
 			e.presumeEnded(now, r, jobs.EndExpired, "the start command to an earlier incarnation of the worker is too old to arrive")
 		}
 	}
@@ -92,10 +93,10 @@
 	AcksPending bool
 }
 
-// extendLease grants a worker the longest lease from now on, and returns its deadline as a
+// extendLease grants a worker a lease of LeaseTerm from now on, and returns its deadline as a
 // reading of the worker's clock.
 func (e *Engine) extendLease(now time.Time, w *worker) time.Duration {
-	until := w.clock.estimate(now) + e.opts.MaxLease
+	until := w.clock.estimate(now) + e.opts.LeaseTerm
 	w.leasedUntil = max(w.leasedUntil, until)
 	return until
 }
--- a/core/engine/lease_test.go
+++ b/core/engine/lease_test.go
@@ -47,7 +47,10 @@
 	if opts.Epoch == 0 {
 		opts.Epoch = 1
 	}
-	opts.MaxLease, opts.StopTime = testLease, time.Second
+	opts.StopTime = time.Second
+	if opts.MaxLease == 0 {
+		opts.LeaseTerm, opts.MaxLease = testLease, testLease
+	}
 	e := &testEngine{Engine: New(opts), now: testStart}
 	for _, w := range workers {
 		e.apply(WorkerListed{Worker: w})
@@ -66,7 +69,7 @@
 	if report.Clock == 0 {
 		report.Clock = e.now.Sub(testStart) + time.Minute
 	}
-	return e.apply(WorkerPolled{Worker: id, Sent: e.now.Add(-time.Millisecond), Report: report})
+	return e.apply(WorkerPolled{Worker: id, Sent: e.now.Add(-time.Millisecond), Fence: e.fence(e.workers[id]), Report: report})
 }
 
 // runPass advances the time, delivers a Tick and makes a scheduling pass.
@@ -174,7 +177,7 @@
 	for range 500 {
 		e.now = e.now.Add(step)
 		if e.now.Sub(sent) >= pollTime {
-			e.apply(WorkerPolled{Worker: "w1", Sent: sent, Report: Report{StartedAt: testStart, Clock: e.now.Sub(testStart) + time.Minute}})
+			e.apply(WorkerPolled{Worker: "w1", Sent: sent, Fence: e.fence(e.workers["w1"]), Report: Report{StartedAt: testStart, Clock: e.now.Sub(testStart) + time.Minute}})
 			sent = e.now
 		}
 		if !e.workers["w1"].usable(e.now) {
@@ -185,3 +188,72 @@
 		}
 	}
 }
+
+// TestLongestLeaseIsWaitedOut guards against a task that runs twice at a time because its worker
+// held a longer lease than this engine had granted. A poll by the clock of an earlier incarnation,
+// sent by this or the previous leader, gives a worker that has just restarted the longest lease
+// that it accepts.
+func TestLongestLeaseIsWaitedOut(t *testing.T) {
+	const term, longest = 5 * time.Second, 10 * time.Second
+	cases := map[string]struct {
+		// restart makes the worker restart after it was polled.
+		restart bool
+	}{
+		"restarted under this leader":     {true},
+		"restarted under previous leader": {false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngine(t, Options{LeaseTerm: term, MaxLease: longest}, testWorker("w1"))
+			if c.restart {
+				restarted := testWorker("w1")
+				restarted.StartedAt = testStart.Add(time.Second)
+				e.apply(WorkerListed{Worker: restarted})
+			}
+			e.now = e.now.Add(10 * time.Millisecond)
+			e.poll("w1", Report{Clock: time.Second})
+			polledAt := e.now
+			e.apply(JobAccepted{Job: testJob("job", 1)})
+			starts := commandsOfType[Start](e.runPass(0))
+			if len(starts) != 1 {
+				t.Fatalf("%d starts, want 1", len(starts))
+			}
+			e.apply(StartAnswered{Worker: "w1", Task: starts[0].Task, Run: starts[0].Run, Outcome: StartAccepted})
+			e.apply(WorkerListed{Worker: testWorker("w2")})
+			var again []Start
+			for len(again) == 0 && e.now.Sub(polledAt) < 2*longest {
+				e.apply(PollFailed{Worker: "w1"})
+				e.poll("w2", Report{})
+				roster, _ := e.WantedRoster(e.now)
+				e.RosterRecorded(roster)
+				again = commandsOfType[Start](e.runPass(100 * time.Millisecond))
+			}
+			waited := e.now.Sub(polledAt)
+			if len(again) != 1 || waited < longest {
+				t.Errorf("%d starts elsewhere after %s, want 1 after the longest lease of %s", len(again), waited, longest)
+			}
+		})
+	}
+}
+
+// TestPollWithEarlierFenceProvesNothing guards against work on a restarted worker while commands
+// to its earlier incarnation can still take effect there. The report answers a poll that was sent
+// before the restart was known, so the worker has not seen the raised fencing token.
+func TestPollWithEarlierFenceProvesNothing(t *testing.T) {
+	e := newTestEngine(t, Options{}, testWorker("w1"))
+	earlier, _ := e.NextPoll(e.now, "w1")
+	restarted := testWorker("w1")
+	restarted.StartedAt = testStart.Add(time.Second)
+	e.apply(WorkerListed{Worker: restarted})
+	e.apply(JobAccepted{Job: testJob("job", 1)})
+	report := Report{Clock: time.Second, StartedAt: restarted.StartedAt}
+	e.apply(WorkerPolled{Worker: "w1", Sent: e.now, Fence: earlier.Fence, Report: report})
+	if starts := commandsOfType[Start](e.runPass(0)); len(starts) > 0 {
+		t.Errorf("started %+v on a worker that has not seen the raised fencing token", starts)
+	}
+	next, _ := e.NextPoll(e.now, "w1")
+	e.apply(WorkerPolled{Worker: "w1", Sent: e.now, Fence: next.Fence, Report: report})
+	if starts := commandsOfType[Start](e.runPass(0)); len(starts) != 1 {
+		t.Errorf("%d starts once the worker has seen it, want 1", len(starts))
+	}
+}
--- a/core/engine/pass_bench_test.go
+++ b/core/engine/pass_bench_test.go
@@ -26,7 +26,7 @@
 // number of waiting tasks.
 func newPassBenchmark(workers, tasks int) *passBenchmark {
 	c := &passBenchmark{
-		Engine: New(Options{Epoch: 1, MaxLease: testLease, StopTime: time.Second}), now: testStart,
+		Engine: New(Options{Epoch: 1, LeaseTerm: testLease, MaxLease: testLease, StopTime: time.Second}), now: testStart,
 		rand: rand.New(rand.NewPCG(1, 2)), workerClock: time.Minute,
 	}
 	queues := []jobs.Queue{
@@ -45,7 +45,7 @@
 		w.Capacity = roster.Resources{Millicores: 16000, MemoryBytes: 32 << 30}
 		w.Rack = fmt.Sprintf("r%d", i/8)
 		c.Apply(c.now, WorkerListed{Worker: w})
-		c.Apply(c.now, WorkerPolled{Worker: w.ID, Sent: c.now, Report: Report{Clock: c.workerClock, StartedAt: w.StartedAt}})
+		c.Apply(c.now, WorkerPolled{Worker: w.ID, Sent: c.now, Fence: c.fence(c.workers[w.ID]), Report: Report{Clock: c.workerClock, StartedAt: w.StartedAt}})
 	}
 	roster, _ := c.WantedRoster(c.now)
 	c.RosterRecorded(roster)
--- a/core/engine/simulation_test.go
+++ b/core/engine/simulation_test.go
@@ -221,7 +221,7 @@
 	takeoverVersion := sim.version
 	l := &simLeader{epoch: sim.epoch}
 	l.Engine = New(Options{
-		Epoch: sim.epoch, MaxLease: testLease, StopTime: 300 * time.Millisecond,
+		Epoch: sim.epoch, LeaseTerm: testLease - 2*time.Second, MaxLease: testLease, StopTime: 300 * time.Millisecond,
 		PreviousActiveUntil: sim.now.Add(2 * time.Second), PreviousRoster: sim.recordedRoster, PreviousLeasesUntil: sim.now.Add(testLease*102/100 + 3*time.Second), unsafe: sim.unsafe,
 		Logger: simLogger{sim, sim.epoch},
 	})
@@ -466,7 +466,7 @@
 			case lost:
 				sim.apply(l, PollFailed{Worker: id})
 			default:
-				sim.apply(l, WorkerPolled{Worker: id, Sent: sent, Report: report})
+				sim.apply(l, WorkerPolled{Worker: id, Sent: sent, Fence: request.Fence, Report: report})
 			}
 			sim.after(100*time.Millisecond, func() { sim.poll(l, id) })
 		})
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -34,7 +34,7 @@
 	Worker
 	listed     bool
 	unlistedAt time.Time
-	// synced is set once this incarnation was polled in this epoch.
+	// synced is set once this incarnation was polled in this epoch with the current fencing token.
 	synced bool
 	// fenceRaises counts how often the fencing token was raised in this epoch.
 	fenceRaises int64
@@ -246,8 +246,11 @@
 		e.checkMissingRuns(now, w, ev.Sent, listed)
 	}
 	w.advanceAcks()
-	if !w.synced {
+	// A report to a poll with a lower token proves nothing about commands that are still underway.
+	if !w.synced && ev.Fence == e.fence(w) {
 		w.synced = true
+		// Commands with lower tokens may have granted a lease by the clock of an earlier
+		// incarnation, so the worker may hold the longest one that it accepts.
 		w.leasedUntil = max(w.leasedUntil, ev.Report.Clock+e.opts.MaxLease)
 		delete(e.previousWorkers, w.ID)
 		e.log("worker synchronized by its first poll", "worker", w.ID, "running", len(ev.Report.Running), "ended", len(ev.Report.Results), "former-left", len(e.previousWorkers))
--- a/model/play/simulation.go
+++ b/model/play/simulation.go
@@ -20,8 +20,8 @@
 	// minPassInterval is the shortest time between two scheduling passes of the engine.
 	minPassInterval = 6 * time.Millisecond
 	tickInterval    = 50 * time.Millisecond
-	// maxLease bounds the leases of workers. Simulations have no change of leader.
-	maxLease = 5 * time.Second
+	// leaseTerm is the length of the leases of workers. Simulations have no change of leader.
+	leaseTerm = 5 * time.Second
 	// completionPeriod is how long jobs may still finish after the arrival period.
 	completionPeriod = 30 * time.Second
 )
@@ -74,7 +74,7 @@
 		proxyFreeAt: make(map[string]time.Time), doneAt: make(map[jobs.ID]time.Time), started: make(map[jobs.ID]bool),
 		result: &Result{Queues: make(map[string]*QueueResult)},
 	}
-	c.engine = engine.New(engine.Options{Epoch: 1, MaxLease: maxLease, StopTime: time.Duration(s.Workers.StopTime), Policy: policy})
+	c.engine = engine.New(engine.Options{Epoch: 1, LeaseTerm: leaseTerm, MaxLease: leaseTerm, StopTime: time.Duration(s.Workers.StopTime), Policy: policy})
 	config := &jobs.Config{Version: 1}
 	for i := range s.Queues {
 		config.Queues = append(config.Queues, s.Queues[i].settings())
@@ -106,7 +106,8 @@
 		c.workers = append(c.workers, w)
 		c.byID[w.info.ID] = w
 		c.apply(engine.WorkerListed{Worker: w.info})
-		c.apply(engine.WorkerPolled{Worker: w.info.ID, Sent: c.now, Report: engine.Report{Clock: c.clock(), StartedAt: startTime}})
+		request, _ := c.engine.NextPoll(c.now, w.info.ID)
+		c.apply(engine.WorkerPolled{Worker: w.info.ID, Sent: c.now, Fence: request.Fence, Report: engine.Report{Clock: c.clock(), StartedAt: startTime}})
 	}
 	c.recordRoster()
 	for _, w := range c.workers {
--- a/model/play/worker.go
+++ b/model/play/worker.go
@@ -156,7 +156,7 @@
 		report.Running = append(report.Running, engine.ActiveRun{Task: r.task, Run: r.number, Percent: int(percent)})
 	}
 	w.sim.after(w.latency, func() {
-		w.sim.apply(engine.WorkerPolled{Worker: w.info.ID, Sent: poll.sent, Report: report})
+		w.sim.apply(engine.WorkerPolled{Worker: w.info.ID, Sent: poll.sent, Fence: poll.request.Fence, Report: report})
 		w.sim.sendPoll(w)
 	})
 }
