Keep only due occurrences of a recurring job in memory

After a submission of 149 bytes was accepted (8,640 occurrences of 250 tasks, the first in an hour) each process that led exceeded 284 MB and was killed, for ever; 62 to 72 of 70 to 80 small submissions never ran.

Cause: the engine made the tasks of all occurrences when it loaded a job, due or not. Validation bounds tasks and occurrences, 10,000 each, not their product.

Change: an occurrence has tasks from when it is due until it is done, overdue ones in order, up to 2,000 tasks of a job at a time. Occurrences that are done are ranges, in memory and in the progress row, which grew by an entry for each step before. Runs and results of an occurrence that this leader has not opened yet open it. Weighed and not taken: refusing such a job, since it can be served.

--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -220,7 +220,7 @@
 		if j.Queue.Advice == nil || len(j.Steps) < 2 || p.noProxyFor[j.Queue.Name] || !e.previousRunsResolved(j) {
 			continue
 		}
-		for _, o := range j.occurrences {
+		for _, o := range j.open {
 			for _, s := range o.steps {
 				if e.readySoon(p.now, s) && !e.requestAdvice(p, s, s.tasksLeft) {
 					p.noProxyFor[j.Queue.Name] = true
@@ -357,10 +357,14 @@
 func (e *Engine) adviceAnswered(now time.Time, ev AdviceAnswered) {
 	e.proxyAnswered(now, ev)
 	j := e.jobs[ev.Step.Job]
-	if j == nil || ev.Step.Occurrence >= len(j.occurrences) || ev.Step.Step >= len(j.Steps) {
+	if j == nil {
 		return
 	}
-	s := j.occurrences[ev.Step.Occurrence].steps[ev.Step.Step]
+	o := j.occurrence(ev.Step.Occurrence)
+	if o == nil || ev.Step.Step >= len(o.steps) {
+		return
+	}
+	s := o.steps[ev.Step.Step]
 	a := &s.advice
 	a.pending = max(0, a.pending-1)
 	if a.pending == 0 {
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -19,9 +20,15 @@
 	// completing it has no value.
 	deadline    time.Time
 	worthlessAt time.Time
-	// occurrences holds one element for each repetition of the steps, with its own steps and
-	// tasks.
-	occurrences []*occurrence
+	// open holds the occurrences that have begun to be due and are not done, in order. Only these
+	// have steps and tasks in memory.
+	open []*occurrence
+	// openTasks is the number of tasks of the open occurrences.
+	openTasks int
+	// nextDue is the lowest occurrence that was not considered for opening yet.
+	nextDue int
+	// done holds the occurrences whose tasks are all done.
+	done jobs.OccurrenceSet
 	// revision counts changes of the progress. committed is the last revision known to be stored.
 	revision  int
 	committed int
@@ -93,7 +100,9 @@
 func (j *job) final() bool { return j.state.Final() }
 
 // demand returns the capacity that one task occupies on a worker. Fillers occupy no processors.
-func (s *step) demand() roster.Resources {
+func (s *step) demand() roster.Resources { return demandOf(&s.Step) }
+
+func demandOf(s *jobs.Step) roster.Resources {
 	if s.Filler {
 		return roster.Resources{MemoryBytes: s.PerTask.MemoryBytes, Accelerators: s.PerTask.Accelerators}
 	}
@@ -151,8 +160,8 @@
 		e.matchOrphanedRuns(now, j)
 		return
 	}
-	j.buildSteps()
 	j.restoreProgress(ev.Progress, e.opts.unsafe)
+	j.openDue(now)
 	e.log("job loaded", "job", ev.Job.ID, "queue", ev.Job.Queue.Name, "steps", len(ev.Job.Steps),
 		"age", now.Sub(ev.Job.ArrivedAt), "objective", objective, "inherited", inherited, "state", j.state)
 	if !j.final() {
@@ -166,33 +175,100 @@
 // count completions up to three times the objective as late.
 const worthlessFactor = 3
 
-// buildSteps creates the steps and tasks of all occurrences.
-func (j *job) buildSteps() {
-	for k := range j.Occurrences() {
-		o := &occurrence{index: k, due: j.Due(k)}
-		for i, s := range j.Steps {
-			id := jobs.StepID{Job: j.ID, Occurrence: k, Step: i}
-			st := &step{Step: s, id: id, job: j, occ: o, tasksLeft: s.Count}
-			for n := range s.Count {
-				st.tasks = append(st.tasks, &task{id: jobs.TaskID{StepID: id, Index: n}, step: st})
+// maxOpenTasks is the number of tasks of a job up to which further occurrences are opened. Without
+// it, a recurring job that is overdue would exhaust the memory. One occurrence is always opened.
+const maxOpenTasks = 2000
+
+// openDue opens the occurrences that are due, in order.
+func (j *job) openDue(now time.Time) {
+	for j.nextDue < j.Occurrences() && !now.Before(j.Due(j.nextDue)) {
+		if j.occurrence(j.nextDue) == nil && !j.done.Contains(j.nextDue) {
+			if len(j.open) > 0 && j.openTasks+j.tasksPerOccurrence() > maxOpenTasks {
+				return
 			}
-			o.steps = append(o.steps, st)
+			j.openOccurrence(j.nextDue)
 		}
-		o.stepsLeft = len(o.steps)
-		j.occurrences = append(j.occurrences, o)
+		j.nextDue++
+	}
+}
+
+func (j *job) tasksPerOccurrence() int {
+	count := 0
+	for i := range j.Steps {
+		count += j.Steps[i].Count
 	}
+	return count
+}
+
+// openOccurrence creates the steps and tasks of an occurrence.
+func (j *job) openOccurrence(k int) *occurrence {
+	o := &occurrence{index: k, due: j.Due(k), stepsLeft: len(j.Steps)}
+	for i, s := range j.Steps {
+		id := jobs.StepID{Job: j.ID, Occurrence: k, Step: i}
+		st := &step{Step: s, id: id, job: j, occ: o, tasksLeft: s.Count}
+		for n := range s.Count {
+			st.tasks = append(st.tasks, &task{id: jobs.TaskID{StepID: id, Index: n}, step: st})
+		}
+		o.steps = append(o.steps, st)
+	}
+	i, _ := slices.BinarySearchFunc(j.open, k, compareOccurrence)
+	j.open = slices.Insert(j.open, i, o)
+	j.openTasks += j.tasksPerOccurrence()
+	return o
+}
+
+// closeIfDone drops the steps and tasks of an occurrence that is done.
+func (j *job) closeIfDone(o *occurrence) {
+	if o.stepsLeft > 0 {
+		return
+	}
+	j.done.Add(o.index)
+	if i, found := slices.BinarySearchFunc(j.open, o.index, compareOccurrence); found {
+		j.open = slices.Delete(j.open, i, i+1)
+		j.openTasks -= j.tasksPerOccurrence()
+	}
+}
+
+// occurrence returns an open occurrence, or nil.
+func (j *job) occurrence(k int) *occurrence {
+	if i, found := slices.BinarySearchFunc(j.open, k, compareOccurrence); found {
+		return j.open[i]
+	}
+	return nil
+}
+
+func compareOccurrence(o *occurrence, k int) int { return cmp.Compare(o.index, k) }
+
+// occurrenceOf returns an occurrence of a job that is not done, and opens it if necessary: a
+// previous leader may have opened it. It returns nil if there is none.
+func (j *job) occurrenceOf(k int) *occurrence {
+	if j.final() || k < 0 || k >= j.Occurrences() || j.done.Contains(k) {
+		return nil
+	}
+	if o := j.occurrence(k); o != nil {
+		return o
+	}
+	return j.openOccurrence(k)
 }
 
 // restoreProgress applies stored progress to the job.
 func (j *job) restoreProgress(p jobs.Progress, unsafe unsafeOptions) {
 	j.state = p.State
+	j.done = slices.Clone(p.Done)
 	for _, sp := range p.Steps {
-		if sp.Occurrence >= len(j.occurrences) || sp.Step >= len(j.Steps) {
+		o := j.occurrenceOf(sp.Occurrence)
+		if o == nil || sp.Step < 0 || sp.Step >= len(o.steps) {
 			continue
 		}
-		s := j.occurrences[sp.Occurrence].steps[sp.Step]
+		s := o.steps[sp.Step]
+		done := make([]bool, len(s.tasks))
+		for _, n := range sp.Done {
+			if n >= 0 && n < len(done) {
+				done[n] = true
+			}
+		}
 		for n, t := range s.tasks {
-			if sp.AllDone || slices.Contains(sp.Done, n) {
+			if sp.AllDone || done[n] {
 				s.markDone(t)
 			}
 		}
@@ -200,10 +276,11 @@
 			if unsafe.forgetFailures {
 				break
 			}
-			if f.Task < len(s.tasks) {
+			if f.Task >= 0 && f.Task < len(s.tasks) {
 				s.addFailure(s.tasks[f.Task], f.Run)
 			}
 		}
+		j.closeIfDone(o)
 	}
 }
 
@@ -258,11 +335,12 @@
 func (e *Engine) finalize(now time.Time, j *job, state jobs.State) {
 	j.state = state
 	e.markChanged(j)
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, s := range o.steps {
 			e.stopAll(now, s)
 		}
 	}
+	j.open, j.openTasks = nil, 0
 	e.log("job finalized", "job", j.ID, "queue", j.Queue.Name, "state", state, "age", now.Sub(j.ArrivedAt), "late-by", now.Sub(j.deadline))
 	if i := slices.Index(e.active, j); i >= 0 {
 		e.active = slices.Delete(e.active, i, i+1)
@@ -284,15 +362,24 @@
 	e.changedJobs[j.ID] = j
 }
 
-// task returns the task with the given ID, or nil.
+// task returns the task with the given ID, or nil if it does not exist or its occurrence is done.
 func (e *Engine) task(id jobs.TaskID) *task {
 	j := e.jobs[id.Job]
-	if j == nil || id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
+	if j == nil || id.Step < 0 || id.Step >= len(j.Steps) || id.Index < 0 || id.Index >= j.Steps[id.Step].Count {
 		return nil
 	}
-	steps := j.occurrences[id.Occurrence].steps
-	if id.Step < 0 || id.Step >= len(steps) || id.Index < 0 || id.Index >= len(steps[id.Step].tasks) {
+	o := j.occurrenceOf(id.Occurrence)
+	if o == nil {
 		return nil
 	}
-	return steps[id.Step].tasks[id.Index]
+	return o.steps[id.Step].tasks[id.Index]
+}
+
+// demandOf returns what a task occupies on a worker, and whether that is known.
+func (e *Engine) demandOf(id jobs.TaskID) (demand roster.Resources, known bool) {
+	j := e.jobs[id.Job]
+	if j == nil || id.Step < 0 || id.Step >= len(j.Steps) {
+		return roster.Resources{}, false
+	}
+	return demandOf(&j.Steps[id.Step]), true
 }
--- a/core/engine/orphan.go
+++ b/core/engine/orphan.go
@@ -41,8 +41,8 @@
 			continue
 		}
 		t := e.task(r.task)
-		if t != nil {
-			r.worker.setDemand(r, t.step.demand())
+		if demand, known := e.demandOf(r.task); known {
+			r.worker.setDemand(r, demand)
 		}
 		if t == nil || t.done || j.final() || t.run != nil {
 			e.stop(now, r)
--- a/core/engine/preempt_test.go
+++ b/core/engine/preempt_test.go
@@ -120,7 +120,7 @@
 // TestEvictionsAreBounded guards against a task that is preempted again and again.
 func TestEvictionsAreBounded(t *testing.T) {
 	e := newPreemptionTest(t, func(*jobs.Job, *jobs.Job) {}, Policy{})
-	for _, task := range e.jobs["filler"].occurrences[0].steps[0].tasks {
+	for _, task := range e.jobs["filler"].open[0].steps[0].tasks {
 		task.evictions = maxPreemptionsPerTask
 	}
 	if stopped, _ := runPreemptionTest(e); stopped != 0 {
--- a/core/engine/progress.go
+++ b/core/engine/progress.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"slices"
+
 	"tanagerstack.org/core/jobs"
 )
 
@@ -25,7 +27,8 @@
 func (j *job) record() Record {
 	p := jobs.Progress{State: j.state, Started: j.started}
 	if !j.final() {
-		for _, o := range j.occurrences {
+		p.Done = slices.Clone(j.done)
+		for _, o := range j.open {
 			for _, s := range o.steps {
 				if sp, hasProgress := s.progress(); hasProgress {
 					p.Steps = append(p.Steps, sp)
--- a/core/engine/rank.go
+++ b/core/engine/rank.go
@@ -62,10 +62,8 @@
 		if !e.previousRunsResolved(j) {
 			continue
 		}
-		for _, o := range j.occurrences {
-			if o.stepsLeft == 0 || now.Before(o.due) {
-				continue
-			}
+		j.openDue(now)
+		for _, o := range j.open {
 			for _, s := range o.steps {
 				if s.ready(now) && s.hasWaiting() {
 					s.rank = e.rankOf(now, o, j)
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -103,10 +103,8 @@
 func (e *Engine) adoptRun(now time.Time, w *worker, active ActiveRun) *run {
 	r := &run{runKey: runKey{active.Task, active.Run}, worker: w, phase: confirmed, phaseSince: now, startSentAt: now, progressAt: now, resumed: true}
 	t := e.task(active.Task)
-	if t != nil {
-		r.demand = t.step.demand()
-	}
-	r.demandUnknown = t == nil
+	demand, known := e.demandOf(active.Task)
+	r.demand, r.demandUnknown = demand, !known
 	w.add(r)
 	if e.jobs[active.Task.Job] == nil && !e.opts.unsafe.forgetOrphans {
 		e.keepOrphanedRun(now, r)
@@ -161,7 +159,7 @@
 	w.lastSequence = result.Sequence
 	key := runKey{result.Task, result.Run}
 	r := w.runs[key]
-	t := e.task(result.Task)
+	t, j := e.task(result.Task), e.jobs[result.Task.Job]
 	if r != nil {
 		r.confirmArrival()
 		e.endRun(now, r, result.End, result.Checkpoint)
@@ -172,9 +170,9 @@
 	ack := pendingAck{sequence: result.Sequence}
 	switch {
 	case e.opts.unsafe.ackEarly:
-	case t != nil:
-		ack.job, ack.revision = t.step.job, t.step.job.revision
-	case e.jobs[result.Task.Job] == nil && !e.opts.unsafe.forgetOrphans:
+	case j != nil:
+		ack.job, ack.revision = j, j.revision
+	case !e.opts.unsafe.forgetOrphans:
 		ack.orphan = e.keepOrphanedResult(now, w, result)
 	}
 	w.pendingAcks = append(w.pendingAcks, ack)
--- a/core/engine/run_end.go
+++ b/core/engine/run_end.go
@@ -75,14 +75,15 @@
 	}
 }
 
-// stepDone finalizes the job if no step is left.
+// stepDone closes the occurrence of a step if no step of it is left, and finalizes the job if no
+// occurrence is left.
 func (e *Engine) stepDone(now time.Time, s *step) {
-	for _, o := range s.job.occurrences {
-		if o.stepsLeft > 0 {
-			return
-		}
+	j := s.job
+	if s.occ.stepsLeft == 0 && j.done.Len()+1 == j.Occurrences() {
+		e.finalize(now, j, jobs.Done)
+		return
 	}
-	e.finalize(now, s.job, jobs.Done)
+	j.closeIfDone(s.occ)
 }
 
 func (e *Engine) taskFailed(now time.Time, t *task, number int) {
--- a/core/jobs/jobs_test.go
+++ b/core/jobs/jobs_test.go
@@ -93,3 +93,38 @@
 		t.Error("a truncated job was decoded without an error")
 	}
 }
+
+// TestOccurrenceSet checks a set against a plain list, for additions in any order.
+func TestOccurrenceSet(t *testing.T) {
+	cases := map[string]struct {
+		add  []int
+		want OccurrenceSet
+	}{
+		"empty":             {nil, nil},
+		"ascending":         {[]int{0, 1, 2}, OccurrenceSet{{0, 3}}},
+		"descending":        {[]int{2, 1, 0}, OccurrenceSet{{0, 3}}},
+		"with a gap":        {[]int{0, 2}, OccurrenceSet{{0, 1}, {2, 3}}},
+		"gap closed":        {[]int{0, 2, 1}, OccurrenceSet{{0, 3}}},
+		"between two gaps":  {[]int{0, 6, 3}, OccurrenceSet{{0, 1}, {3, 4}, {6, 7}}},
+		"added twice":       {[]int{4, 4}, OccurrenceSet{{4, 5}}},
+		"in front of range": {[]int{5, 6, 4}, OccurrenceSet{{4, 7}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var set OccurrenceSet
+			present := make(map[int]bool)
+			for _, k := range c.add {
+				set.Add(k)
+				present[k] = true
+			}
+			if !reflect.DeepEqual(set, c.want) || set.Len() != len(present) {
+				t.Errorf("set %v of %d, want %v", set, set.Len(), c.want)
+			}
+			for k := range 8 {
+				if set.Contains(k) != present[k] {
+					t.Errorf("contains %d: %v", k, set.Contains(k))
+				}
+			}
+		})
+	}
+}
