Wait for all results of a worker before inherited jobs start

After a takeover 346 to 400 of 1,400 tasks that had ended as done started again; their first ends were acknowledged a moment later.

Cause: a worker lists at most 500 unacknowledged results.

Evidence: in the test below, 100 of 600 tasks start again after the first report of 500 results.

Change: a worker is synchronized from its first report on, which renews its lease, and complete with the first report below the limit. Only then it gets work, stops holding back inherited jobs, and can be recorded as lost with just the jobs known to run there. The end of the previous leader's leases does not complete a worker whose lease this leader renews.

Test: TestResultsBeyondOneReportAreAwaited, four cases, each seen to fail on the code before.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -225,10 +225,19 @@
 		e.stragglersCheckedAt = now
 		e.moveStragglers(now)
 	}
-	if len(e.previousWorkers) > 0 && now.After(e.opts.PreviousLeasesUntil) {
-		for id, ids := range e.previousWorkers {
-			e.log("leases of the previous leader on a worker have expired", "worker", id, "any-job", ids == nil, "jobs", len(ids))
+	if now.After(e.opts.PreviousLeasesUntil) {
+		e.expirePreviousWorkers(now)
+	}
+}
+
+// expirePreviousWorkers drops the workers whose leases from the previous leader have expired,
+// except those that this leader has polled and whose lease it renews.
+func (e *Engine) expirePreviousWorkers(now time.Time) {
+	for id, ids := range e.previousWorkers {
+		if w := e.workers[id]; w != nil && w.synced && !w.leaseExpired(now) {
+			continue
 		}
-		clear(e.previousWorkers)
+		e.log("leases of the previous leader on a worker have expired", "worker", id, "any-job", ids == nil, "jobs", len(ids))
+		delete(e.previousWorkers, id)
 	}
 }
--- a/core/engine/lease.go
+++ b/core/engine/lease.go
@@ -29,15 +29,20 @@
 	return a.orphan == nil && (a.job == nil || a.job.committed >= a.revision)
 }
 
+// leaseExpired reports whether the worker's lease must have expired.
+func (w *worker) leaseExpired(now time.Time) bool {
+	return !w.clock.at.IsZero() && w.clock.lowerBound(now) >= w.leasedUntil
+}
+
 // expireLease ends all runs on a worker whose lease must have expired.
 func (e *Engine) expireLease(now time.Time, w *worker) {
 	lost := e.opts.unsafe.forgetLost && now.Sub(w.lastSeen) > maxReportAge
-	if len(w.runs) == 0 || w.clock.at.IsZero() || w.clock.lowerBound(now) < w.leasedUntil && !lost {
+	if len(w.runs) == 0 || !w.leaseExpired(now) && !(lost && !w.clock.at.IsZero()) {
 		e.expireCommandsBeforeRestart(now, w)
 		return
 	}
 	e.log("worker lease expired", "worker", w.ID, "runs", len(w.runs), "last-seen", now.Sub(w.lastSeen))
-	w.synced = false
+	w.synced, w.resultsKnown = false, false
 	for _, r := range w.sortedRuns() {
 		if !r.sentBeforeRestart {
 			e.presumeEnded(now, r, jobs.EndExpired, "the worker's lease has expired")
--- a/core/engine/roster.go
+++ b/core/engine/roster.go
@@ -32,14 +32,14 @@
 			continue
 		}
 		wanted.Workers = append(wanted.Workers, w.ID)
-		if w.synced && (w.Leaving || !w.listed || now.Sub(w.lastSeen) > lostAfter) {
+		if w.resultsKnown && (w.Leaving || !w.listed || now.Sub(w.lastSeen) > lostAfter) {
 			wanted.Lost[w.ID] = w.runningJobs()
 			continue
 		}
 		urgent = urgent || !e.inRecordedRoster(w.ID)
 	}
 	for id, ids := range e.previousWorkers {
-		if e.workers[id] == nil || !e.workers[id].synced {
+		if e.workers[id] == nil || !e.workers[id].resultsKnown {
 			if e.workers[id] == nil {
 				wanted.Workers = append(wanted.Workers, id)
 			}
--- a/core/engine/roster_test.go
+++ b/core/engine/roster_test.go
@@ -132,3 +132,66 @@
 		})
 	}
 }
+
+// TestResultsBeyondOneReportAreAwaited guards against starting tasks again that are done. A worker
+// of the previous leader has more unacknowledged results than one report lists.
+func TestResultsBeyondOneReportAreAwaited(t *testing.T) {
+	const tasks = MaxResults + 100
+	results := make([]RunResult, 0, tasks)
+	for i := range tasks {
+		results = append(results, RunResult{
+			Sequence: int64(i + 1), Task: jobs.TaskID{StepID: jobs.StepID{Job: "job"}, Index: i}, Run: 1, End: jobs.EndDone,
+		})
+	}
+	cases := map[string]struct {
+		// waits is the time between the two reports, during which the first one is repeated.
+		waits time.Duration
+		// lost is set if the worker does not answer after the first report.
+		lost bool
+		want int
+	}{
+		"at once":                     {0, false, 0},
+		"after previous leases":       {3 * testLease, false, 0},
+		"lost, lease not expired":     {testLease / 2, true, 0},
+		"lost, lease expired as well": {2 * testLease, true, 100},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			large := testWorker("w1")
+			large.Capacity.Millicores, large.Capacity.MemoryBytes = 1000*tasks, tasks<<30
+			e := newTestEngine(t, Options{
+				Epoch: 2, PreviousRoster: Roster{Workers: []string{"w1"}}, PreviousLeasesUntil: testStart.Add(testLease),
+			})
+			e.apply(JobAccepted{Job: testJob("job", tasks), Inherited: true})
+			e.apply(WorkerListed{Worker: large})
+			other := large
+			other.ID = "w2"
+			e.apply(WorkerListed{Worker: other})
+			e.poll("w2", Report{})
+			roster, _ := e.WantedRoster(e.now)
+			e.RosterRecorded(roster)
+			e.poll("w1", Report{Results: results[:MaxResults]})
+			starts := 0
+			for waited := time.Duration(0); waited <= c.waits; waited += 100 * time.Millisecond {
+				starts += len(commandsOfType[Start](e.runPass(100 * time.Millisecond)))
+				e.poll("w2", Report{})
+				if c.lost {
+					e.apply(PollFailed{Worker: "w1"})
+					continue
+				}
+				e.NextPoll(e.now, "w1")
+				e.poll("w1", Report{Results: results[:MaxResults]})
+			}
+			if !c.lost {
+				e.poll("w1", Report{Results: results[MaxResults:]})
+				starts += len(commandsOfType[Start](e.runPass(0)))
+				if state := e.jobs["job"].state; state != jobs.Done {
+					t.Errorf("job is %s, want done", state)
+				}
+			}
+			if starts != c.want {
+				t.Errorf("%d starts, want %d", starts, c.want)
+			}
+		})
+	}
+}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -36,6 +36,9 @@
 	unlistedAt time.Time
 	// synced is set once this incarnation was polled in this epoch with the current fencing token.
 	synced bool
+	// resultsKnown is set once a report of this incarnation in this epoch listed all results that
+	// are not acknowledged. Until then a run that is not listed may have ended.
+	resultsKnown bool
 	// fenceRaises counts how often the fencing token was raised in this epoch.
 	fenceRaises int64
 	clock       clock
@@ -99,7 +102,7 @@
 
 // usable reports whether the worker can get new work.
 func (w *worker) usable(now time.Time) bool {
-	return w.synced && w.listed && !w.Leaving && w.unknownDemandRuns == 0 && now.Sub(w.lastSeen) < maxReportAge
+	return w.resultsKnown && w.listed && !w.Leaving && w.unknownDemandRuns == 0 && now.Sub(w.lastSeen) < maxReportAge
 }
 
 func (w *worker) hasLabel(label string) bool {
@@ -200,7 +203,7 @@
 	e.log("worker restarted", "worker", w.ID, "runs", len(w.runs), "born", startedAt)
 	delete(e.previousWorkers, w.ID)
 	w.StartedAt = startedAt
-	w.synced = false
+	w.synced, w.resultsKnown = false, false
 	w.raiseFence()
 	w.clock = clock{}
 	w.leasedUntil = 0
@@ -242,7 +245,8 @@
 		listed[runKey{active.Task, active.Run}] = true
 		e.runReported(now, w, active)
 	}
-	if len(ev.Report.Results) < MaxResults {
+	allListed := len(ev.Report.Results) < MaxResults
+	if allListed {
 		e.checkMissingRuns(now, w, ev.Sent, listed)
 	}
 	w.advanceAcks()
@@ -252,8 +256,11 @@
 		// Commands with lower tokens may have granted a lease by the clock of an earlier
 		// incarnation, so the worker may hold the longest one that it accepts.
 		w.leasedUntil = max(w.leasedUntil, ev.Report.Clock+e.opts.MaxLease)
+		e.log("worker synchronized by its first poll", "worker", w.ID, "running", len(ev.Report.Running), "ended", len(ev.Report.Results), "all-ends-listed", allListed, "former-left", len(e.previousWorkers))
+	}
+	if w.synced && !w.resultsKnown && allListed {
+		w.resultsKnown = true
 		delete(e.previousWorkers, w.ID)
-		e.log("worker synchronized by its first poll", "worker", w.ID, "running", len(ev.Report.Running), "ended", len(ev.Report.Results), "former-left", len(e.previousWorkers))
 	}
 }
 
