Do not take a worker's restart as the end of a previous leader's runs

Callers could see: TWICE, a task on two workers. Found by reading, not seen in a run.

Cause: a new leader that learns of a restart from a worker's first report, because the directory still has the earlier entry, stopped waiting for runs of the previous leader there. But that leader may have known of the restart and started runs on the new incarnation. The report itself is dropped, since its poll had no token of the new incarnation.

Evidence: TestRestartedWorkerOfPreviousLeaderIsAwaited on the code before: the task starts on w2 as run 1001 while w1 lists run 1.

Change: only a complete report of the current incarnation ends the wait.

--- a/core/engine/roster_test.go
+++ b/core/engine/roster_test.go
@@ -195,3 +195,25 @@
 		})
 	}
 }
+
+// TestRestartedWorkerOfPreviousLeaderIsAwaited guards against starting a task again that the
+// previous leader started on a worker after its restart. The directory still has the entry of the
+// earlier incarnation, so this leader learns of the restart from its first poll.
+func TestRestartedWorkerOfPreviousLeaderIsAwaited(t *testing.T) {
+	e := newTestEngine(t, Options{
+		Epoch: 2, PreviousRoster: Roster{Workers: []string{"w1", "w2"}}, PreviousLeasesUntil: testStart.Add(testLease),
+	}, testWorker("w2"))
+	e.apply(WorkerListed{Worker: testWorker("w1")})
+	e.apply(JobAccepted{Job: testJob("job", 1), Inherited: true})
+	report := Report{
+		Clock: time.Second, StartedAt: testStart.Add(time.Minute),
+		Running: []ActiveRun{{Task: jobs.TaskID{StepID: jobs.StepID{Job: "job"}}, Run: 1}},
+	}
+	for range 2 {
+		request, _ := e.NextPoll(e.now, "w1")
+		e.apply(WorkerPolled{Worker: "w1", Sent: e.now, Fence: request.Fence, Report: report})
+		if starts := commandsOfType[Start](e.runPass(time.Millisecond)); len(starts) > 0 {
+			t.Fatalf("started %+v while the restarted worker runs the task", starts)
+		}
+	}
+}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -198,10 +198,10 @@
 
 // workerRestarted handles a restart of a worker. Runs that the earlier incarnation has listed are
 // gone. The new incarnation may have accepted others, or may accept them until it is polled with
-// a higher fencing token, so they are counted until then.
+// a higher fencing token, so they are counted until then. The same holds for unknown runs of
+// previous leaders.
 func (e *Engine) workerRestarted(now time.Time, w *worker, startedAt time.Time) {
 	e.log("worker restarted", "worker", w.ID, "runs", len(w.runs), "born", startedAt)
-	delete(e.previousWorkers, w.ID)
 	w.StartedAt = startedAt
 	w.synced, w.resultsKnown = false, false
 	w.raiseFence()
