Record lost workers with the jobs of results that are not stored

Callers could see: TWICE, a start after an end as done that is acknowledged later. Found by reading, not seen in a run.

Cause: a lost worker is recorded for the next leader with the jobs that may have runs there. A run whose end was reported counted as settled at once, but until its progress is stored only the worker knows of it. With a slow store, a worker that is cut off after its report and a new leader, the task started again within the worker's lease.

Evidence: TestUnstoredResultsAreRecordedAsLost on the code before: recorded with no jobs, or not at all.

Change: unsettledJobs also returns the jobs of results whose commit is not known.

--- a/core/engine/roster.go
+++ b/core/engine/roster.go
@@ -18,7 +18,8 @@
 	// sorted.
 	Workers []string
 	// Lost holds those of the workers that are leaving or do not answer, with the jobs that may
-	// have runs there. No other job may: nothing is started on a worker that is recorded as lost.
+	// have runs there, or results that are not stored. No other job may: nothing is started on a
+	// worker that is recorded as lost.
 	Lost map[string][]jobs.ID
 }
 
@@ -28,12 +29,12 @@
 func (e *Engine) WantedRoster(now time.Time) (wanted Roster, urgent bool) {
 	wanted.Lost = make(map[string][]jobs.ID)
 	for _, w := range e.sortedWorkers {
-		if !w.listed && len(w.runs) == 0 && !e.isPreviousWorker(w.ID) {
+		if !w.listed && len(w.unsettledJobs()) == 0 && !e.isPreviousWorker(w.ID) {
 			continue
 		}
 		wanted.Workers = append(wanted.Workers, w.ID)
 		if w.resultsKnown && (w.Leaving || !w.listed || now.Sub(w.lastSeen) > lostAfter) {
-			wanted.Lost[w.ID] = w.runningJobs()
+			wanted.Lost[w.ID] = w.unsettledJobs()
 			continue
 		}
 		urgent = urgent || !e.inRecordedRoster(w.ID)
@@ -78,12 +79,22 @@
 	return found
 }
 
-// runningJobs returns the IDs of the jobs that may have runs on a worker, sorted.
-func (w *worker) runningJobs() []jobs.ID {
+// unsettledJobs returns the IDs of the jobs that may have runs on a worker, or have results there
+// that are not stored, sorted. A later leader learns of such results from the worker alone.
+func (w *worker) unsettledJobs() []jobs.ID {
 	set := make(map[jobs.ID]bool)
 	for key := range w.runs {
 		set[key.task.Job] = true
 	}
+	for _, ack := range w.pendingAcks {
+		switch {
+		case ack.committed():
+		case ack.orphan != nil:
+			set[ack.orphan.result.Task.Job] = true
+		default:
+			set[ack.job.ID] = true
+		}
+	}
 	ids := make([]jobs.ID, 0, len(set))
 	for id := range set {
 		ids = append(ids, id)
--- a/core/engine/roster_test.go
+++ b/core/engine/roster_test.go
@@ -217,3 +217,40 @@
 		}
 	}
 }
+
+// TestUnstoredResultsAreRecordedAsLost guards against starting a task again that is done. Its result
+// was reported but is not stored when the worker is lost and the leader is replaced, so the next
+// leader learns of it only from the worker.
+func TestUnstoredResultsAreRecordedAsLost(t *testing.T) {
+	cases := map[string]struct {
+		known, removed, stored bool
+		want                   []jobs.ID
+	}{
+		"does not answer":              {true, false, false, []jobs.ID{"job"}},
+		"removed from the directory":   {true, true, false, []jobs.ID{"job"}},
+		"job not delivered yet":        {false, false, false, []jobs.ID{"job"}},
+		"stored":                       {true, false, true, []jobs.ID{}},
+		"stored, and entry is removed": {true, true, true, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngine(t, Options{}, testWorker("w1"))
+			if c.known {
+				e.apply(JobAccepted{Job: testJob("job", 1)})
+			}
+			result := RunResult{Sequence: 1, Task: jobs.TaskID{StepID: jobs.StepID{Job: "job"}}, Run: 1, End: jobs.EndDone}
+			records := commandsOfType[Record](e.poll("w1", Report{Results: []RunResult{result}}))
+			if c.stored {
+				e.apply(Recorded{IDs: []ProgressID{records[0].ID}})
+			}
+			if c.removed {
+				e.apply(WorkerUnlisted{ID: "w1"})
+			}
+			e.now = e.now.Add(lostAfter + time.Millisecond)
+			roster, _ := e.WantedRoster(e.now)
+			if got, lost := roster.Lost["w1"]; !slices.Equal(got, c.want) || lost != (c.want != nil) {
+				t.Errorf("recorded as lost: %v, with jobs %v; want %v", lost, got, c.want)
+			}
+		})
+	}
+}
