Count leases from the lowest reading that a worker's clock can have

Found by reading, not seen in a run.

Cause: a reading that is below the lowest possible one is ignored. On a clock 2% slow that is each one that took longer than the fastest answer so far, so the known reading grows old, and leases from the most likely reading grow by 2% of its age.

Evidence: TestLeaseOfSlowClockKeepsItsTerm on the code before: 6.02 s granted after 1 s, term 6 s.

Change: extendLease uses the lower bound; the estimate has no other use and is gone.

--- a/core/engine/clock.go
+++ b/core/engine/clock.go
@@ -22,11 +22,6 @@
 	return c.reading + time.Duration(minClockRate*float64(now.Sub(c.at)))
 }
 
-// estimate returns the most likely reading.
-func (c clock) estimate(now time.Time) time.Duration {
-	return c.reading + now.Sub(c.at)
-}
-
 // observe updates the clock with a reading that arrived at now. Readings below the lower bound
 // are ignored.
 func (c *clock) observe(now time.Time, reading time.Duration) {
--- a/core/engine/lease.go
+++ b/core/engine/lease.go
@@ -99,9 +99,10 @@
 }
 
 // extendLease grants a worker a lease of LeaseTerm from now on, and returns its deadline as a
-// reading of the worker's clock.
+// reading of the worker's clock. It counts from the lowest reading that the clock can have: on a
+// slow clock a lease from a higher one would last longer than LeaseTerm, by more each time.
 func (e *Engine) extendLease(now time.Time, w *worker) time.Duration {
-	until := w.clock.estimate(now) + e.opts.LeaseTerm
+	until := w.clock.lowerBound(now) + e.opts.LeaseTerm
 	w.leasedUntil = max(w.leasedUntil, until)
 	return until
 }
--- a/core/engine/lease_test.go
+++ b/core/engine/lease_test.go
@@ -257,3 +257,24 @@
 		t.Errorf("%d starts once the worker has seen it, want 1", len(starts))
 	}
 }
+
+// TestLeaseOfSlowClockKeepsItsTerm guards against leases that grow beyond their term on a worker
+// whose clock is 2% slow. Its first answer arrives faster than all later ones, so that their
+// readings are below the lowest one that the clock counts as possible.
+func TestLeaseOfSlowClockKeepsItsTerm(t *testing.T) {
+	const transit = 10 * time.Millisecond
+	clockAt := func(now time.Time) time.Duration {
+		return time.Minute + time.Duration(minClockRate*float64(now.Sub(testStart)))
+	}
+	e := newTestEngine(t, Options{})
+	e.apply(WorkerListed{Worker: testWorker("w1")})
+	e.poll("w1", Report{Clock: clockAt(e.now)})
+	for e.now.Sub(testStart) < 10*time.Minute {
+		e.now = e.now.Add(time.Second)
+		e.poll("w1", Report{Clock: clockAt(e.now.Add(-transit))})
+		request, _ := e.NextPoll(e.now, "w1")
+		if term := request.LeaseUntil - clockAt(e.now); term > testLease || term < testLease-2*transit {
+			t.Fatalf("lease of %s after %s, want %s", term, e.now.Sub(testStart), testLease)
+		}
+	}
+}
