Let a job that the store rejects fail alone, and refuse it as invalid

Callers could see: 503 "the store is away" with Retry-After for sound jobs, because a job whose row the store never accepts shared their call.

Cause: group commits. The store applies a call or none of it, and a rejected call counted for each transaction in it. No job was compared with the store's limit of a row, 65,536 bytes; 256 steps that each come after all earlier ones exceed it.

Evidence: TestRejectedTransactionFailsAlone and TestOversizedJobIsInvalid, both seen to fail on the code before (three of four transactions rejected; "job refused: the store is away").

Change: transactions of a rejected call are sent again in calls of their own. Submit answers jobs.ErrInvalid, 400, before it writes.

--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -266,3 +266,23 @@
 		t.Errorf("the jobs were scanned %d times, want once", got)
 	}
 }
+
+// TestOversizedJobIsInvalid guards against refusing other callers because of a job whose row the
+// store never accepts, and against telling its caller to try again.
+func TestOversizedJobIsInvalid(t *testing.T) {
+	memory := newMemoryStore()
+	memory.maxValue = 65_536
+	memory.put(t, "config", "config", "1")
+	node, _ := testNode(t, "vm", memory, newFakeWorkers(time.Millisecond))
+	job := testJob("large")
+	for range jobs.MaxSteps {
+		step := testJob("large").Steps[0]
+		for before := range len(job.Steps) {
+			step.After = append(step.After, before)
+		}
+		job.Steps = append(job.Steps, step)
+	}
+	if err := node.Submit(t.Context(), job); !errors.Is(err, jobs.ErrInvalid) || errors.Is(err, ErrRefused) {
+		t.Errorf("submission of a job of %d steps: %v, want %v", len(job.Steps), err, jobs.ErrInvalid)
+	}
+}
--- a/core/cell/fakes_test.go
+++ b/core/cell/fakes_test.go
@@ -25,6 +25,8 @@
 	changed chan struct{}
 	// scans and watches count the calls by table.
 	scans, watches map[string]int
+	// maxValue is the largest value that is accepted; zero means no limit.
+	maxValue int
 	// fault, if set, is called before each commit and returns how it fails.
 	fault func(changes []store.Change) storeFault
 }
@@ -69,6 +71,11 @@
 	case writeLost:
 		return 0, store.ErrOutcomeUnknown
 	}
+	for _, change := range changes {
+		if put, ok := change.(store.Put); ok && m.maxValue > 0 && len(put.Value) > m.maxValue {
+			return 0, store.ErrRejected
+		}
+	}
 	version, err := m.apply(changes)
 	if fault == answerLost {
 		return 0, store.ErrOutcomeUnknown
@@ -298,6 +305,7 @@
 			WorkerTable: "workers", DecodeWorker: testWorker, ConfigTable: "config", ConfigKey: "config", DecodeConfig: testConfig,
 		},
 		Logger: silentLogger{}, MaxLease: 3 * time.Second, StopTime: 100 * time.Millisecond,
+		MaxRowBytes: 65_536,
 	}
 	if change != nil {
 		change(&opts)
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -54,6 +54,8 @@
 	// stop a run.
 	MaxLease time.Duration
 	StopTime time.Duration
+	// MaxRowBytes is the largest value of a row that the store accepts; zero means no limit.
+	MaxRowBytes int
 	// Processors and MemoryBytes are what this VM has. A VM that has little leaves the
 	// leadership to others; zero counts as enough.
 	Processors  float64
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -61,12 +61,16 @@
 }
 
 // Submit stores a job. It returns nil once the job is accepted, also if an earlier attempt was.
-// The error wraps ErrRefused, or ErrOutcomeUnknown if the job may still become accepted.
+// The error wraps ErrRefused, jobs.ErrInvalid if the job is too large to be stored, or
+// ErrOutcomeUnknown if the job may still become accepted.
 func (n *Node) Submit(ctx context.Context, job jobs.Job) error {
 	data, err := jobs.Encode(job)
 	if err != nil {
 		return &RefusedError{Reason: err.Error()}
 	}
+	if n.exceedsRow(data) {
+		return fmt.Errorf("%w: it takes %d bytes to store, more than %d", jobs.ErrInvalid, len(data), n.opts.MaxRowBytes)
+	}
 	began := time.Now()
 	version, err := n.insert(ctx, store.Row{Table: JobsTable, Key: string(job.ID), Version: store.Absent}, data)
 	if err == nil && version != store.Absent {
@@ -82,6 +86,11 @@
 	return err
 }
 
+// exceedsRow reports whether a value is too large for one row of the store.
+func (n *Node) exceedsRow(value []byte) bool {
+	return n.opts.MaxRowBytes > 0 && len(value) > n.opts.MaxRowBytes
+}
+
 // submitOutcome returns the outcome label of a submission.
 func submitOutcome(err error) string {
 	switch {
--- a/core/store/batcher.go
+++ b/core/store/batcher.go
@@ -27,7 +27,8 @@
 // Batcher commits groups of independent transactions through a service that takes one
 // transaction per call. It merges the transactions of a partition into calls within the
 // limits. If a call fails because of a version conflict, it sends the transactions without a
-// conflict again. Transactions that write the same row never share a call, since each would
+// conflict again. If the service rejects a call, it sends each transaction in a call of its own,
+// so that one that the service never accepts fails alone. Transactions that write the same row never share a call, since each would
 // see the version from before the other. Partitions do not wait for each other.
 type Batcher struct {
 	Service SingleCommitService
@@ -74,17 +75,28 @@
 
 func (b *batch) run() {
 	defer b.running.Done()
-	remaining := b.remaining
+	b.commit(b.remaining)
+}
+
+// commit commits transactions and sets their results.
+func (b *batch) commit(remaining []int) {
 	for len(remaining) > 0 {
 		call, rest := selectIndependent(b.group, remaining, b.Limits)
 		version, err := b.Service.Apply(b.ctx, mergeChanges(b.group, call))
 		var conflict *ConflictError
-		if errors.As(err, &conflict) {
+		switch {
+		case errors.As(err, &conflict):
 			if failed, retry := splitConflicts(b.group, call, conflict, b.results); failed {
 				remaining = slices.Concat(retry, rest)
 				continue
 			}
 			err = fmt.Errorf("%w: conflict without a row of its own: %w", ErrUnavailable, err)
+		case errors.Is(err, ErrRejected) && len(call) > 1:
+			for _, i := range call {
+				b.commit([]int{i})
+			}
+			remaining = rest
+			continue
 		}
 		for _, i := range call {
 			b.results[i] = Result{Version: version, Err: err}
--- a/core/store/batcher_test.go
+++ b/core/store/batcher_test.go
@@ -113,3 +113,36 @@
 	}
 	return p.service.Apply(ctx, changes)
 }
+
+// sizeLimitedService rejects calls with a value of more than limit bytes.
+type sizeLimitedService struct {
+	SingleCommitService
+	limit int
+}
+
+func (p sizeLimitedService) Apply(ctx context.Context, changes []Change) (int64, error) {
+	for _, change := range changes {
+		if put, ok := change.(Put); ok && len(put.Value) > p.limit {
+			return 0, ErrRejected
+		}
+	}
+	return p.SingleCommitService.Apply(ctx, changes)
+}
+
+// TestRejectedTransactionFailsAlone guards against refusing callers whose transactions share a call
+// with one that the service never accepts.
+func TestRejectedTransactionFailsAlone(t *testing.T) {
+	service := &singleCommitMemory{Memory: NewMemory()}
+	batcher := Batcher{Service: sizeLimitedService{service, 10}, Limits: Limits{Entries: 100, Bytes: 1 << 20}}
+	long := Transaction{Put{Table: "t", Key: "long", Value: make([]byte, 11)}}
+	results := batcher.Commit(t.Context(), []Transaction{put("a", 0), long, put("b", 0), put("a", 5)})
+	for i, want := range []error{nil, ErrRejected, nil} {
+		if !errors.Is(results[i].Err, want) {
+			t.Errorf("transaction %d: error %v, want %v", i, results[i].Err, want)
+		}
+	}
+	var conflict *ConflictError
+	if !errors.As(results[3].Err, &conflict) {
+		t.Errorf("transaction 3: error %v, want a conflict", results[3].Err)
+	}
+}
