Store progress of any size, and let a rejected record fail alone

Cause: a job's progress is one row, and nothing compared it with the store's limit of 65,536 bytes. The recorder took the rejection for an outage and sent the batch again, with all other jobs behind it. On the same path: failed runs of wide steps exceed the row as well (10,000 tasks that fail three times: 270 kB), and a batch was bounded by jobs, not by bytes.

Evidence: TestRejectedProgressHoldsUpNobody on the code before: no job ends within a minute.

Change: progress that exceeds a row continues in further rows of the same transaction. Batches are bounded by entries and bytes. A rejected batch is committed job by job; a job that is still rejected fails, so that the results behind it can be acknowledged.

TestLargeProgressIsStored.

--- a/core/cell/fakes_test.go
+++ b/core/cell/fakes_test.go
@@ -39,6 +39,7 @@
 	storeDown
 	answerLost
 	writeLost
+	writeRejected
 )
 
 func newMemoryStore() *memoryStore {
@@ -70,6 +71,8 @@
 		return 0, store.ErrUnavailable
 	case writeLost:
 		return 0, store.ErrOutcomeUnknown
+	case writeRejected:
+		return 0, store.ErrRejected
 	}
 	for _, change := range changes {
 		if put, ok := change.(store.Put); ok && m.maxValue > 0 && len(put.Value) > m.maxValue {
--- a/core/cell/feed.go
+++ b/core/cell/feed.go
@@ -34,16 +34,34 @@
 	return false
 }
 
+// decodeProgress decodes the rows of the progress table, by job.
 func (l *leader) decodeProgress(rows []store.Row) map[jobs.ID]jobs.Progress {
+	parts := make(map[string][]byte)
+	for _, row := range rows {
+		if strings.Contains(row.Key, progressPartInfix) {
+			parts[row.Key] = row.Value
+		}
+	}
 	list := make(map[jobs.ID]jobs.Progress, len(rows))
 	for _, row := range rows {
+		if _, isPart := parts[row.Key]; isPart {
+			continue
+		}
+		id := jobs.ID(row.Key)
 		p, err := jobs.Decode[jobs.Progress](row.Value)
+		if err == nil && p.Parts > 0 {
+			var data []byte
+			for i := range p.Parts {
+				data = append(data, parts[progressPartKey(id, i)]...)
+			}
+			p, err = jobs.Decode[jobs.Progress](data)
+		}
 		if err != nil {
 			l.node.opts.Logger.Warn("progress not decoded", "job", row.Key, "error", err)
 			continue
 		}
-		list[jobs.ID(row.Key)] = p
-		l.records.versions[jobs.ID(row.Key)] = row.Version
+		list[id] = p
+		l.records.versions[id] = row.Version
 	}
 	return list
 }
--- a/core/cell/record.go
+++ b/core/cell/record.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,9 +17,10 @@
 )
 
 const (
-	// maxRecordBatch is the maximum number of jobs that one commit writes. A call of the
-	// platform holds 100 entries: each job needs two, and one is the check of the epoch.
-	maxRecordBatch = 48
+	// maxCommitEntries and maxCommitBytes bound what one commit of progress writes. A call of the
+	// platform holds 100 entries and 1 MB, in an encoding that is a third larger than the values.
+	maxCommitEntries = 97
+	maxCommitBytes   = 500_000
 	// compactBatch is the maximum number of rows of finished jobs that one commit compacts, and
 	// compactInterval the time between such commits.
 	compactBatch    = 80
@@ -105,27 +108,79 @@
 	}
 }
 
-// nextBatch removes a batch from the queue and returns it.
-func (r *recorder) nextBatch() []engine.Record {
+// encodedRecord is a record with the rows that hold it.
+type encodedRecord struct {
+	engine.Record
+	rows []store.Change
+}
+
+// nextBatch removes a batch from the queue and returns it, within the limits of a commit. A
+// record that exceeds them by itself is a batch of its own.
+func (r *recorder) nextBatch() []encodedRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := min(len(r.queue), maxRecordBatch)
-	batch := make([]engine.Record, 0, n)
-	for _, id := range r.queue[:n] {
-		batch = append(batch, r.queued[id])
+	var batch []encodedRecord
+	entries, size := 0, 0
+	for len(r.queue) > 0 {
+		id := r.queue[0]
+		rows, err := r.rowsOf(r.queued[id])
+		if err != nil {
+			// The job's results stay unacknowledged until a later record of it can be encoded.
+			r.leader.node.opts.Logger.Warn("progress not encoded", "job", id, "error", err)
+			r.queue = r.queue[1:]
+			delete(r.queued, id)
+			continue
+		}
+		for _, row := range rows {
+			size += len(row.(store.Put).Value)
+		}
+		// The first row has a condition.
+		if entries += len(rows) + 1; len(batch) > 0 && (entries > maxCommitEntries || size > maxCommitBytes) {
+			break
+		}
+		batch = append(batch, encodedRecord{r.queued[id], rows})
+		r.queue = r.queue[1:]
 		delete(r.queued, id)
 	}
-	r.queue = r.queue[n:]
 	return batch
 }
 
+// rowsOf returns the changes that store a record. The first one writes the job's row, over the
+// version that this leader knows. Progress that exceeds a row continues in others.
+func (r *recorder) rowsOf(record engine.Record) ([]store.Change, error) {
+	id := record.ID.Job
+	data, err := jobs.Encode(record.Progress)
+	if err != nil {
+		return nil, err
+	}
+	var parts []store.Change
+	if r.leader.node.exceedsRow(data) {
+		for part := range slices.Chunk(data, r.leader.node.opts.MaxRowBytes) {
+			parts = append(parts, store.Put{Table: progressTable, Key: progressPartKey(id, len(parts)), Value: part})
+		}
+		head := jobs.Progress{State: record.Progress.State, Started: record.Progress.Started, Parts: len(parts)}
+		if data, err = jobs.Encode(head); err != nil {
+			return nil, err
+		}
+	}
+	row := store.Put{Table: progressTable, Key: string(id), Value: data, Expected: store.Expect(r.versions[id])}
+	return append([]store.Change{row}, parts...), nil
+}
+
+// progressPartKey returns the key of a further row of a job's progress.
+func progressPartKey(id jobs.ID, part int) string {
+	return string(id) + progressPartInfix + strconv.Itoa(part)
+}
+
+// progressPartInfix separates a job's ID and the number of a part in the key of a progress row.
+const progressPartInfix = "/part/"
+
 // commit commits a batch and retries until it succeeds. It returns false once the leadership
 // has ended.
-func (r *recorder) commit(ctx context.Context, batch []engine.Record) bool {
-	changes, err := r.changes(batch)
-	if err != nil {
-		r.leader.node.opts.Logger.Warn("progress not encoded", "error", err)
-		return true
+func (r *recorder) commit(ctx context.Context, batch []encodedRecord) bool {
+	changes := []store.Change{store.Check{Table: LeaderTable, Key: epochKey, Expected: r.leader.version}}
+	for _, record := range batch {
+		changes = append(changes, record.rows...)
 	}
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -138,11 +193,14 @@
 				return false
 			}
 		}
-		if err == nil {
+		switch {
+		case err == nil:
 			r.lastCommit.Store(int64(time.Since(began)))
 			observeSince(r.leader.node.metrics.record, began)
 			r.noteCommitted(batch, version)
 			return true
+		case errors.Is(err, store.ErrRejected):
+			return r.commitRejected(ctx, batch, err)
 		}
 		r.leader.node.opts.Logger.Warn("progress not recorded", "jobs", len(batch), "error", err)
 		store.Sleep(ctx, recordRetryInterval)
@@ -150,6 +208,24 @@
 	return false
 }
 
+// commitRejected commits the records of a batch that the store rejects one by one, so that one
+// that it never accepts does not hold up the others. The job of such a record fails: its progress
+// cannot be stored, and its workers could never forget their results.
+func (r *recorder) commitRejected(ctx context.Context, batch []encodedRecord, err error) bool {
+	if len(batch) == 1 {
+		id := batch[0].ID
+		r.leader.node.opts.Logger.Warn("progress rejected by the store", "job", id.Job, "revision", id.Revision, "rows", len(batch[0].rows), "error", err)
+		r.leader.apply(engine.RecordRejected{ID: id})
+		return true
+	}
+	for i := range batch {
+		if !r.commit(ctx, batch[i:i+1]) {
+			return false
+		}
+	}
+	return true
+}
+
 // committedVersion returns the version that an earlier attempt at the same changes has written.
 // It returns an error if another leader wrote the rows.
 func committedVersion(changes []store.Change, conflict *store.ConflictError) (int64, error) {
@@ -170,19 +246,6 @@
 	return version, nil
 }
 
-func (r *recorder) changes(batch []engine.Record) ([]store.Change, error) {
-	changes := []store.Change{store.Check{Table: LeaderTable, Key: epochKey, Expected: r.leader.version}}
-	for _, record := range batch {
-		id := record.ID.Job
-		data, err := jobs.Encode(record.Progress)
-		if err != nil {
-			return nil, fmt.Errorf("encode progress of job %s: %w", id, err)
-		}
-		changes = append(changes, store.Put{Table: progressTable, Key: string(id), Value: data, Expected: store.Expect(r.versions[id])})
-	}
-	return changes, nil
-}
-
 // runCompact compacts the rows of jobs whose final state is stored, so that the next leader has
 // less to load. A row that is missed costs only load time.
 func (r *recorder) runCompact(ctx context.Context) {
@@ -217,7 +280,7 @@
 	return err
 }
 
-func (r *recorder) noteCommitted(batch []engine.Record, version int64) {
+func (r *recorder) noteCommitted(batch []encodedRecord, version int64) {
 	marks := make([]engine.ProgressID, 0, len(batch))
 	for _, record := range batch {
 		marks = append(marks, record.ID)
--- /dev/null
+++ b/core/cell/record_test.go
@@ -0,0 +1,80 @@
+package cell
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"tanagerstack.org/core/engine"
+	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/store"
+)
+
+// TestLargeProgressIsStored guards against progress that the store rejects because it exceeds the
+// limit of a row, so that no result in the cell is acknowledged anymore. Each task has failed as
+// often as it may without failing the job.
+func TestLargeProgressIsStored(t *testing.T) {
+	const limit, attempts = 65_536, 4
+	memory := newMemoryStore()
+	memory.maxValue = limit
+	node, _ := testNodeWithOptions(t, "vm", memory, newFakeWorkers(0), newFakeWorkers(0), func(o *Options) { o.MaxRowBytes = limit })
+	l := newLeader(t.Context(), node, leaderRow{Epoch: 1}, 1, time.Now(), predecessor{})
+	want := jobs.Progress{State: jobs.Running, Started: true, Steps: []jobs.StepProgress{{}}}
+	for task := range jobs.MaxTasks {
+		for run := range attempts - 1 {
+			want.Steps[0].Failures = append(want.Steps[0].Failures, jobs.Failure{Task: task, Run: 1000 + run})
+		}
+	}
+	changes, err := l.records.rowsOf(engine.Record{ID: engine.ProgressID{Job: "job"}, Progress: want})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := memory.Apply(t.Context(), changes); err != nil {
+		t.Fatalf("store %d rows: %v", len(changes), err)
+	}
+	var rows []store.Row
+	for _, row := range memory.rows {
+		if row.Table == progressTable {
+			rows = append(rows, row)
+		}
+	}
+	if got := l.decodeProgress(rows); !reflect.DeepEqual(got, map[jobs.ID]jobs.Progress{"job": want}) {
+		t.Errorf("progress of %d jobs read from %d rows differs from what was stored", len(got), len(rows))
+	}
+}
+
+// TestRejectedProgressHoldsUpNobody guards against a job whose progress the store never accepts and
+// that keeps all other jobs from being recorded.
+func TestRejectedProgressHoldsUpNobody(t *testing.T) {
+	memory := newMemoryStore()
+	memory.put(t, "config", "config", "1")
+	memory.put(t, "workers", "w1", "ready")
+	memory.setFault(func(changes []store.Change) storeFault {
+		for _, change := range changes {
+			if put, ok := change.(store.Put); ok && put.Table == progressTable && put.Key == "bad" {
+				if p, err := jobs.Decode[jobs.Progress](put.Value); err == nil && !p.State.Final() {
+					return writeRejected
+				}
+			}
+		}
+		return noFault
+	})
+	node, _ := testNode(t, "vm", memory, newFakeWorkers(time.Millisecond))
+	eventually(t, "the VM leads", leads(node))
+	for _, id := range []jobs.ID{"bad", "good", "better"} {
+		job := testJob(id)
+		second := job.Steps[0]
+		second.After = []int{0}
+		job.Steps = append(job.Steps, second)
+		eventually(t, "the job is accepted", func() bool { return node.Submit(t.Context(), job) == nil })
+	}
+	for _, id := range []jobs.ID{"bad", "good", "better"} {
+		eventually(t, string(id)+" ends", func() bool {
+			state, err := node.Status(t.Context(), id)
+			if id != "bad" && state == jobs.Failed {
+				t.Fatalf("%s failed", id)
+			}
+			return err == nil && state.Final()
+		})
+	}
+}
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -158,6 +158,8 @@
 		e.adviceAnswered(now, ev)
 	case Recorded:
 		e.recorded(ev)
+	case RecordRejected:
+		e.recordRejected(now, ev.ID)
 	case Tick:
 		e.tick(now)
 	}
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -116,6 +116,9 @@
 // Recorded reports which revisions of jobs' progress are committed.
 type Recorded struct{ IDs []ProgressID }
 
+// RecordRejected reports that the store does not accept a revision of a job's progress.
+type RecordRejected struct{ ID ProgressID }
+
 // ProgressID identifies a revision of a job's progress.
 type ProgressID struct {
 	Job      jobs.ID
@@ -139,6 +142,7 @@
 func (StopAnswered) event()         {}
 func (AdviceAnswered) event()       {}
 func (Recorded) event()             {}
+func (RecordRejected) event()       {}
 func (Tick) event()                 {}
 
 // Report is a worker's answer to a poll.
--- a/core/engine/progress.go
+++ b/core/engine/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"tanagerstack.org/core/jobs"
 )
@@ -18,6 +19,17 @@
 	}
 }
 
+// recordRejected fails a job whose progress cannot be stored. Otherwise its results could never be
+// acknowledged, nor those that the same workers report after them.
+func (e *Engine) recordRejected(now time.Time, id ProgressID) {
+	j := e.jobs[id.Job]
+	if j == nil || j.final() {
+		return
+	}
+	e.log("job fails because its progress cannot be stored", "job", id.Job, "revision", id.Revision)
+	e.finalize(now, j, jobs.Failed)
+}
+
 // closed returns what remains of a finalized job in the store.
 func (j *job) closed() jobs.Job {
 	return jobs.Job{ID: j.ID, Queue: jobs.Queue{Name: j.Queue.Name}, ArrivedAt: j.ArrivedAt, FinalState: j.state}
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -16,6 +16,9 @@
 	Steps []StepProgress `cbor:"3,keyasint,omitempty"`
 	// Done has the occurrences whose tasks are all done.
 	Done OccurrenceSet `cbor:"4,keyasint,omitempty"`
+	// Parts is the number of further rows that hold the encoded progress if it is too large for
+	// one row. Such a Progress has the state, and neither steps nor occurrences.
+	Parts int `cbor:"5,keyasint,omitempty"`
 }
 
 // StepProgress is the progress of one step of one occurrence.
