Keep the leader row within the limit of the store

Callers could see: no leader, nothing starts.

Cause: the row lists the jobs of each lost worker, without regard to the store's limit. A third of a large fleet that is lost with 16 jobs each takes 134 kB; the renewal is rejected, and that of the next leader as well.

Change: jobs of lost workers are left out until the row fits. A worker without them may run any job.

--- a/core/cell/elect_test.go
+++ b/core/cell/elect_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -221,3 +222,44 @@
 	cancel()
 	e.sessions.Wait()
 }
+
+// TestLeaderRowFitsItsLimit guards against a leader that cannot renew its row because many workers
+// are lost at once, with many jobs each. A worker whose jobs are left out may run any job.
+func TestLeaderRowFitsItsLimit(t *testing.T) {
+	const limit = 65_536
+	cases := map[string]struct{ workers, lost, jobs int }{
+		"few workers":               {50, 10, 8},
+		"a third of a large fleet":  {1100, 367, 16},
+		"lost with very many jobs":  {1100, 4, 4000},
+		"each worker of the fleet":  {1100, 1100, 40},
+		"lost workers without jobs": {1100, 1100, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			row := leaderRow{Epoch: 7, Lost: make(map[string][]jobs.ID)}
+			for i := range c.workers {
+				id := fmt.Sprintf("i-%010x", i)
+				row.Workers = append(row.Workers, id)
+				if i < c.lost {
+					row.Lost[id] = make([]jobs.ID, 0, c.jobs)
+					for n := range c.jobs {
+						row.Lost[id] = append(row.Lost[id], jobs.ID(fmt.Sprintf("%016x", n)))
+					}
+				}
+			}
+			data, _, err := row.encode(func(data []byte) bool { return len(data) > limit })
+			var stored leaderRow
+			if err != nil || len(data) > limit || json.Unmarshal(data, &stored) != nil {
+				t.Fatalf("row of %d bytes, limit %d, error %v", len(data), limit, err)
+			}
+			if !slices.Equal(stored.Workers, row.Workers) || len(stored.Lost) != c.lost {
+				t.Errorf("%d workers and %d lost ones stored, want %d and %d", len(stored.Workers), len(stored.Lost), c.workers, c.lost)
+			}
+			for id, list := range stored.Lost {
+				if list != nil && !slices.Equal(list, row.Lost[id]) {
+					t.Errorf("worker %s is stored with some of its jobs only", id)
+				}
+			}
+		})
+	}
+}
--- a/core/cell/takeover.go
+++ b/core/cell/takeover.go
@@ -1,10 +1,12 @@
 package cell
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -107,12 +109,39 @@
 	l.rosterRecorded(roster)
 }
 
+// encode returns the stored form of the row. If that is too large, it leaves out the jobs of lost
+// workers, of those with the most jobs first, so that any job may run there. It returns the number of
+// workers whose jobs it left out.
+func (r leaderRow) encode(tooLarge func([]byte) bool) (data []byte, shortened int, err error) {
+	lost := slices.SortedFunc(maps.Keys(r.Lost), func(a, b string) int {
+		return cmp.Or(cmp.Compare(len(r.Lost[b]), len(r.Lost[a])), cmp.Compare(a, b))
+	})
+	r.Lost = maps.Clone(r.Lost)
+	for {
+		data, err = json.Marshal(r)
+		if err != nil {
+			return nil, shortened, fmt.Errorf("encode leader row: %w", err)
+		}
+		if !tooLarge(data) || shortened == len(lost) {
+			return data, shortened, nil
+		}
+		step := min(max(1, len(lost)/8), len(lost)-shortened)
+		for _, id := range lost[shortened : shortened+step] {
+			r.Lost[id] = nil
+		}
+		shortened += step
+	}
+}
+
 // write commits the row over a version. After a lost answer or a conflict it reads the row to
 // find out whether the write took effect.
 func (e *elector) write(ctx context.Context, row leaderRow, version int64, extra ...store.Change) (int64, error) {
-	data, err := json.Marshal(row)
+	data, shortened, err := row.encode(e.node.exceedsRow)
 	if err != nil {
-		return 0, fmt.Errorf("encode leader row: %w", err)
+		return 0, err
+	}
+	if shortened > 0 {
+		e.node.opts.Logger.Warn("leader row too large; jobs of lost workers left out", "workers", shortened, "lost", len(row.Lost), "bytes", len(data))
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowWriteTimeout)
 	defer cancel()
