Acknowledge nothing to a worker after a poll that failed

Found by reading, not seen in a run.

Cause: results are numbered from 1 in each incarnation of a worker. After an unanswered poll the next one carried the number of the earlier incarnation, so that a restarted worker forgot results that no report had listed; its runs then counted as lost in the restart.

Evidence: TestNoAcknowledgmentAfterFailedPoll on the code before: acknowledged up to 1 after a failed poll, want 0.

--- a/core/engine/lease.go
+++ b/core/engine/lease.go
@@ -77,6 +77,10 @@
 		AckedUpTo:   w.ackedUpTo,
 		AcksPending: w.lastSequence > w.ackedUpTo,
 	}
+	// The results of a new incarnation are numbered from 1 again. It would forget them unseen.
+	if w.mayHaveRestarted {
+		request.AckedUpTo = 0
+	}
 	// A poll may be executed although it is not answered. A worker that has not answered for a
 	// while gets no further lease, since its runs could otherwise never be assumed to have ended.
 	if w.synced && now.Sub(w.lastSeen) < maxReportAge {
--- a/core/engine/lease_test.go
+++ b/core/engine/lease_test.go
@@ -278,3 +278,27 @@
 		}
 	}
 }
+
+// TestNoAcknowledgmentAfterFailedPoll guards against results that a restarted worker forgets before
+// they were listed, so that their tasks run again. Its results have the numbers of those that its
+// earlier incarnation had listed.
+func TestNoAcknowledgmentAfterFailedPoll(t *testing.T) {
+	e := newTestEngine(t, Options{}, testWorker("w1"))
+	e.apply(JobAccepted{Job: testJob("job", 1)})
+	start := commandsOfType[Start](e.runPass(0))[0]
+	report := Report{Results: []RunResult{{Sequence: 1, Task: start.Task, Run: start.Run, End: jobs.EndDone}}}
+	for _, record := range commandsOfType[Record](e.poll("w1", report)) {
+		e.apply(Recorded{IDs: []ProgressID{record.ID}})
+	}
+	for _, want := range []int64{1, 0, 1} {
+		request, _ := e.NextPoll(e.now, "w1")
+		if request.AckedUpTo != want {
+			t.Errorf("results acknowledged up to %d, want %d", request.AckedUpTo, want)
+		}
+		if want > 0 {
+			e.apply(PollFailed{Worker: "w1"})
+		} else {
+			e.poll("w1", report)
+		}
+	}
+}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -63,6 +63,8 @@
 	lastSequence int64
 	ackedUpTo    int64
 	pendingAcks  []pendingAck
+	// mayHaveRestarted is set while the last poll has failed.
+	mayHaveRestarted bool
 	health       health
 	slowdown     slowdown
 	// unknownDemandRuns counts the runs whose demand is not known.
@@ -236,6 +238,7 @@
 	// An idle worker delays its answer to a poll and reports its state at the time of the answer,
 	// so the age of the report is counted from its arrival.
 	w.lastSeen = now
+	w.mayHaveRestarted = false
 	e.logResults(w, ev.Report.Results)
 	for _, result := range ev.Report.Results {
 		e.resultReported(now, w, result)
@@ -276,6 +279,7 @@
 		return
 	}
 	w.raiseFence()
+	w.mayHaveRestarted = true
 	if w.listed || len(w.runs) > 0 {
 		return
 	}
