Take a worker's restart from its own answers only

Cause: the incarnation of a worker was the latest start time that an entry or a report named. An entry with a later one counted as a restart and ended the runs, and reports and entries with an earlier one were ignored for good.

Evidence: TestEntryProvesNoRestart on the code before: run 2 on w2 0.1 s after the entry, while w1 lists run 1. TestWorkerIsFollowedAfterWrongStartTime: 0 starts, want 1, in all three cases.

Change: an entry that names a later incarnation withholds new work until a poll shows who answers. A report of another incarnation counts if it is later or answers a poll that was sent after the known one answered. "worker restarted", "worker lease expired" and the entry lines now log the start times by entry and by report, and the lease's arithmetic.

--- /dev/null
+++ b/core/engine/incarnation_test.go
@@ -0,0 +1,136 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"tanagerstack.org/core/jobs"
+)
+
+// startOne starts the only task of a new job and confirms its start.
+func (e *testEngine) startOne(t *testing.T, id jobs.ID) Start {
+	t.Helper()
+	e.apply(JobAccepted{Job: testJob(id, 1)})
+	starts := commandsOfType[Start](e.runPass(time.Millisecond))
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	e.apply(StartAnswered{Worker: starts[0].Worker, Task: starts[0].Task, Run: starts[0].Run, Outcome: StartAccepted})
+	return starts[0]
+}
+
+// answer delivers a report of an incarnation to the next poll of a worker, sent a millisecond ago.
+func (e *testEngine) answer(id string, startedAt time.Time, report Report) []Command {
+	request, _ := e.NextPoll(e.now, id)
+	sent := e.now
+	e.now = e.now.Add(time.Millisecond)
+	report.StartedAt = startedAt
+	if report.Clock == 0 {
+		report.Clock = e.now.Sub(testStart) + time.Minute
+	}
+	return e.apply(WorkerPolled{Worker: id, Sent: sent, Fence: request.Fence, Report: report})
+}
+
+// TestEntryProvesNoRestart guards against starting a task again while its worker runs it, because a
+// directory entry, perhaps of another writer, names a later incarnation of the worker.
+func TestEntryProvesNoRestart(t *testing.T) {
+	for name, startedAt := range map[string]time.Time{
+		"a millisecond later": testStart.Add(time.Millisecond),
+		"in the far future":   testStart.AddDate(5000, 0, 0),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngine(t, Options{}, testWorker("w1"))
+			start := e.startOne(t, "job")
+			running := Report{Running: []ActiveRun{{Task: start.Task, Run: start.Run}}}
+			e.answer("w1", testStart, running)
+			e.apply(WorkerListed{Worker: testWorker("w2")})
+			e.answer("w2", testStart, Report{})
+			roster, _ := e.WantedRoster(e.now)
+			e.RosterRecorded(roster)
+			odd := testWorker("w1")
+			odd.StartedAt = startedAt
+			for range 20 {
+				e.apply(WorkerListed{Worker: odd})
+				e.answer("w2", testStart, Report{})
+				if starts := commandsOfType[Start](e.runPass(100 * time.Millisecond)); len(starts) > 0 {
+					t.Fatalf("started %+v while w1 runs the task", starts)
+				}
+				e.answer("w1", testStart, running)
+			}
+			done := Report{Results: []RunResult{{Sequence: 1, Task: start.Task, Run: start.Run, End: jobs.EndDone}}}
+			if records := commandsOfType[Record](e.answer("w1", testStart, done)); len(records) != 1 || records[0].Progress.State != jobs.Done {
+				t.Errorf("records %+v, want the job as done", records)
+			}
+		})
+	}
+}
+
+// TestWorkerIsFollowedAfterWrongStartTime guards against a worker whose reports are ignored for good,
+// because an entry named a start time in the future or its wall clock was set back before a restart.
+func TestWorkerIsFollowedAfterWrongStartTime(t *testing.T) {
+	later := testWorker("w1")
+	later.StartedAt = testStart.Add(time.Hour)
+	cases := map[string]func(e *testEngine){
+		"entry ahead of the worker": func(e *testEngine) { e.apply(WorkerListed{Worker: later}) },
+		"entry repaired": func(e *testEngine) {
+			e.apply(WorkerListed{Worker: later})
+			e.apply(WorkerListed{Worker: testWorker("w1")})
+		},
+		"wall clock set back": func(e *testEngine) {
+			e.answer("w1", later.StartedAt, Report{})
+			e.answer("w1", later.StartedAt, Report{})
+		},
+	}
+	for name, disturb := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngine(t, Options{}, testWorker("w1"))
+			disturb(e)
+			e.apply(WorkerListed{Worker: testWorker("w1")})
+			for range 3 {
+				e.now = e.now.Add(time.Second)
+				e.answer("w1", testStart, Report{Clock: time.Hour + e.now.Sub(testStart)})
+			}
+			e.startOne(t, "job")
+		})
+	}
+}
+
+// TestAnswerOfEarlierIncarnationIsIgnored checks that the late answer of an earlier incarnation does
+// not count as another restart.
+func TestAnswerOfEarlierIncarnationIsIgnored(t *testing.T) {
+	e := newTestEngine(t, Options{}, testWorker("w1"))
+	sent := e.now
+	restarted := testStart.Add(time.Hour)
+	e.answer("w1", restarted, Report{Clock: time.Second})
+	e.apply(WorkerPolled{Worker: "w1", Sent: sent.Add(-time.Second), Fence: e.fence(e.workers["w1"]), Report: Report{StartedAt: testStart}})
+	if got := e.workers["w1"].StartedAt; !got.Equal(restarted) {
+		t.Errorf("incarnation of %s, want %s", got, restarted)
+	}
+}
+
+// TestAnnouncedRestartOfLostWorker checks that a run whose start got no answer, on a worker that
+// has a new entry but never answers again, is given up once no incarnation can have it anymore.
+func TestAnnouncedRestartOfLostWorker(t *testing.T) {
+	e := newTestEngine(t, Options{}, testWorker("w1"))
+	e.apply(JobAccepted{Job: testJob("job", 1)})
+	start := commandsOfType[Start](e.runPass(0))[0]
+	e.apply(StartAnswered{Worker: "w1", Task: start.Task, Run: start.Run, Outcome: StartUnknown})
+	later := testWorker("w1")
+	later.StartedAt = testStart.Add(time.Second)
+	e.apply(WorkerListed{Worker: later})
+	e.apply(WorkerListed{Worker: testWorker("w2")})
+	announced := e.now
+	for e.now.Sub(announced) < time.Minute {
+		e.apply(PollFailed{Worker: "w1"})
+		e.answer("w2", testStart, Report{})
+		roster, _ := e.WantedRoster(e.now)
+		e.RosterRecorded(roster)
+		if starts := commandsOfType[Start](e.runPass(100 * time.Millisecond)); len(starts) > 0 {
+			if waited, want := e.now.Sub(announced), maxCommandDelay+LongestLease(testLease); waited < want {
+				t.Errorf("started again after %s, want at least %s", waited, want)
+			}
+			return
+		}
+	}
+	t.Error("not started again within a minute")
+}
--- a/core/engine/lease.go
+++ b/core/engine/lease.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"tanagerstack.org/core/jobs"
@@ -34,19 +35,23 @@
 	return !w.clock.at.IsZero() && w.clock.lowerBound(now) >= w.leasedUntil
 }
 
-// expireLease ends all runs on a worker whose lease must have expired.
+// expireLease ends all runs on a worker whose lease must have expired, except those that an
+// incarnation may have accepted that has not answered yet.
 func (e *Engine) expireLease(now time.Time, w *worker) {
-	lost := e.opts.unsafe.forgetLost && now.Sub(w.lastSeen) > maxReportAge
-	if len(w.runs) == 0 || !w.leaseExpired(now) && !(lost && !w.clock.at.IsZero()) {
-		e.expireCommandsBeforeRestart(now, w)
+	e.expireCommandsBeforeRestart(now, w)
+	lost := e.opts.unsafe.forgetLost && now.Sub(w.lastSeen) > maxReportAge && !w.clock.at.IsZero()
+	if len(w.runs) == 0 || !w.leaseExpired(now) && !lost {
 		return
 	}
-	e.log("worker lease expired", "worker", w.ID, "runs", len(w.runs), "last-seen", now.Sub(w.lastSeen))
+	expired := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return r.sentBeforeRestart })
+	if len(expired) == 0 {
+		return
+	}
+	e.log("worker lease expired", "worker", w.ID, "runs", len(expired), "last-seen", now.Sub(w.lastSeen), "born", w.StartedAt,
+		"clock-at-least", w.clock.lowerBound(now), "clock-read", w.clock.reading, "clock-read-before", now.Sub(w.clock.at), "leased-until", w.leasedUntil)
 	w.synced, w.resultsKnown = false, false
-	for _, r := range w.sortedRuns() {
-		if !r.sentBeforeRestart {
-			e.presumeEnded(now, r, jobs.EndExpired, "the worker's lease has expired")
-		}
+	for _, r := range expired {
+		e.presumeEnded(now, r, jobs.EndExpired, "the worker's lease has expired")
 	}
 }
 
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// markSentBeforeRestart records that the start command may have reached an earlier incarnation of
+// the worker, or may reach the present one.
+func (r *run) markSentBeforeRestart(now time.Time) {
+	r.listed = false
+	r.sentBeforeRestart, r.phaseSince = true, now
+}
+
 // runReported handles a run that a worker's report lists as running.
 func (e *Engine) runReported(now time.Time, w *worker, active ActiveRun) {
 	key := runKey{active.Task, active.Run}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -34,6 +34,10 @@
 	Worker
 	listed     bool
 	unlistedAt time.Time
+	// entryStartedAt is the incarnation that the last directory entry names. StartedAt is the one
+	// that has answered last, and incarnationSince when it did so first.
+	entryStartedAt   time.Time
+	incarnationSince time.Time
 	// synced is set once this incarnation was polled in this epoch with the current fencing token.
 	synced bool
 	// resultsKnown is set once a report of this incarnation in this epoch listed all results that
@@ -169,24 +173,46 @@
 func (e *Engine) workerListed(now time.Time, entry Worker) {
 	w, known := e.workers[entry.ID]
 	if !known {
-		w = &worker{Worker: entry, listed: true, runs: make(map[runKey]*run)}
+		w = &worker{Worker: entry, listed: true, entryStartedAt: entry.StartedAt, runs: make(map[runKey]*run)}
 		e.workers[entry.ID] = w
 		e.sortedWorkers = append(e.sortedWorkers, w)
 		slices.SortFunc(e.sortedWorkers, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
 		e.log("worker listed", "worker", entry.ID, "address", entry.Address, "rack", entry.Rack, "leaving", entry.Leaving)
 		return
 	}
+	if entry.Leaving != w.Leaving || !w.listed {
+		e.log("worker entry changed", "worker", entry.ID, "leaving", entry.Leaving, "leaves-in", entry.LeavesIn, "was-listed", w.listed,
+			"born", w.StartedAt, "entry-born", entry.StartedAt)
+	}
+	w.listed = true
 	if entry.StartedAt.Before(w.StartedAt) {
+		// The entry of an earlier incarnation, or one that names the wrong incarnation.
+		w.entryStartedAt = entry.StartedAt
+		w.Leaving = w.Leaving || entry.Leaving
 		return
 	}
-	if entry.StartedAt.After(w.StartedAt) {
-		e.workerRestarted(now, w, entry.StartedAt)
-	}
-	if entry.Leaving != w.Leaving || !w.listed {
-		e.log("worker entry changed", "worker", entry.ID, "leaving", entry.Leaving, "leaves-in", entry.LeavesIn, "was-listed", w.listed)
+	if entry.StartedAt.After(w.StartedAt) && !entry.StartedAt.Equal(w.entryStartedAt) {
+		e.restartAnnounced(now, w, entry.StartedAt)
 	}
+	w.entryStartedAt = entry.StartedAt
+	entry.StartedAt = w.StartedAt
 	w.Worker = entry
-	w.listed = true
+}
+
+// restartAnnounced handles a directory entry that names a later incarnation. The entry proves
+// nothing about runs, since the directory has entries of other writers too. The next poll shows
+// which incarnation answers. Commands that are underway can no longer take effect once it is
+// answered; those to the earlier incarnation may until then.
+func (e *Engine) restartAnnounced(now time.Time, w *worker, startedAt time.Time) {
+	e.log("worker entry names a later incarnation", "worker", w.ID, "runs", len(w.runs), "born", w.StartedAt, "entry-born", startedAt,
+		"last-seen", now.Sub(w.lastSeen))
+	w.synced, w.resultsKnown, w.mayHaveRestarted = false, false, true
+	w.raiseFence()
+	for _, r := range w.sortedRuns() {
+		if !r.listed || r.repeated {
+			r.markSentBeforeRestart(now)
+		}
+	}
 }
 
 func (e *Engine) workerUnlisted(now time.Time, id string) {
@@ -198,13 +224,13 @@
 	e.log("worker unlisted", "worker", id, "runs", len(w.runs), "last-seen", now.Sub(w.lastSeen))
 }
 
-// workerRestarted handles a restart of a worker. Runs that the earlier incarnation has listed are
+// workerRestarted handles a report of another incarnation. Runs that the earlier incarnation has listed are
 // gone. The new incarnation may have accepted others, or may accept them until it is polled with
 // a higher fencing token, so they are counted until then. The same holds for unknown runs of
 // previous leaders.
 func (e *Engine) workerRestarted(now time.Time, w *worker, startedAt time.Time) {
-	e.log("worker restarted", "worker", w.ID, "runs", len(w.runs), "born", startedAt)
-	w.StartedAt = startedAt
+	e.log("worker restarted", "worker", w.ID, "runs", len(w.runs), "born", startedAt, "born-before", w.StartedAt, "entry-born", w.entryStartedAt)
+	w.StartedAt, w.incarnationSince = startedAt, now
 	w.synced, w.resultsKnown = false, false
 	w.raiseFence()
 	w.clock = clock{}
@@ -215,8 +241,7 @@
 			e.presumeEnded(now, r, jobs.EndExpired, "the worker restarted")
 			continue
 		}
-		r.listed = false
-		r.sentBeforeRestart, r.phaseSince = true, now
+		r.markSentBeforeRestart(now)
 	}
 }
 
@@ -226,12 +251,12 @@
 	if w == nil {
 		return
 	}
-	if ev.Report.StartedAt.Before(w.StartedAt) {
-		return
-	}
-	if ev.Report.StartedAt.After(w.StartedAt) {
-		// This poll did not carry the fencing token of the new incarnation; the next one does.
-		e.workerRestarted(now, w, ev.Report.StartedAt)
+	if !ev.Report.StartedAt.Equal(w.StartedAt) {
+		// An earlier time in the answer to a later poll means that the worker's clock was set back.
+		if ev.Report.StartedAt.After(w.StartedAt) || ev.Sent.After(w.incarnationSince) {
+			// This poll did not carry the fencing token of the new incarnation; the next one does.
+			e.workerRestarted(now, w, ev.Report.StartedAt)
+		}
 		return
 	}
 	w.clock.observe(now, ev.Report.Clock)
