Give a restarted worker no work before its entry describes it

Callers could see: ROUTE, tasks on a worker without their required label.

Cause: after a restart a worker was usable from its first answers on, by the labels and capacity of the earlier incarnation's entry. A new lifetime may be of another kind (PROTOCOL).

Evidence: TestRestartedWorkerAwaitsItsEntry on the code before: 1 start, want 0, in two of six cases.

Change: the entry must name the incarnation that answers, or that has answered for 10 s.

--- a/core/engine/incarnation_test.go
+++ b/core/engine/incarnation_test.go
@@ -86,7 +86,7 @@
 			e := newTestEngine(t, Options{}, testWorker("w1"))
 			disturb(e)
 			e.apply(WorkerListed{Worker: testWorker("w1")})
-			for range 3 {
+			for e.now.Sub(testStart) < entryLag+2*time.Second {
 				e.now = e.now.Add(time.Second)
 				e.answer("w1", testStart, Report{Clock: time.Hour + e.now.Sub(testStart)})
 			}
@@ -134,3 +134,47 @@
 	}
 	t.Error("not started again within a minute")
 }
+
+// TestRestartedWorkerAwaitsItsEntry guards against work for a worker that has restarted as one of
+// another kind, by the labels of its earlier incarnation. Its answers arrive before its entry.
+func TestRestartedWorkerAwaitsItsEntry(t *testing.T) {
+	restarted := testStart.Add(time.Hour)
+	entry := func(kind string, startedAt time.Time) Worker {
+		w := testWorker("w1")
+		w.Labels, w.StartedAt = []string{kind, "r1"}, startedAt
+		return w
+	}
+	cases := map[string]struct {
+		entry Worker
+		want  int
+	}{
+		"entry of the earlier incarnation":    {entry("a", testStart), 0},
+		"entry of the same kind":              {entry("a", restarted), 1},
+		"entry of another kind":               {entry("b", restarted), 0},
+		"entry that does not say its start":   {entry("a", time.UnixMilli(0)), 1},
+		"entry of one that never answered":    {entry("a", restarted.Add(time.Hour)), 0},
+		"leaving, by the earlier one's entry": {func() Worker { w := entry("a", testStart); w.Leaving = true; return w }(), 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			first := entry("a", testStart)
+			if c.entry.StartedAt.UnixMilli() == 0 {
+				first.StartedAt = c.entry.StartedAt
+			}
+			e := newTestEngine(t, Options{}, first)
+			job := testJob("job", 1)
+			job.Steps[0].RequiredLabel = "a"
+			for range 2 {
+				e.answer("w1", restarted, Report{Clock: time.Second})
+			}
+			e.apply(JobAccepted{Job: job})
+			e.apply(WorkerListed{Worker: c.entry})
+			for range 3 {
+				e.answer("w1", restarted, Report{Clock: time.Second + e.now.Sub(testStart)})
+			}
+			if starts := commandsOfType[Start](e.runPass(0)); len(starts) != c.want {
+				t.Errorf("%d starts, want %d", len(starts), c.want)
+			}
+		})
+	}
+}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -25,6 +25,10 @@
 	// fencesPerEpoch is the number of fencing tokens in an epoch: enough for one every 150 ms for
 	// a day and a half.
 	fencesPerEpoch = 1 << 20
+	// entryLag is the time after which an entry that names another incarnation counts as that of
+	// the present one. The entry of an earlier one is gone after three missed heartbeats of 1.5 s,
+	// up to 3 s late.
+	entryLag = 10 * time.Second
 	// forgetAfter is the time for which a worker without directory entry and runs is kept.
 	forgetAfter = 20 * time.Second
 )
@@ -69,8 +73,8 @@
 	pendingAcks  []pendingAck
 	// mayHaveRestarted is set while the last poll has failed.
 	mayHaveRestarted bool
-	health       health
-	slowdown     slowdown
+	health           health
+	slowdown         slowdown
 	// unknownDemandRuns counts the runs whose demand is not known.
 	unknownDemandRuns int
 }
@@ -108,7 +112,13 @@
 
 // usable reports whether the worker can get new work.
 func (w *worker) usable(now time.Time) bool {
-	return w.resultsKnown && w.listed && !w.Leaving && w.unknownDemandRuns == 0 && now.Sub(w.lastSeen) < maxReportAge
+	return w.resultsKnown && w.listed && !w.Leaving && w.describedByEntry(now) && w.unknownDemandRuns == 0 && now.Sub(w.lastSeen) < maxReportAge
+}
+
+// describedByEntry reports whether the directory entry describes the incarnation that answers: another
+// one may have other labels and capacity. An entry without start time describes any.
+func (w *worker) describedByEntry(now time.Time) bool {
+	return w.entryStartedAt.Equal(w.StartedAt) || w.entryStartedAt.UnixMilli() <= 0 || now.Sub(w.incarnationSince) > entryLag
 }
 
 func (w *worker) hasLabel(label string) bool {
