Keep a worker recorded as lost after its lease has expired

Callers saw nothing of it by itself: after a takeover all inherited jobs wait for such a worker until the previous leader's leases have expired.

Cause: only a synchronized worker was recorded as lost with its jobs. One whose lease has expired, or whose restart was announced, is not, and so counted as one that may run any job, although this leader knows all that can run there.

Change: a worker that this leader has polled, and that cannot have runs of earlier leaders, is recorded with the jobs that may run there.

--- a/core/engine/roster.go
+++ b/core/engine/roster.go
@@ -33,20 +33,18 @@
 			continue
 		}
 		wanted.Workers = append(wanted.Workers, w.ID)
-		if w.resultsKnown && (w.Leaving || !w.listed || now.Sub(w.lastSeen) > lostAfter) {
+		if w.isKnownHere(e) && (w.Leaving || !w.listed || now.Sub(w.lastSeen) > lostAfter) {
 			wanted.Lost[w.ID] = w.unsettledJobs()
 			continue
 		}
 		urgent = urgent || !e.inRecordedRoster(w.ID)
 	}
 	for id, ids := range e.previousWorkers {
-		if e.workers[id] == nil || !e.workers[id].resultsKnown {
-			if e.workers[id] == nil {
-				wanted.Workers = append(wanted.Workers, id)
-			}
-			if ids != nil {
-				wanted.Lost[id] = ids
-			}
+		if e.workers[id] == nil {
+			wanted.Workers = append(wanted.Workers, id)
+		}
+		if ids != nil {
+			wanted.Lost[id] = ids
 		}
 	}
 	slices.Sort(wanted.Workers)
@@ -79,6 +77,12 @@
 	return found
 }
 
+// isKnownHere reports whether all jobs that may have runs on the worker are known to this engine: it
+// has polled the worker, and no run of previous leaders can be left there.
+func (w *worker) isKnownHere(e *Engine) bool {
+	return !w.lastSeen.IsZero() && !e.isPreviousWorker(w.ID)
+}
+
 // unsettledJobs returns the IDs of the jobs that may have runs on a worker, or have results there
 // that are not stored, sorted. A later leader learns of such results from the worker alone.
 func (w *worker) unsettledJobs() []jobs.ID {
--- a/core/engine/roster_test.go
+++ b/core/engine/roster_test.go
@@ -254,3 +254,38 @@
 		})
 	}
 }
+
+// TestExpiredWorkerStaysRecordedAsLost guards against a later leader that makes all inherited jobs
+// wait for a worker on which nothing can run: its lease has expired, or an entry announced that it
+// has restarted.
+func TestExpiredWorkerStaysRecordedAsLost(t *testing.T) {
+	later := testWorker("w1")
+	later.StartedAt = testStart.Add(time.Second)
+	cases := map[string]struct {
+		announced bool
+		lostFor   time.Duration
+		want      []jobs.ID
+	}{
+		"lost":                         {false, 2 * time.Second, []jobs.ID{"job"}},
+		"lost, lease expired":          {false, 2 * testLease, []jobs.ID{}},
+		"restart announced":            {true, 2 * time.Second, []jobs.ID{"job"}},
+		"restart announced, long lost": {true, maxCommandDelay + 2*testLease, []jobs.ID{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngine(t, Options{}, testWorker("w1"))
+			e.startOne(t, "job")
+			if c.announced {
+				e.apply(WorkerListed{Worker: later})
+			}
+			for lost := time.Duration(0); lost < c.lostFor; lost += 100 * time.Millisecond {
+				e.apply(PollFailed{Worker: "w1"})
+				e.runPass(100 * time.Millisecond)
+			}
+			roster, urgent := e.WantedRoster(e.now)
+			if got, lost := roster.Lost["w1"]; !lost || urgent || !slices.Equal(got, c.want) {
+				t.Errorf("recorded as lost: %v, with jobs %v, urgent: %v; want %v", lost, got, urgent, c.want)
+			}
+		})
+	}
+}
