--- a/core/engine/incarnation_test.go
+++ b/core/engine/incarnation_test.go
@@ -178,3 +178,40 @@
 		})
 	}
 }
+
+// TestOddEntryKeepsRuns guards against giving up the runs of a worker whose entry cannot be used for
+// a while: it counts as removed, and its answers show that the runs go on.
+func TestOddEntryKeepsRuns(t *testing.T) {
+	cases := map[string]func(round int) bool{
+		"odd from now on": func(int) bool { return false },
+		"odd by turns":    func(round int) bool { return round%2 == 0 },
+	}
+	for name, sound := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngine(t, Options{}, testWorker("w1"))
+			start := e.startOne(t, "job")
+			e.apply(WorkerListed{Worker: testWorker("w2")})
+			for round := range int(3 * testLease / (500 * time.Millisecond)) {
+				if sound(round) {
+					e.apply(WorkerListed{Worker: testWorker("w1")})
+				} else {
+					e.apply(WorkerUnlisted{ID: "w1"})
+				}
+				roster, _ := e.WantedRoster(e.now)
+				e.RosterRecorded(roster)
+				e.answer("w1", testStart, Report{Running: []ActiveRun{{Task: start.Task, Run: start.Run, Percent: round}}})
+				e.answer("w2", testStart, Report{})
+				if commands := e.runPass(500 * time.Millisecond); len(commandsOfType[Start](commands))+len(commandsOfType[Stop](commands)) > 0 {
+					t.Fatalf("%s after the entry turned odd: %+v", e.now.Sub(testStart), commands)
+				}
+				if request, _ := e.NextPoll(e.now, "w1"); request.LeaseUntil == 0 {
+					t.Fatal("the worker's lease is not renewed")
+				}
+			}
+			done := Report{Results: []RunResult{{Sequence: 1, Task: start.Task, Run: start.Run, End: jobs.EndDone}}}
+			if records := commandsOfType[Record](e.answer("w1", testStart, done)); len(records) != 1 || records[0].Progress.State != jobs.Done {
+				t.Errorf("records %+v, want the job as done", records)
+			}
+		})
+	}
+}
