Refuse submissions with numbers out of range

Cause: numbers were converted before they were checked. Sums overflowed, and a float that does not fit converts as the processor does it.

Objectives saturate at ten years.

--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -150,7 +150,7 @@
 	}
 	inherited := ev.Inherited || !e.caughtUp && !e.opts.PreviousActiveUntil.IsZero() && !e.opts.unsafe.skipOverlap
 	j := &job{Job: ev.Job, loadedAt: now, inherited: inherited, started: ev.Progress.Started}
-	objective := time.Duration(ev.Job.Queue.Stretch*float64(e.criticalPath(&ev.Job))) + ev.Job.Queue.Slack
+	objective := ev.Job.Queue.Objective(e.criticalPath(&ev.Job))
 	j.deadline = ev.Job.ArrivedAt.Add(objective)
 	j.worthlessAt = ev.Job.ArrivedAt.Add(worthlessFactor * objective)
 	e.jobs[ev.Job.ID] = j
--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -129,8 +129,16 @@
 
 // Objective returns the latency objective of one occurrence, computed from the caller's
 // estimates.
-func (j *Job) Objective() time.Duration {
-	return time.Duration(j.Queue.Stretch*float64(j.CriticalPath())) + j.Queue.Slack
+func (j *Job) Objective() time.Duration { return j.Queue.Objective(j.CriticalPath()) }
+
+// Objective returns the latency objective of a job with the given critical path, at most
+// MaxObjective.
+func (q *Queue) Objective(criticalPath time.Duration) time.Duration {
+	objective := q.Stretch*float64(criticalPath) + float64(q.Slack)
+	if !(objective < float64(MaxObjective)) {
+		return MaxObjective
+	}
+	return time.Duration(max(objective, 0))
 }
 
 // CriticalPath returns the total estimate along the longest chain of dependent steps.
--- a/core/jobs/jobs_test.go
+++ b/core/jobs/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -57,6 +58,14 @@
 		"longest spec":          {func(j *Job) { j.Spec = NewSpec(string(make([]byte, MaxSpecBytes))) }, true},
 		"no occurrences":        {func(j *Job) { j.Recurrence = &Recurrence{} }, false},
 		"occurrences":           {func(j *Job) { j.Recurrence = &Recurrence{Count: 3, Interval: time.Second} }, true},
+		"tasks overflow":        {func(j *Job) { j.Steps[0].Count, j.Steps[1].Count = math.MaxInt, math.MaxInt }, false},
+		"too many processors":   {func(j *Job) { j.Steps[0].PerTask.Millicores = MaxMillicores + 1 }, false},
+		"too much memory":       {func(j *Job) { j.Steps[0].PerTask.MemoryBytes = math.MaxInt64 }, false},
+		"estimate too long":     {func(j *Job) { j.Steps[0].Estimate = MaxTaskTime + 1 }, false},
+		"negative target":       {func(j *Job) { j.Steps[0].TailLatencyTarget = -1 }, false},
+		"negative limit":        {func(j *Job) { j.Steps[0].MaxPerWorker = -1 }, false},
+		"schedule overflows":    {func(j *Job) { j.Recurrence = &Recurrence{Count: MaxOccurrences, Interval: MaxTaskTime} }, false},
+		"yearly":                {func(j *Job) { j.Recurrence = &Recurrence{Count: 10, Interval: MaxTaskTime} }, true},
 		"negative interval":     {func(j *Job) { j.Recurrence = &Recurrence{Count: 3, Interval: -time.Second} }, false},
 	}
 	for name, c := range cases {
--- a/core/jobs/validate.go
+++ b/core/jobs/validate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"tanagerstack.org/core/roster"
 )
@@ -30,6 +31,16 @@
 	MaxAccelerators = 1_000_000
 )
 
+// Limits of times. Sums over all steps of a job, and times of all its occurrences, do not overflow.
+const (
+	// MaxTaskTime limits the estimate and the tail latency target of a task.
+	MaxTaskTime = 365 * 24 * time.Hour
+	// MaxSchedule limits the time from the first occurrence to the last.
+	MaxSchedule = 100 * MaxTaskTime
+	// MaxObjective limits a latency objective.
+	MaxObjective = 10 * MaxTaskTime
+)
+
 // CheckResources returns an error if an amount is negative or beyond its limit.
 func CheckResources(r roster.Resources) error {
 	switch {
@@ -60,7 +71,9 @@
 		if err := j.Steps[i].validate(i); err != nil {
 			return err
 		}
-		tasks += j.Steps[i].Count
+		if tasks += min(j.Steps[i].Count, MaxTasks+1); tasks > MaxTasks {
+			break
+		}
 	}
 	if tasks > MaxTasks {
 		return fmt.Errorf("%w: %d tasks, more than %d", ErrInvalid, tasks, MaxTasks)
@@ -75,6 +88,9 @@
 	if j.Recurrence.Count < 1 || j.Recurrence.Count > MaxOccurrences || j.Recurrence.Interval < 0 {
 		return fmt.Errorf("%w: %d occurrences each %s", ErrInvalid, j.Recurrence.Count, j.Recurrence.Interval)
 	}
+	if j.Recurrence.Interval > MaxSchedule/time.Duration(j.Recurrence.Count) {
+		return fmt.Errorf("%w: %d occurrences each %s take longer than %s", ErrInvalid, j.Recurrence.Count, j.Recurrence.Interval, MaxSchedule)
+	}
 	return nil
 }
 
@@ -85,6 +101,13 @@
 	if s.PerTask.Millicores < 0 || s.PerTask.MemoryBytes < 0 || s.PerTask.Accelerators < 0 || s.Estimate < 0 {
 		return fmt.Errorf("%w: step %d asks for less than nothing", ErrInvalid, index)
 	}
+	if err := CheckResources(s.PerTask); err != nil {
+		return fmt.Errorf("%w: step %d asks for %w", ErrInvalid, index, err)
+	}
+	if s.Estimate > MaxTaskTime || s.TailLatencyTarget < 0 || s.TailLatencyTarget > MaxTaskTime || s.MaxPerWorker < 0 {
+		return fmt.Errorf("%w: step %d has estimate %s, latency target %s and at most %d tasks on a worker; want none below 0 or above %s",
+			ErrInvalid, index, s.Estimate, s.TailLatencyTarget, s.MaxPerWorker, MaxTaskTime)
+	}
 	for _, before := range s.After {
 		if before < 0 || before >= index {
 			return fmt.Errorf("%w: step %d comes after step %d, which is not an earlier one", ErrInvalid, index, before)
