Leave out single rows that cannot be decoded, and follow the rest

Callers could see: a worker lost for good because of one row of its report; a VM that stays at an older configuration because of one route (CONFIG); advice that fails because of one row.

Cause: lists were decoded as a whole. Reported by operators of similar systems, looked for with tests.

Evidence, on the code before: a report with the row ["somebody",2,"",41] fails with 'task name "somebody": want four parts'; a configuration with the route {"name":7} and advice with ["w3",4] fail as well.

Change: rows are decoded one by one; those left out are logged and counted. A row that names a task but cannot be decoded further counts neither as listed nor as missing, so that no run is taken for gone. The protocol of relays has a new number, since reports carry more.

--- a/core/cell/commands.go
+++ b/core/cell/commands.go
@@ -72,6 +72,7 @@
 		event.Failed = true
 		event.Overloaded = errors.Is(err, ErrOverloaded)
 	}
+	c.leader.node.noteUnreadable("ticket", c.request.Step.String(), answer.Skipped, nil)
 	event.Tickets, event.Valid = answer.Tickets, answer.ValidFor
 	c.leader.apply(event)
 }
@@ -124,6 +125,7 @@
 	k.leader.node.metrics.polls.WithLabelValues(outcomeOf(err)).Inc()
 	if err == nil {
 		k.noteReached(true, nil)
+		k.leader.node.noteUnreadable("run", k.worker, report.Skipped, nil)
 		k.leader.apply(engine.WorkerPolled{Worker: k.worker, Sent: sent, Fence: request.Fence, Report: report})
 		return
 	}
--- a/core/cell/feed.go
+++ b/core/cell/feed.go
@@ -57,7 +57,7 @@
 			p, err = jobs.Decode[jobs.Progress](data)
 		}
 		if err != nil {
-			l.node.opts.Logger.Warn("progress not decoded", "job", row.Key, "error", err)
+			l.node.noteUnreadable("progress", row.Key, 1, err)
 			continue
 		}
 		list[id] = p
@@ -76,7 +76,7 @@
 		}
 		job, err := jobs.Decode[jobs.Job](row.Value)
 		if err != nil {
-			l.node.opts.Logger.Warn("job not decoded", "job", row.Key, "error", err)
+			l.node.noteUnreadable("job", row.Key, 1, err)
 			continue
 		}
 		l.apply(engine.JobAccepted{Job: job, Progress: progress[job.ID], Inherited: row.Version <= l.version})
@@ -154,7 +154,7 @@
 func (l *leader) decodeWorker(row store.Row) (engine.Worker, bool) {
 	w, err := l.node.opts.Directory.DecodeWorker(row)
 	if err != nil {
-		l.node.opts.Logger.Warn("worker entry invalid", "worker", row.Key, "error", err)
+		l.node.noteUnreadable("worker", row.Key, 1, err)
 		return engine.Worker{}, false
 	}
 	return w, true
--- a/core/cell/frame.go
+++ b/core/cell/frame.go
@@ -129,6 +129,8 @@
 	StartedAt int64
 	Running   []wireActiveRun
 	Results   []wireRunResult
+	Unclear   []wireTask
+	Skipped   int
 }
 
 type wireActiveRun struct {
@@ -149,24 +151,30 @@
 }
 
 func encodeReport(r engine.Report) *wireReport {
-	w := &wireReport{Clock: r.Clock, StartedAt: r.StartedAt.UnixMilli()}
+	w := &wireReport{Clock: r.Clock, StartedAt: r.StartedAt.UnixMilli(), Skipped: r.Skipped}
 	for _, row := range r.Running {
 		w.Running = append(w.Running, wireActiveRun{Task: encodeTask(row.Task), Run: row.Run, Checkpoint: row.Checkpoint, Percent: row.Percent})
 	}
 	for _, row := range r.Results {
 		w.Results = append(w.Results, wireRunResult{Sequence: row.Sequence, Task: encodeTask(row.Task), Run: row.Run, End: row.End, Checkpoint: row.Checkpoint})
 	}
+	for _, task := range r.Unclear {
+		w.Unclear = append(w.Unclear, encodeTask(task))
+	}
 	return w
 }
 
 func (w *wireReport) decode() engine.Report {
-	r := engine.Report{Clock: w.Clock, StartedAt: time.UnixMilli(w.StartedAt)}
+	r := engine.Report{Clock: w.Clock, StartedAt: time.UnixMilli(w.StartedAt), Skipped: w.Skipped}
 	for _, row := range w.Running {
 		r.Running = append(r.Running, engine.ActiveRun{Task: row.Task.decode(), Run: row.Run, Checkpoint: row.Checkpoint, Percent: row.Percent})
 	}
 	for _, row := range w.Results {
 		r.Results = append(r.Results, engine.RunResult{Sequence: row.Sequence, Task: row.Task.decode(), Run: row.Run, End: row.End, Checkpoint: row.Checkpoint})
 	}
+	for _, task := range w.Unclear {
+		r.Unclear = append(r.Unclear, task.decode())
+	}
 	return r
 }
 
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -23,7 +23,9 @@
 	starts *prometheus.CounterVec
 	// stops, polls and adviceRequests count calls by success.
 	stops, polls, adviceRequests *prometheus.CounterVec
-	takeovers                    prometheus.Counter
+	// unreadable counts entries and rows of others that could not be decoded, by kind.
+	unreadable *prometheus.CounterVec
+	takeovers  prometheus.Counter
 	// Latencies, in seconds.
 	submit, start, record, advice prometheus.Histogram
 }
@@ -37,14 +39,17 @@
 		stops:          newCounters("stops_total", "Orders to stop a run."),
 		polls:          newCounters("looks_total", "Looks at workers."),
 		adviceRequests: newCounters("advice_questions_total", "Questions to the adviser."),
-		takeovers:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "tanager", Name: "takeovers_total", Help: "Times that this VM became the leader."}),
-		submit:         newHistogram("submission_seconds", "Time from a submission to its answer."),
-		start:          newHistogram("start_seconds", "Time from an order to start to its answer."),
-		record:         newHistogram("record_seconds", "Time of a commit of progress."),
-		advice:         newHistogram("advice_seconds", "Time from a question to the adviser to its answer."),
+		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "tanager", Name: "unreadable_entries_total", Help: "Entries and rows written by others that cannot be decoded and are left out.",
+		}, []string{"kind"}),
+		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "tanager", Name: "takeovers_total", Help: "Times that this VM became the leader."}),
+		submit:    newHistogram("submission_seconds", "Time from a submission to its answer."),
+		start:     newHistogram("start_seconds", "Time from an order to start to its answer."),
+		record:    newHistogram("record_seconds", "Time of a commit of progress."),
+		advice:    newHistogram("advice_seconds", "Time from a question to the adviser to its answer."),
 	}
 	m.registry.MustRegister(
-		m.submits, m.cancels, m.starts, m.stops, m.polls, m.adviceRequests, m.takeovers,
+		m.submits, m.cancels, m.starts, m.stops, m.polls, m.adviceRequests, m.unreadable, m.takeovers,
 		m.submit, m.start, m.record, m.advice, nodeCollector{n},
 	)
 	if n.opts.Meter != nil {
@@ -61,6 +66,16 @@
 	return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "tanager", Name: name, Help: help, Buckets: latencyBuckets})
 }
 
+// noteUnreadable counts and logs entries or rows that could not be decoded, if there are any. Kind is
+// the kind of entry.
+func (n *Node) noteUnreadable(kind, name string, count int, err error) {
+	if count == 0 {
+		return
+	}
+	n.metrics.unreadable.WithLabelValues(kind).Add(float64(count))
+	n.opts.Logger.Warn("entry cannot be decoded and is left out", "kind", kind, "name", name, "count", count, "error", err)
+}
+
 // outcomeOf returns the outcome label of a call.
 func outcomeOf(err error) string {
 	if err != nil {
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -163,7 +163,7 @@
 		}
 		config, err := n.opts.Directory.DecodeConfig(row)
 		if err != nil {
-			n.opts.Logger.Warn("config not decoded", "row-version", row.Version, "error", err)
+			n.noteUnreadable("config", row.Key, 1, err)
 			continue
 		}
 		n.applyConfig(config)
@@ -176,6 +176,7 @@
 		return
 	}
 	n.config.Store(config)
+	n.noteUnreadable("queue", n.opts.Directory.ConfigKey, config.SkippedQueues, nil)
 	n.opts.Logger.Info("config in force", "version", config.Version, "queues", len(config.Queues))
 	if l := n.leader(); l != nil {
 		l.configChanged(config)
--- a/core/cell/platform.go
+++ b/core/cell/platform.go
@@ -40,6 +40,8 @@
 	Tickets []engine.Ticket `cbor:"1,keyasint"`
 	// ValidFor is how long the tickets are valid.
 	ValidFor time.Duration `cbor:"2,keyasint"`
+	// Skipped is the number of rows of the answer that could not be decoded.
+	Skipped int `cbor:"3,keyasint,omitempty"`
 }
 
 // Directory describes where the platform's store lists workers and configurations, and how to
--- a/core/cell/relay.go
+++ b/core/cell/relay.go
@@ -25,7 +25,7 @@
 const (
 	// relayProtocol is the protocol that a link uses instead of HTTP. Its number changes with
 	// the format of the frames.
-	relayProtocol = "tanager-relay-2"
+	relayProtocol = "tanager-relay-3"
 	// epochHeader carries the epoch of the leader that opens a link.
 	epochHeader = "Tanager-Epoch"
 	// maxCommandAge is how long a VM may hold a command before it sends or repeats it. After
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -154,8 +154,19 @@
 	// the worker, at most MaxResults of them.
 	Running []ActiveRun
 	Results []RunResult
+	// Unclear holds the tasks of rows that name a task but cannot be decoded further. Runs of these
+	// tasks may be running or may have ended. Skipped is the number of rows that were left out,
+	// these and those that name no task.
+	Unclear []jobs.TaskID
+	Skipped int
 }
 
+// maxClock is the highest reading of a worker's clock that the arithmetic of leases is safe with.
+const maxClock = 100 * 365 * 24 * time.Hour
+
+// plausible reports whether the clock has a reading that a worker can have.
+func (r *Report) plausible() bool { return r.Clock >= 0 && r.Clock <= maxClock }
+
 // MaxResults is the maximum number of results in a report.
 const MaxResults = 500
 
--- a/core/engine/incarnation_test.go
+++ b/core/engine/incarnation_test.go
@@ -215,3 +215,57 @@
 		})
 	}
 }
+
+// TestUnclearRowsProveNothing guards against starting a task again because the row of its run, or of
+// its result, could not be decoded.
+func TestUnclearRowsProveNothing(t *testing.T) {
+	for name, inherited := range map[string]bool{"run of this leader": false, "run of the previous leader": true} {
+		t.Run(name, func(t *testing.T) {
+			opts := Options{Epoch: 2}
+			if inherited {
+				opts.PreviousRoster, opts.PreviousLeasesUntil = Roster{Workers: []string{"w1"}}, testStart.Add(time.Hour)
+			}
+			e := newTestEngine(t, opts)
+			e.apply(WorkerListed{Worker: testWorker("w1")})
+			task := jobs.TaskID{StepID: jobs.StepID{Job: "job"}}
+			if inherited {
+				e.apply(JobAccepted{Job: testJob("job", 1), Inherited: true})
+			} else {
+				e.answer("w1", testStart, Report{})
+				roster, _ := e.WantedRoster(e.now)
+				e.RosterRecorded(roster)
+				e.startOne(t, "job")
+			}
+			e.apply(WorkerListed{Worker: testWorker("w2")})
+			for range 10 {
+				e.answer("w1", testStart, Report{Unclear: []jobs.TaskID{task}, Skipped: 1})
+				e.answer("w2", testStart, Report{})
+				roster, _ := e.WantedRoster(e.now)
+				e.RosterRecorded(roster)
+				if starts := commandsOfType[Start](e.runPass(100 * time.Millisecond)); len(starts) > 0 {
+					t.Fatalf("started %+v", starts)
+				}
+			}
+			e.answer("w1", testStart, Report{})
+			e.now = e.now.Add(time.Millisecond)
+			if starts := commandsOfType[Start](e.runPass(0)); len(starts) != 1 {
+				t.Errorf("%d starts once the worker lists nothing, want 1", len(starts))
+			}
+		})
+	}
+}
+
+// TestImplausibleClockIsIgnored checks that a report with a clock that no worker can have changes
+// nothing, so that no lease is computed from it.
+func TestImplausibleClockIsIgnored(t *testing.T) {
+	for name, clock := range map[string]time.Duration{"negative": -time.Second, "too large": maxClock + 1, "largest": 1<<63 - 1} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngine(t, Options{}, testWorker("w1"))
+			before := e.workers["w1"].clock
+			e.answer("w1", testStart, Report{Clock: clock})
+			if after := e.workers["w1"].clock; after != before {
+				t.Errorf("clock %+v, want %+v", after, before)
+			}
+		})
+	}
+}
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -135,13 +135,13 @@
 }
 
 // checkMissingRuns handles known runs that a complete report does not list. Sent is the time at
-// which the poll was sent.
-func (e *Engine) checkMissingRuns(now time.Time, w *worker, sent time.Time, listed map[runKey]bool) {
+// which the poll was sent. Runs of unclear tasks may be listed.
+func (e *Engine) checkMissingRuns(now time.Time, w *worker, sent time.Time, listed map[runKey]bool, unclear map[jobs.TaskID]bool) {
 	if len(w.runs) == len(listed) {
 		return // the report's runs are all known here, so none is missing
 	}
 	for _, r := range w.sortedRuns() {
-		if listed[r.runKey] {
+		if listed[r.runKey] || unclear[r.task] {
 			continue
 		}
 		switch {
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -258,7 +258,7 @@
 // workerPolled handles a worker's report.
 func (e *Engine) workerPolled(now time.Time, ev WorkerPolled) {
 	w := e.workers[ev.Worker]
-	if w == nil {
+	if w == nil || !ev.Report.plausible() {
 		return
 	}
 	if !ev.Report.StartedAt.Equal(w.StartedAt) {
@@ -283,9 +283,13 @@
 		listed[runKey{active.Task, active.Run}] = true
 		e.runReported(now, w, active)
 	}
-	allListed := len(ev.Report.Results) < MaxResults
+	unclear := make(map[jobs.TaskID]bool, len(ev.Report.Unclear))
+	for _, task := range ev.Report.Unclear {
+		unclear[task] = true
+	}
+	allListed := len(ev.Report.Results)+ev.Report.Skipped < MaxResults
 	if allListed {
-		e.checkMissingRuns(now, w, ev.Sent, listed)
+		e.checkMissingRuns(now, w, ev.Sent, listed, unclear)
 	}
 	w.advanceAcks()
 	// A report to a poll with a lower token proves nothing about commands that are still underway.
@@ -296,7 +300,7 @@
 		w.leasedUntil = max(w.leasedUntil, ev.Report.Clock+e.opts.MaxLease)
 		e.log("worker synchronized by its first poll", "worker", w.ID, "running", len(ev.Report.Running), "ended", len(ev.Report.Results), "all-ends-listed", allListed, "former-left", len(e.previousWorkers))
 	}
-	if w.synced && !w.resultsKnown && allListed {
+	if w.synced && !w.resultsKnown && allListed && len(unclear) == 0 {
 		w.resultsKnown = true
 		delete(e.previousWorkers, w.ID)
 	}
--- a/core/jobs/config.go
+++ b/core/jobs/config.go
@@ -8,6 +8,8 @@
 	Queues  []Queue
 	// MaxBodyBytes limits the body of a caller's request; zero means that no limit is configured.
 	MaxBodyBytes int64
+	// SkippedQueues is the number of queues that could not be decoded.
+	SkippedQueues int
 }
 
 // Queue returns the queue with the given name and whether it exists.
