Run no stored job that is invalid or whose progress is unreadable

Callers could see: nothing is scheduled anymore because of one row (Fault), or a job that runs again from the start (TWICE).

Cause: rows of our own tables were trusted. A job was used unchecked: a step after one that does not exist panics in CriticalPath, 2^40 tasks exhaust the memory. Undecodable progress counted as none; its row then conflicts with the first commit, which counts as proof of another leader, and each leader gives up in turn.

Change: stored jobs are validated; a job with unreadable progress is left out. Both are logged and counted.

--- a/core/cell/feed.go
+++ b/core/cell/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -34,7 +35,7 @@
 	return false
 }
 
-// decodeProgress decodes the rows of the progress table, by job.
+// decodeProgress decodes the rows of the progress table, by job. It sets l.unreadable.
 func (l *leader) decodeProgress(rows []store.Row) map[jobs.ID]jobs.Progress {
 	parts := make(map[string][]byte)
 	for _, row := range rows {
@@ -58,6 +59,7 @@
 		}
 		if err != nil {
 			l.node.noteUnreadable("progress", row.Key, 1, err)
+			l.unreadable[id] = true
 			continue
 		}
 		list[id] = p
@@ -66,7 +68,8 @@
 	return list
 }
 
-// ingest passes stored jobs and cancellations to the engine.
+// ingest passes stored jobs and cancellations to the engine. A job whose progress is unreadable is
+// left out: without it, tasks that are done would run again.
 func (l *leader) ingest(rows []store.Row, progress map[jobs.ID]jobs.Progress) {
 	var canceled []jobs.ID
 	for _, row := range rows {
@@ -74,11 +77,14 @@
 			canceled = append(canceled, jobs.ID(id))
 			continue
 		}
-		job, err := jobs.Decode[jobs.Job](row.Value)
+		job, err := decodeJob(row)
 		if err != nil {
 			l.node.noteUnreadable("job", row.Key, 1, err)
 			continue
 		}
+		if l.unreadable[job.ID] {
+			continue
+		}
 		l.apply(engine.JobAccepted{Job: job, Progress: progress[job.ID], Inherited: row.Version <= l.version})
 	}
 	for _, id := range canceled {
@@ -86,6 +92,21 @@
 	}
 }
 
+// decodeJob decodes the row of a job. The error wraps jobs.ErrInvalid if the engine cannot run it.
+func decodeJob(row store.Row) (jobs.Job, error) {
+	job, err := jobs.Decode[jobs.Job](row.Value)
+	switch {
+	case err != nil:
+		return jobs.Job{}, err
+	case string(job.ID) != row.Key:
+		return jobs.Job{}, fmt.Errorf("%w: row %q has job %q", jobs.ErrInvalid, row.Key, job.ID)
+	case job.Refused || job.FinalState.Final():
+		return job, nil
+	default:
+		return job, job.Validate()
+	}
+}
+
 // runJobs passes changes of the jobs table to the engine until ctx ends.
 func (l *leader) runJobs(ctx context.Context) {
 	watcher := &store.Watcher{
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -51,6 +51,8 @@
 	// loaded is true once the stored jobs were ingested. Before that, the engine knows too few
 	// jobs to count them.
 	loaded bool
+	// unreadable holds the jobs whose progress cannot be decoded. It does not change after the load.
+	unreadable map[jobs.ID]bool
 	// feedFrom is the store version from which the feed follows the jobs.
 	feedFrom int64
 	// followers are the VMs that send heartbeats to this leader, by name.
@@ -75,14 +77,15 @@
 
 func newLeader(ctx context.Context, n *Node, row leaderRow, version int64, began time.Time, previous predecessor) *leader {
 	l := &leader{
-		ctx:       ctx,
-		node:      n,
-		epoch:     row.Epoch,
-		version:   version,
-		began:     began,
-		pollers:   make(map[string]*poller),
-		followers: make(map[string]*followerVM),
-		wake:      make(chan struct{}, 1),
+		ctx:        ctx,
+		node:       n,
+		epoch:      row.Epoch,
+		version:    version,
+		began:      began,
+		pollers:    make(map[string]*poller),
+		followers:  make(map[string]*followerVM),
+		unreadable: make(map[jobs.ID]bool),
+		wake:       make(chan struct{}, 1),
 	}
 	l.engine = engine.New(engine.Options{
 		Epoch:               row.Epoch,
--- a/core/cell/record_test.go
+++ b/core/cell/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -78,3 +79,59 @@
 		})
 	}
 }
+
+// TestOddStoredRows guards against a leader that ends because of one stored row, and against running
+// a job again whose progress cannot be read. The other jobs run.
+func TestOddStoredRows(t *testing.T) {
+	cyclic := testJob("odd")
+	cyclic.Steps[0].After = []int{7}
+	huge := testJob("odd")
+	huge.Steps[0].Count = 1 << 40
+	encoded := func(job jobs.Job) string {
+		data, err := jobs.Encode(job)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(data)
+	}
+	nested := strings.Repeat("\x81", 20_000)
+	cases := map[string]struct{ job, progress string }{
+		"job not CBOR":        {"\xff\xff", ""},
+		"job deeply nested":   {nested, ""},
+		"job of another name": {encoded(testJob("other")), ""},
+		"cyclic steps":        {encoded(cyclic), ""},
+		"too many tasks":      {encoded(huge), ""},
+		"progress not CBOR":   {encoded(testJob("odd")), "\xff\xff"},
+		"progress nested":     {encoded(testJob("odd")), nested},
+		"progress lacks rows": {encoded(testJob("odd")), "\xa2\x01\x01\x05\x03"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			memory := newMemoryStore()
+			memory.put(t, "config", "config", "1")
+			memory.put(t, "workers", "w1", "ready")
+			memory.put(t, JobsTable, "odd", c.job)
+			if c.progress != "" {
+				memory.put(t, progressTable, "odd", c.progress)
+			}
+			workers := newFakeWorkers(time.Millisecond)
+			node, _ := testNode(t, "vm", memory, workers)
+			eventually(t, "the VM leads", leads(node))
+			eventually(t, "a sound job is accepted", func() bool { return node.Submit(t.Context(), testJob("sound")) == nil })
+			eventually(t, "it is done", func() bool {
+				state, err := node.Status(t.Context(), "sound")
+				return err == nil && state == jobs.Done
+			})
+			if state, err := node.Status(t.Context(), "odd"); err == nil && state.Final() {
+				t.Errorf("the odd job is %s", state)
+			}
+			workers.mu.Lock()
+			defer workers.mu.Unlock()
+			for task := range workers.starts {
+				if task.Job == "odd" {
+					t.Errorf("task %s of the odd job started", task)
+				}
+			}
+		})
+	}
+}
