Decode the members of the platform's list one by one

Callers could see: entry VMs that no longer follow the list, so that work goes to targets and workers that left.

Cause: the generated decoder takes the list as a whole, so that one odd member, of any writer, makes it fail.

Change: the document leaves the members open, the roster decodes and checks each. An entry VM that is missing from a list with an unreadable member does not count as removed. Limits of resources moved to package roster, which both use.

--- a/core/api/member/oas_json_gen.go
+++ b/core/api/member/oas_json_gen.go
@@ -335,7 +335,9 @@
 		e.FieldStart("members")
 		e.ArrStart()
 		for _, elem := range s.Members {
-			elem.Encode(e)
+			if len(elem) != 0 {
+				e.Raw(elem)
+			}
 		}
 		e.ArrEnd()
 	}
@@ -370,10 +372,12 @@
 		case "members":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				s.Members = make([]Member, 0)
+				s.Members = make([]jx.Raw, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem Member
-					if err := elem.Decode(d); err != nil {
+					var elem jx.Raw
+					v, err := d.RawAppend(nil)
+					elem = jx.Raw(v)
+					if err != nil {
 						return err
 					}
 					s.Members = append(s.Members, elem)
--- a/core/api/member/oas_schemas_gen.go
+++ b/core/api/member/oas_schemas_gen.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/go-faster/jx"
 )
 
 func (s *ProblemStatusCode) Error() string {
@@ -198,8 +199,10 @@
 // The list as it was at one instant.
 // Ref: #/components/schemas/MemberList
 type MemberList struct {
-	AsOf    time.Time `json:"as-of"`
-	Members []Member  `json:"members"`
+	AsOf time.Time `json:"as-of"`
+	// One Member each. Other writers register here too, so readers decode each by itself and leave out
+	// those that they cannot.
+	Members []jx.Raw `json:"members"`
 }
 
 // GetAsOf returns the value of AsOf.
@@ -208,7 +211,7 @@
 }
 
 // GetMembers returns the value of Members.
-func (s *MemberList) GetMembers() []Member {
+func (s *MemberList) GetMembers() []jx.Raw {
 	return s.Members
 }
 
@@ -218,7 +221,7 @@
 }
 
 // SetMembers sets the value of Members.
-func (s *MemberList) SetMembers(val []Member) {
+func (s *MemberList) SetMembers(val []jx.Raw) {
 	s.Members = val
 }
 
--- a/core/api/member/oas_validators_gen.go
+++ b/core/api/member/oas_validators_gen.go
@@ -3,8 +3,6 @@
 package member
 
 import (
-	"fmt"
-
 	"github.com/go-faster/errors"
 	"github.com/ogen-go/ogen/validate"
 )
@@ -66,23 +64,6 @@
 		if s.Members == nil {
 			return errors.New("nil is invalid value")
 		}
-		var failures []validate.FieldError
-		for i, elem := range s.Members {
-			if err := func() error {
-				if err := elem.Validate(); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				failures = append(failures, validate.FieldError{
-					Name:  fmt.Sprintf("[%d]", i),
-					Error: err,
-				})
-			}
-		}
-		if len(failures) > 0 {
-			return &validate.Error{Fields: failures}
-		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
--- a/core/jobs/jobs_test.go
+++ b/core/jobs/jobs_test.go
@@ -59,7 +59,7 @@
 		"no occurrences":        {func(j *Job) { j.Recurrence = &Recurrence{} }, false},
 		"occurrences":           {func(j *Job) { j.Recurrence = &Recurrence{Count: 3, Interval: time.Second} }, true},
 		"tasks overflow":        {func(j *Job) { j.Steps[0].Count, j.Steps[1].Count = math.MaxInt, math.MaxInt }, false},
-		"too many processors":   {func(j *Job) { j.Steps[0].PerTask.Millicores = MaxMillicores + 1 }, false},
+		"too many processors":   {func(j *Job) { j.Steps[0].PerTask.Millicores = roster.MaxMillicores + 1 }, false},
 		"too much memory":       {func(j *Job) { j.Steps[0].PerTask.MemoryBytes = math.MaxInt64 }, false},
 		"estimate too long":     {func(j *Job) { j.Steps[0].Estimate = MaxTaskTime + 1 }, false},
 		"negative target":       {func(j *Job) { j.Steps[0].TailLatencyTarget = -1 }, false},
--- a/core/jobs/validate.go
+++ b/core/jobs/validate.go
@@ -4,8 +4,6 @@
 	"errors"
 	"fmt"
 	"time"
-
-	"tanagerstack.org/core/roster"
 )
 
 // ErrInvalid is wrapped by all errors that reject a job because of its contents. The same
@@ -23,14 +21,6 @@
 	MaxOccurrences = 10_000
 )
 
-// Limits of the resources of one task or one worker. Sums over all tasks of a job, or over all
-// workers of a cell, do not overflow.
-const (
-	MaxMillicores   = 1_000_000_000
-	MaxMemoryBytes  = 1 << 48
-	MaxAccelerators = 1_000_000
-)
-
 // Limits of times. Sums over all steps of a job, and times of all its occurrences, do not overflow.
 const (
 	// MaxTaskTime limits the estimate and the tail latency target of a task.
@@ -41,20 +31,6 @@
 	MaxObjective = 10 * MaxTaskTime
 )
 
-// CheckResources returns an error if an amount is negative or beyond its limit.
-func CheckResources(r roster.Resources) error {
-	switch {
-	case r.Millicores < 0 || r.Millicores > MaxMillicores:
-		return fmt.Errorf("%d millicores, not between 0 and %d", r.Millicores, MaxMillicores)
-	case r.MemoryBytes < 0 || r.MemoryBytes > MaxMemoryBytes:
-		return fmt.Errorf("%d bytes of memory, not between 0 and %d", r.MemoryBytes, MaxMemoryBytes)
-	case r.Accelerators < 0 || r.Accelerators > MaxAccelerators:
-		return fmt.Errorf("%d accelerators, not between 0 and %d", r.Accelerators, MaxAccelerators)
-	default:
-		return nil
-	}
-}
-
 // Validate returns the first violated rule or limit, or nil if the job is valid. The error
 // wraps ErrInvalid. Its text is part of the answer to callers, so its wording must not change.
 func (j *Job) Validate() error {
@@ -101,7 +77,7 @@
 	if s.PerTask.Millicores < 0 || s.PerTask.MemoryBytes < 0 || s.PerTask.Accelerators < 0 || s.Estimate < 0 {
 		return fmt.Errorf("%w: step %d asks for less than nothing", ErrInvalid, index)
 	}
-	if err := CheckResources(s.PerTask); err != nil {
+	if err := s.PerTask.Validate(); err != nil {
 		return fmt.Errorf("%w: step %d asks for %w", ErrInvalid, index, err)
 	}
 	if s.Estimate > MaxTaskTime || s.TailLatencyTarget < 0 || s.TailLatencyTarget > MaxTaskTime || s.MaxPerWorker < 0 {
--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -34,19 +35,22 @@
 	// listed has the names of all entry VMs on the list, including those that are left out of
 	// vms because they have no usable peer address.
 	listed map[string]bool
+	// unreadable is the number of entries that could not be decoded.
+	unreadable int
 }
 
-// decodeList converts the platform's list. Members that are gone are left out. A member with
-// an invalid address is left out and logged.
+// decodeList converts the platform's list. Members that are gone are left out. A member that
+// cannot be decoded, or has a value out of range, is left out, logged and counted.
 func decodeList(members *member.MemberList) list {
 	l := list{asOf: members.AsOf, listed: make(map[string]bool)}
-	for _, m := range members.Members {
-		if m.State == member.MemberStateGone {
+	for i, data := range members.Members {
+		m, address, err := decodeMember(data)
+		if err != nil {
+			klog.V(1).ErrorS(err, "member of the platform's list left out", "index", i, "member", m.Name)
+			l.unreadable++
 			continue
 		}
-		address, err := netip.ParseAddrPort(m.Address)
-		if err != nil {
-			klog.V(1).ErrorS(err, "member of the platform's list ignored: invalid address", "member", m.Name)
+		if m.State == member.MemberStateGone {
 			continue
 		}
 		switch m.Kind {
@@ -64,6 +68,31 @@
 	return l
 }
 
+// maxTargetSlots is the greatest number of slots that a target may claim. Sums over a fleet do not
+// overflow.
+const maxTargetSlots = 1_000_000
+
+// decodeMember decodes and checks one entry of the list.
+func decodeMember(data []byte) (m member.Member, address netip.AddrPort, err error) {
+	if err = m.UnmarshalJSON(data); err == nil {
+		err = m.Validate()
+	}
+	if err != nil || m.State == member.MemberStateGone {
+		return m, address, err
+	}
+	capacity := Resources(m.Capacity.Or(member.Resources{}))
+	switch address, err = netip.ParseAddrPort(m.Address); {
+	case err != nil:
+	case address.Port() == 0:
+		err = fmt.Errorf("address %s has no port", address)
+	case m.Slots.Or(0) < 0 || m.Slots.Or(0) > maxTargetSlots:
+		err = fmt.Errorf("%d slots, not between 0 and %d", m.Slots.Or(0), maxTargetSlots)
+	default:
+		err = capacity.Validate()
+	}
+	return m, address, err
+}
+
 func (l *list) addVM(m member.Member, address netip.AddrPort) {
 	l.listed[m.Name] = true
 	peers, err := netip.ParseAddrPort(m.PeerAddress.Or(""))
--- a/core/roster/publish.go
+++ b/core/roster/publish.go
@@ -13,12 +13,13 @@
 	defer t.mu.Unlock()
 	seats, generation := t.seats.snapshot()
 	view := &View{
-		Self:           t.opts.Name,
-		ListAsOf:       t.list.asOf,
-		Generation:     generation,
-		SeatsPerDomain: t.opts.SeatsPerDomain,
-		Seat:           -1,
-		seatHolders:    make(map[string][]Seat, len(seats)),
+		Self:              t.opts.Name,
+		ListAsOf:          t.list.asOf,
+		UnreadableMembers: t.list.unreadable,
+		Generation:        generation,
+		SeatsPerDomain:    t.opts.SeatsPerDomain,
+		Seat:              -1,
+		seatHolders:       make(map[string][]Seat, len(seats)),
 	}
 	for domain, held := range seats {
 		for _, s := range held {
--- a/core/roster/tracker.go
+++ b/core/roster/tracker.go
@@ -220,6 +220,17 @@
 	}
 }
 
+// mergeListed keeps the names of the present list in a newer one with entries that cannot be
+// decoded: each may be that of any VM, so none counts as removed. The caller holds t.mu.
+func (t *Tracker) mergeListed(l *list) {
+	if l.unreadable == 0 {
+		return
+	}
+	for name := range t.list.listed {
+		l.listed[name] = true
+	}
+}
+
 // setList replaces the platform's list, unless l is older than the present one.
 func (t *Tracker) setList(l list, now time.Time) {
 	t.mu.Lock()
@@ -227,6 +238,7 @@
 		t.mu.Unlock()
 		return
 	}
+	t.mergeListed(&l)
 	t.list = l
 	if t.addLeavingMarks(t.list.leavingMembers(now), now) {
 		t.triggerHeartbeats()
--- a/core/roster/tracker_test.go
+++ b/core/roster/tracker_test.go
@@ -28,7 +28,15 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return &member.MemberList{AsOf: time.Now(), Members: append([]member.Member(nil), p.members...)}, nil
+	list := &member.MemberList{AsOf: time.Now()}
+	for _, m := range p.members {
+		data, err := m.MarshalJSON()
+		if err != nil {
+			return nil, err
+		}
+		list.Members = append(list.Members, data)
+	}
+	return list, nil
 }
 
 func (p *fakePlatform) add(m member.Member) {
--- a/core/roster/view.go
+++ b/core/roster/view.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -38,6 +39,28 @@
 	Accelerators int
 }
 
+// Limits of the resources of one task or one worker. Sums over all tasks of a job, or over all
+// workers of a cell, do not overflow.
+const (
+	MaxMillicores   = 1_000_000_000
+	MaxMemoryBytes  = 1 << 48
+	MaxAccelerators = 1_000_000
+)
+
+// Validate returns an error if an amount is negative or beyond its limit.
+func (r Resources) Validate() error {
+	switch {
+	case r.Millicores < 0 || r.Millicores > MaxMillicores:
+		return fmt.Errorf("%d millicores, not between 0 and %d", r.Millicores, MaxMillicores)
+	case r.MemoryBytes < 0 || r.MemoryBytes > MaxMemoryBytes:
+		return fmt.Errorf("%d bytes of memory, not between 0 and %d", r.MemoryBytes, MaxMemoryBytes)
+	case r.Accelerators < 0 || r.Accelerators > MaxAccelerators:
+		return fmt.Errorf("%d accelerators, not between 0 and %d", r.Accelerators, MaxAccelerators)
+	default:
+		return nil
+	}
+}
+
 // VM is an entry VM.
 type VM struct {
 	Name   string
@@ -89,6 +112,8 @@
 	Self string
 	// ListAsOf is the time of the platform's list in this view; zero before the first list.
 	ListAsOf time.Time
+	// UnreadableMembers is the number of its entries that could not be decoded.
+	UnreadableMembers int
 	// Generation is a number that increases with each change of the stored roster, from which
 	// seats and claim owners derive.
 	Generation int64
--- a/entry/node/vars.go
+++ b/entry/node/vars.go
@@ -60,6 +60,7 @@
 	vars.Set("seat", number(int64(view.Seat)))
 	vars.Set("generation", number(view.Generation))
 	vars.Set("list-as-of", text(view.ListAsOf.Format(time.RFC3339Nano)))
+	vars.Set("list-unreadable", number(int64(view.UnreadableMembers)))
 	vars.Set("targets", number(int64(len(view.Targets))))
 	vars.Set("workers", number(int64(len(view.Workers))))
 	vars.Set("vms", number(int64(len(view.VMs))))
--- a/stand/member/list.go
+++ b/stand/member/list.go
@@ -43,19 +43,18 @@
 	l.appendEvent(name, event{at: now})
 }
 
-// At returns the list that is served at time now, sorted by name.
-func (l *List) At(now time.Time) api.MemberList {
+// At returns the members that are served at time now, sorted by name, and as of when.
+func (l *List) At(now time.Time) (members []api.Member, asOf time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	asOf := now.Add(-l.lag)
-	members := []api.Member{}
+	asOf = now.Add(-l.lag)
 	for name := range l.history {
 		if m := l.stateAt(name, asOf); m != nil {
 			members = append(members, *m)
 		}
 	}
 	slices.SortFunc(members, func(a, b api.Member) int { return strings.Compare(a.Name, b.Name) })
-	return api.MemberList{AsOf: asOf, Members: members}
+	return members, asOf
 }
 
 func (l *List) appendEvent(name string, e event) {
--- a/stand/member/list_test.go
+++ b/stand/member/list_test.go
@@ -19,7 +19,8 @@
 	want := map[int]string{9: "", 10: "a:live b:live ", 15: "a:leaving b:live ", 17: "b:live ", 18: "", 99: ""}
 	for _, seconds := range []int{9, 10, 15, 17, 18, 99} {
 		got := ""
-		for _, m := range list.At(at(seconds)).Members {
+		members, _ := list.At(at(seconds))
+		for _, m := range members {
 			got += m.Name + ":" + string(m.State) + " "
 		}
 		if got != want[seconds] {
--- a/stand/member/service.go
+++ b/stand/member/service.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/go-faster/jx"
+
 	api "tanagerstack.org/core/api/member"
 	"tanagerstack.org/stand/faults"
 	"tanagerstack.org/stand/reply"
@@ -36,8 +38,16 @@
 // ListMembers returns the list as of the lag ago. The call counts as one read.
 func (s *Service) ListMembers(context.Context) (*api.MemberList, error) {
 	s.CountRead()
-	list := s.list.At(time.Now())
-	return &list, nil
+	members, asOf := s.list.At(time.Now())
+	list := &api.MemberList{AsOf: asOf, Members: make([]jx.Raw, 0, len(members))}
+	for _, m := range members {
+		data, err := m.MarshalJSON()
+		if err != nil {
+			return nil, fmt.Errorf("encode member %s: %w", m.Name, err)
+		}
+		list.Members = append(list.Members, data)
+	}
+	return list, nil
 }
 
 // PutMember registers or updates a VM. The call counts as one write.
