Give no old number of pending jobs, and replace a loaded leader in time

A leader's row says that it loads the jobs until its next regular renewal, half a second later, and is waited for 6 s in that time.

Evidence: both tests fail on the code before; 7 pending are given at an age of 3 s, and the row still says that the leader loads.

Change: a number older than 2 s is answered with 503. A leader renews its row as soon as the jobs are loaded, which is what renewNow was for.

--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -105,7 +105,7 @@
 	// freeSince is since when the leadership is known to be free, zero if it is not.
 	takeoverDelay time.Duration
 	freeSince     time.Time
-	// renewNow triggers a step before the next interval.
+	// renewNow triggers a step before the next interval, once the leader has loaded the jobs.
 	renewNow chan struct{}
 	renewAt  time.Time
 	// proxiedSince is since when the store is reached only through other VMs, zero if it is
@@ -352,6 +352,14 @@
 	return e.lastAnswerAt.After(e.proxiedSince) && now.Sub(e.lastAnswerAt) < maxProxiedAnswerAge
 }
 
+// triggerStep makes the elector act before its next interval.
+func (e *elector) triggerStep() {
+	select {
+	case e.renewNow <- struct{}{}:
+	default:
+	}
+}
+
 // step acquires or renews the leadership if it is time to.
 func (e *elector) step(ctx context.Context) {
 	now := time.Now()
@@ -366,7 +374,8 @@
 			e.stepDown(l)
 			return
 		}
-		if roster, urgent := l.wantedRoster(); urgent || now.After(e.renewAt) {
+		loaded := e.current().Loading && l.pending() != nil
+		if roster, urgent := l.wantedRoster(); urgent || loaded || now.After(e.renewAt) {
 			e.renew(ctx, l, roster)
 		}
 		return
--- a/core/cell/elect_test.go
+++ b/core/cell/elect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -263,3 +264,67 @@
 		})
 	}
 }
+
+// TestLoadedLeaderRenewsAtOnce guards against a leader that is waited for as long as one that still
+// loads the jobs, although it has loaded them: it is lost before its next regular renewal.
+func TestLoadedLeaderRenewsAtOnce(t *testing.T) {
+	memory := newMemoryStore()
+	memory.put(t, "config", "config", "1")
+	client, err := store.New(store.Options{Transport: memory})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	node := New(Options{Name: "vm", PeerAddress: freeAddress(t), Store: client, Workers: newFakeWorkers(0), Logger: silentLogger{}, MaxLease: time.Second})
+	e := node.elector
+	row := leaderRow{Epoch: 1, Holder: "vm", Instance: node.instance, Loading: true}
+	version, err := e.write(t.Context(), row, store.Absent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.adopt(row, version)
+	l := newLeader(t.Context(), node, row, version, time.Now(), predecessor{})
+	node.setLeader(l)
+	e.renewAt = time.Now().Add(time.Hour)
+	isLoading := func() bool {
+		e.step(t.Context())
+		stored, err := memory.Read(t.Context(), LeaderTable, LeaderKey)
+		var known leaderRow
+		if err != nil || json.Unmarshal(stored.Value, &known) != nil {
+			t.Fatalf("leader row %q, error %v", stored.Value, err)
+		}
+		return known.Loading
+	}
+	if !isLoading() {
+		t.Error("the row does not say that the leader loads the jobs")
+	}
+	if !l.load(t.Context()) || len(e.renewNow) != 1 {
+		t.Error("the load does not trigger a renewal")
+	}
+	if isLoading() {
+		t.Error("the row still says that the leader loads the jobs")
+	}
+}
+
+// TestOldPendingCountIsNotGiven guards against a number of pending jobs that is seconds old, while
+// nobody leads.
+func TestOldPendingCountIsNotGiven(t *testing.T) {
+	cases := map[string]struct {
+		age  time.Duration
+		want error
+	}{
+		"fresh":        {0, nil},
+		"one second":   {time.Second, nil},
+		"too old":      {maxPendingAge + time.Second, ErrUnavailable},
+		"never had it": {time.Since(time.Time{}), ErrUnavailable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			node := idleElector(t).node
+			node.pending, node.pendingAt = map[string]int{"queue": 7}, time.Now().Add(-c.age)
+			if count, err := node.Pending("queue"); !errors.Is(err, c.want) || err == nil && count != 7 {
+				t.Errorf("%d pending, error %v; want error %v", count, err, c.want)
+			}
+		})
+	}
+}
--- a/core/cell/feed.go
+++ b/core/cell/feed.go
@@ -25,6 +25,8 @@
 				l.mu.Lock()
 				l.loaded = true
 				l.mu.Unlock()
+				// A leader that is lost while its row says that it loads is replaced later.
+				l.node.elector.triggerStep()
 				l.node.opts.Logger.Info("jobs loaded", "epoch", l.epoch, "rows", len(rows), "progress", len(progress), "took", time.Since(began))
 				return true
 			}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -52,6 +52,9 @@
 	// retryAfterShare is the fraction of a job's objective after which its caller may retry: a
 	// job with a distant objective can wait for the end of an outage.
 	retryAfterShare = 0.2
+	// maxPendingAge is the greatest age of a number of pending jobs that callers are told. A VM gets
+	// a new one with each heartbeat.
+	maxPendingAge = 2 * time.Second
 )
 
 // retryAfter returns the time after which the caller of a job may retry while the store is
@@ -264,11 +267,12 @@
 }
 
 // Pending returns the number of accepted jobs of a queue that have not started, as last
-// reported by the leader. The error is ErrUnavailable before the first report.
+// reported by the leader. The error is ErrUnavailable if there is no report of the last
+// maxPendingAge.
 func (n *Node) Pending(queue string) (int, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.pendingAt.IsZero() {
+	if time.Since(n.pendingAt) > maxPendingAge {
 		return 0, ErrUnavailable
 	}
 	return n.pending[queue], nil
