Drop records that are older than what was committed

Cause: each worker's reports are applied by a goroutine of its own. The engine makes the records of a job in order, but they reach the recorder after its lock is released, in any order, and add compared a record with a queued one only. Revision 4 of a job, its final state, was committed and its results acknowledged; then revision 1 was committed over it. The next leader loaded revision 1.

Evidence: the trace in docs/incidents: two reports 63 microseconds apart, the job finalized, the results acknowledged, and loaded as queued by the next leader 0.4 s later, while the 17 other jobs that were finalized then are loaded as done. TestOlderRecordDoesNotReplaceNewer on the code before: revisions [2 1] taken, want [2].

Change: the recorder remembers the last revision that it took for each job, and drops older ones.

--- a/core/cell/record.go
+++ b/core/cell/record.go
@@ -40,6 +40,8 @@
 	mu     sync.Mutex
 	queued map[jobs.ID]engine.Record
 	queue  []jobs.ID
+	// taken holds the last revision of each job that was taken from the queue.
+	taken map[jobs.ID]int
 	// versions holds the versions of the progress rows as this leader last saw them. Each write
 	// depends on them: a write whose answer was lost may be executed late, and must not undo a
 	// later one.
@@ -57,15 +59,22 @@
 	return &recorder{
 		leader:    l,
 		queued:    make(map[jobs.ID]engine.Record),
+		taken:     make(map[jobs.ID]int),
 		versions:  make(map[jobs.ID]int64),
 		wake:      make(chan struct{}, 1),
 		committed: make(chan struct{}),
 	}
 }
 
-// add queues progress. It replaces older queued progress of the same job.
+// add queues progress. It replaces older queued progress of the same job. Events are applied by
+// several goroutines, which may add their records in another order than the engine made them: one
+// that is older than what was queued, or taken from the queue, is dropped.
 func (r *recorder) add(record engine.Record) {
 	r.mu.Lock()
+	if record.ID.Revision <= r.taken[record.ID.Job] {
+		r.mu.Unlock()
+		return
+	}
 	if queued, ok := r.queued[record.ID.Job]; !ok {
 		r.queue = append(r.queue, record.ID.Job)
 	} else if queued.ID.Revision > record.ID.Revision {
@@ -139,6 +148,7 @@
 			break
 		}
 		batch = append(batch, encodedRecord{r.queued[id], rows})
+		r.taken[id] = r.queued[id].ID.Revision
 		r.queue = r.queue[1:]
 		delete(r.queued, id)
 	}
--- a/core/cell/record_test.go
+++ b/core/cell/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -135,3 +136,41 @@
 		})
 	}
 }
+
+// TestOlderRecordDoesNotReplaceNewer guards against stored progress that falls back to an earlier
+// revision after a later one was committed and its results were acknowledged. Records of two events
+// that are applied at the same time reach the recorder in either order.
+func TestOlderRecordDoesNotReplaceNewer(t *testing.T) {
+	add := func(l *leader, revision int) {
+		l.records.add(engine.Record{ID: engine.ProgressID{Job: "job", Revision: revision}, Progress: jobs.Progress{Started: true}})
+	}
+	cases := map[string]struct {
+		// revisions are those that are added, 0 takes a batch from the queue.
+		revisions []int
+		want      []int
+	}{
+		"in order":                  {[]int{1, 0, 2, 0}, []int{1, 2}},
+		"newer one queued":          {[]int{2, 1, 0, 0}, []int{2}},
+		"newer one taken":           {[]int{2, 0, 1, 0}, []int{2}},
+		"newer one taken, newest":   {[]int{2, 0, 1, 3, 0}, []int{2, 3}},
+		"newer one taken, repeated": {[]int{2, 0, 2, 0}, []int{2}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := newLeader(t.Context(), idleElector(t).node, leaderRow{Epoch: 1}, 1, time.Now(), predecessor{})
+			var got []int
+			for _, revision := range c.revisions {
+				if revision > 0 {
+					add(l, revision)
+					continue
+				}
+				for _, record := range l.records.nextBatch() {
+					got = append(got, record.ID.Revision)
+				}
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("revisions %v taken, want %v", got, c.want)
+			}
+		})
+	}
+}
