Take versions in answers to writes as upper bounds

Cause: PROTOCOL says that answers about rows include "ver, the newest version". We took it for the version of the written rows. If another call is executed before the answer is made, the next write depends on a version that the row never had. A conflict with a row of the same content also counted as proof that the whole batch was written, whoever wrote that content and when.

Evidence: TestAnswersWithNewerVersions on: no job is done within a minute, since each leader gives up at its second commit.

Change: progress names the epoch and revision of its record. A conflict tells by them whether this record, an earlier one of this leader or another leader's is stored; versions are corrected and the batch sent again. Renewals of the leader row do the same, and a row of a later epoch counts whatever its version.

Tests: TestAnswersWithNewerVersions, TestConflictProvesOneRecordOnly (8 cases).

--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -252,7 +252,7 @@
 }
 
 // observe processes the row as stored. A version that is not newer than the known one is
-// ignored.
+// ignored, unless the row is of a later epoch.
 func (e *elector) observe(stored store.Row) {
 	e.noteReachable()
 	row := leaderRow{}
@@ -265,7 +265,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.known && stored.Version <= e.version {
-		return
+		switch {
+		case row.Epoch > e.row.Epoch:
+			// This VM's own write was answered with a later version than that of the row.
+		case row.Instance == e.row.Instance && row.Epoch == e.row.Epoch && row.Renewals == e.row.Renewals:
+			e.version = stored.Version
+			return
+		default:
+			return
+		}
 	}
 	e.adopt(row, stored.Version)
 }
--- a/core/cell/fakes_test.go
+++ b/core/cell/fakes_test.go
@@ -25,6 +25,9 @@
 	changed chan struct{}
 	// scans and watches count the calls by table.
 	scans, watches map[string]int
+	// newerAnswers makes each answer to a write give a later version than that of the rows, as if
+	// another write had been executed before the answer was sent.
+	newerAnswers bool
 	// maxValue is the largest value that is accepted; zero means no limit.
 	maxValue int
 	// fault, if set, is called before each commit and returns how it fails.
@@ -105,6 +108,9 @@
 			m.log = append(m.log, store.RowChange{Row: row})
 		}
 	}
+	if m.newerAnswers {
+		m.version += 2
+	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return m.version, nil
--- a/core/cell/record.go
+++ b/core/cell/record.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -44,8 +43,10 @@
 	taken map[jobs.ID]int
 	// versions holds the versions of the progress rows as this leader last saw them. Each write
 	// depends on them: a write whose answer was lost may be executed late, and must not undo a
-	// later one.
-	versions map[jobs.ID]int64
+	// later one. epochVersion is that of the epoch row. The answer to a write may give a later
+	// version than that of the rows; the conflict of the next write corrects it.
+	versions     map[jobs.ID]int64
+	epochVersion int64
 	// finalJobs are the jobs whose final state is stored and whose rows are to be compacted.
 	finalJobs []jobs.Job
 	wake      chan struct{}
@@ -57,12 +58,13 @@
 
 func newRecorder(l *leader) *recorder {
 	return &recorder{
-		leader:    l,
-		queued:    make(map[jobs.ID]engine.Record),
-		taken:     make(map[jobs.ID]int),
-		versions:  make(map[jobs.ID]int64),
-		wake:      make(chan struct{}, 1),
-		committed: make(chan struct{}),
+		leader:       l,
+		queued:       make(map[jobs.ID]engine.Record),
+		taken:        make(map[jobs.ID]int),
+		versions:     make(map[jobs.ID]int64),
+		epochVersion: l.version,
+		wake:         make(chan struct{}, 1),
+		committed:    make(chan struct{}),
 	}
 }
 
@@ -117,10 +119,11 @@
 	}
 }
 
-// encodedRecord is a record with the rows that hold it.
+// encodedRecord is a record with the value of the job's row, and the further rows if it needs any.
 type encodedRecord struct {
 	engine.Record
-	rows []store.Change
+	value []byte
+	parts []store.Change
 }
 
 // nextBatch removes a batch from the queue and returns it, within the limits of a commit. A
@@ -132,7 +135,7 @@
 	entries, size := 0, 0
 	for len(r.queue) > 0 {
 		id := r.queue[0]
-		rows, err := r.rowsOf(r.queued[id])
+		record, err := r.encode(r.queued[id])
 		if err != nil {
 			// The job's results stay unacknowledged until a later record of it can be encoded.
 			r.leader.node.opts.Logger.Warn("progress not encoded", "job", id, "error", err)
@@ -140,41 +143,49 @@
 			delete(r.queued, id)
 			continue
 		}
-		for _, row := range rows {
-			size += len(row.(store.Put).Value)
+		size += len(record.value)
+		for _, part := range record.parts {
+			size += len(part.(store.Put).Value)
 		}
-		// The first row has a condition.
-		if entries += len(rows) + 1; len(batch) > 0 && (entries > maxCommitEntries || size > maxCommitBytes) {
+		// The job's row has a condition, which counts as well.
+		if entries += 2 + len(record.parts); len(batch) > 0 && (entries > maxCommitEntries || size > maxCommitBytes) {
 			break
 		}
-		batch = append(batch, encodedRecord{r.queued[id], rows})
-		r.taken[id] = r.queued[id].ID.Revision
+		batch = append(batch, record)
+		r.taken[id] = record.ID.Revision
 		r.queue = r.queue[1:]
 		delete(r.queued, id)
 	}
 	return batch
 }
 
-// rowsOf returns the changes that store a record. The first one writes the job's row, over the
-// version that this leader knows. Progress that exceeds a row continues in others.
-func (r *recorder) rowsOf(record engine.Record) ([]store.Change, error) {
+// encode encodes a record. Progress that exceeds a row continues in others.
+func (r *recorder) encode(record engine.Record) (encodedRecord, error) {
 	id := record.ID.Job
-	data, err := jobs.Encode(record.Progress)
-	if err != nil {
-		return nil, err
+	record.Progress.Epoch, record.Progress.Revision = r.leader.epoch, record.ID.Revision
+	value, err := jobs.Encode(record.Progress)
+	if err != nil || !r.leader.node.exceedsRow(value) {
+		return encodedRecord{Record: record, value: value}, err
 	}
 	var parts []store.Change
-	if r.leader.node.exceedsRow(data) {
-		for part := range slices.Chunk(data, r.leader.node.opts.MaxRowBytes) {
-			parts = append(parts, store.Put{Table: progressTable, Key: progressPartKey(id, len(parts)), Value: part})
-		}
-		head := jobs.Progress{State: record.Progress.State, Started: record.Progress.Started, Parts: len(parts)}
-		if data, err = jobs.Encode(head); err != nil {
-			return nil, err
-		}
+	for part := range slices.Chunk(value, r.leader.node.opts.MaxRowBytes) {
+		parts = append(parts, store.Put{Table: progressTable, Key: progressPartKey(id, len(parts)), Value: part})
+	}
+	p := record.Progress
+	value, err = jobs.Encode(jobs.Progress{State: p.State, Started: p.Started, Parts: len(parts), Epoch: p.Epoch, Revision: p.Revision})
+	return encodedRecord{record, value, parts}, err
+}
+
+// changes returns the changes that store a batch under this leader's epoch, each job's row over the
+// version that this leader knows.
+func (r *recorder) changes(batch []encodedRecord) []store.Change {
+	changes := []store.Change{store.Check{Table: LeaderTable, Key: epochKey, Expected: r.epochVersion}}
+	for _, record := range batch {
+		id := record.ID.Job
+		changes = append(changes, store.Put{Table: progressTable, Key: string(id), Value: record.value, Expected: store.Expect(r.versions[id])})
+		changes = append(changes, record.parts...)
 	}
-	row := store.Put{Table: progressTable, Key: string(id), Value: data, Expected: store.Expect(r.versions[id])}
-	return append([]store.Change{row}, parts...), nil
+	return changes
 }
 
 // progressPartKey returns the key of a further row of a job's progress.
@@ -188,20 +199,19 @@
 // commit commits a batch and retries until it succeeds. It returns false once the leadership
 // has ended.
 func (r *recorder) commit(ctx context.Context, batch []encodedRecord) bool {
-	changes := []store.Change{store.Check{Table: LeaderTable, Key: epochKey, Expected: r.leader.version}}
-	for _, record := range batch {
-		changes = append(changes, record.rows...)
-	}
 	for ctx.Err() == nil {
 		began := time.Now()
-		version, err := r.leader.node.opts.Store.Commit(ctx, changes...)
+		version, err := r.leader.node.opts.Store.Commit(ctx, r.changes(batch)...)
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
-			version, err = committedVersion(changes, conflict)
-			if err != nil {
+			var committed bool
+			if version, committed, err = r.resolveConflict(batch, conflict); err != nil {
 				r.leader.node.elector.abandon(r.leader.epoch, err.Error())
 				return false
 			}
+			if !committed {
+				continue
+			}
 		}
 		switch {
 		case err == nil:
@@ -224,7 +234,7 @@
 func (r *recorder) commitRejected(ctx context.Context, batch []encodedRecord, err error) bool {
 	if len(batch) == 1 {
 		id := batch[0].ID
-		r.leader.node.opts.Logger.Warn("progress rejected by the store", "job", id.Job, "revision", id.Revision, "rows", len(batch[0].rows), "error", err)
+		r.leader.node.opts.Logger.Warn("progress rejected by the store", "job", id.Job, "revision", id.Revision, "bytes", len(batch[0].value), "parts", len(batch[0].parts), "error", err)
 		r.leader.apply(engine.RecordRejected{ID: id})
 		return true
 	}
@@ -236,24 +246,34 @@
 	return true
 }
 
-// committedVersion returns the version that an earlier attempt at the same changes has written.
-// It returns an error if another leader wrote the rows.
-func committedVersion(changes []store.Change, conflict *store.ConflictError) (int64, error) {
-	written := make(map[string][]byte, len(changes))
-	for _, change := range changes {
-		if put, ok := change.(store.Put); ok && put.Table == progressTable {
-			written[put.Key] = put.Value
-		}
+// resolveConflict determines whether an earlier attempt at a batch was executed, which wrote all of it
+// or nothing, and returns the version of its rows. If none was, it corrects the versions that this
+// leader had taken from answers. It returns an error if another leader wrote one of the rows.
+func (r *recorder) resolveConflict(batch []encodedRecord, conflict *store.ConflictError) (version int64, committed bool, err error) {
+	if len(conflict.Rows) == 0 {
+		return 0, false, errors.New("progress not recorded: conflict without a row")
 	}
-	version := store.Absent
 	for _, row := range conflict.Rows {
-		value, ours := written[row.Key]
-		if row.Table != progressTable || !ours || !bytes.Equal(row.Value, value) {
-			return 0, fmt.Errorf("row %s/%s was written by another leader", row.Table, row.Key)
+		if row.Table == LeaderTable {
+			if string(row.Value) != strconv.FormatInt(r.leader.epoch, 10) {
+				return 0, false, fmt.Errorf("the epoch row has epoch %q, not %d", row.Value, r.leader.epoch)
+			}
+			r.epochVersion = row.Version
+			continue
+		}
+		p, err := jobs.Decode[jobs.Progress](row.Value)
+		if err != nil || p.Epoch != r.leader.epoch {
+			return 0, false, fmt.Errorf("row %s/%s was written by another leader, of epoch %d", row.Table, row.Key, p.Epoch)
+		}
+		for _, record := range batch {
+			if string(record.ID.Job) == row.Key && record.ID.Revision == p.Revision {
+				return row.Version, true, nil
+			}
 		}
-		version = max(version, row.Version)
+		r.leader.node.opts.Logger.Info("version of progress corrected", "job", row.Key, "revision", p.Revision, "known-version", r.versions[jobs.ID(row.Key)], "version", row.Version)
+		r.versions[jobs.ID(row.Key)] = row.Version
 	}
-	return version, nil
+	return 0, false, nil
 }
 
 // runCompact compacts the rows of jobs whose final state is stored, so that the next leader has
--- a/core/cell/record_test.go
+++ b/core/cell/record_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"reflect"
 	"slices"
 	"strings"
@@ -27,13 +28,15 @@
 			want.Steps[0].Failures = append(want.Steps[0].Failures, jobs.Failure{Task: task, Run: 1000 + run})
 		}
 	}
-	changes, err := l.records.rowsOf(engine.Record{ID: engine.ProgressID{Job: "job"}, Progress: want})
+	record, err := l.records.encode(engine.Record{ID: engine.ProgressID{Job: "job", Revision: 3}, Progress: want})
 	if err != nil {
 		t.Fatal(err)
 	}
+	changes := l.records.changes([]encodedRecord{record})[1:]
 	if _, err := memory.Apply(t.Context(), changes); err != nil {
 		t.Fatalf("store %d rows: %v", len(changes), err)
 	}
+	want.Epoch, want.Revision = 1, 3
 	var rows []store.Row
 	for _, row := range memory.rows {
 		if row.Table == progressTable {
@@ -174,3 +177,92 @@
 		})
 	}
 }
+
+// TestAnswersWithNewerVersions guards against results that are acknowledged without being stored, and
+// against leaders that give up, where the store answers a write with its newest version instead of
+// that of the rows.
+func TestAnswersWithNewerVersions(t *testing.T) {
+	memory := newMemoryStore()
+	memory.newerAnswers = true
+	memory.put(t, "config", "config", "1")
+	memory.put(t, "workers", "w1", "ready")
+	workers := newFakeWorkers(20 * time.Millisecond)
+	node, _ := testNode(t, "vm", memory, workers)
+	eventually(t, "the VM leads", leads(node))
+	for i := range 10 {
+		job := testJob(jobs.ID(fmt.Sprintf("job%d", i)))
+		for range 3 {
+			step := job.Steps[0]
+			step.After = []int{len(job.Steps) - 1}
+			job.Steps = append(job.Steps, step)
+		}
+		eventually(t, "the job is accepted", func() bool { return node.Submit(t.Context(), job) == nil })
+		eventually(t, "the job is done", func() bool {
+			state, err := node.Status(t.Context(), job.ID)
+			return err == nil && state == jobs.Done
+		})
+		row, err := memory.Read(t.Context(), progressTable, string(job.ID))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p, err := jobs.Decode[jobs.Progress](row.Value); err != nil || p.State != jobs.Done {
+			t.Errorf("%s is reported as done, stored progress %+v, error %v", job.ID, p, err)
+		}
+	}
+	if epoch := node.elector.current().Epoch; epoch != 1 {
+		t.Errorf("epoch %d, want 1: the leader gave up", epoch)
+	}
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	for task, count := range workers.starts {
+		if count != 1 {
+			t.Errorf("task %s started %d times", task, count)
+		}
+	}
+}
+
+// TestConflictProvesOneRecordOnly guards against taking a batch for committed because one of its rows
+// has the content that it writes: an earlier record of the job may have had the same content.
+func TestConflictProvesOneRecordOnly(t *testing.T) {
+	l := newLeader(t.Context(), idleElector(t).node, leaderRow{Epoch: 3}, 7, time.Now(), predecessor{})
+	encode := func(job jobs.ID, epoch int64, revision int) encodedRecord {
+		l.epoch = epoch
+		defer func() { l.epoch = 3 }()
+		record, err := l.records.encode(engine.Record{ID: engine.ProgressID{Job: job, Revision: revision}, Progress: jobs.Progress{Started: true}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return record
+	}
+	batch := []encodedRecord{encode("a", 3, 5), encode("b", 3, 2)}
+	row := func(r encodedRecord, version int64) store.Row {
+		return store.Row{Table: progressTable, Key: string(r.ID.Job), Version: version, Value: r.value}
+	}
+	epochRow := func(epoch string) store.Row {
+		return store.Row{Table: LeaderTable, Key: epochKey, Version: 6, Value: []byte(epoch)}
+	}
+	cases := map[string]struct {
+		rows                 []store.Row
+		committed, abandoned bool
+		// version is that of job a's row afterwards.
+		version int64
+	}{
+		"this record":             {[]store.Row{row(batch[0], 9)}, true, false, 0},
+		"earlier record":          {[]store.Row{row(encode("a", 3, 4), 8)}, false, false, 8},
+		"record of another epoch": {[]store.Row{row(encode("a", 4, 5), 9)}, false, true, 0},
+		"earlier epoch":           {[]store.Row{row(encode("a", 2, 5), 9)}, false, true, 0},
+		"own epoch row":           {[]store.Row{epochRow("3")}, false, false, 0},
+		"later epoch row":         {[]store.Row{epochRow("4")}, false, true, 0},
+		"no row":                  {nil, false, true, 0},
+		"unreadable":              {[]store.Row{{Table: progressTable, Key: "a", Version: 9, Value: []byte{0xff}}}, false, true, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clear(l.records.versions)
+			_, committed, err := l.records.resolveConflict(batch, &store.ConflictError{Rows: c.rows})
+			if committed != c.committed || (err != nil) != c.abandoned || l.records.versions["a"] != c.version {
+				t.Errorf("committed: %v, error %v, version %d; want %v, error: %v, %d", committed, err, l.records.versions["a"], c.committed, c.abandoned, c.version)
+			}
+		})
+	}
+}
--- a/core/cell/takeover.go
+++ b/core/cell/takeover.go
@@ -164,10 +164,20 @@
 	if slices.Equal(stored.Value, data) {
 		return stored.Version, nil
 	}
+	if stored.Version != version && row.follows(stored) {
+		// The version came from the answer to the last write, which may give a later one.
+		return e.write(ctx, row, stored.Version, extra...)
+	}
 	e.observe(stored)
 	return 0, err
 }
 
+// follows reports whether the row is the next one after a stored row in the same leadership.
+func (r leaderRow) follows(stored store.Row) bool {
+	var previous leaderRow
+	return json.Unmarshal(stored.Value, &previous) == nil && previous.Instance == r.Instance && previous.Epoch == r.Epoch && previous.Renewals == r.Renewals-1
+}
+
 // stepDown hands the leadership over to a VM that the store answers. The next leader takes a
 // released row as proof that this one starts no job that is stored after it. So nothing is
 // started from here on, unless the row is known to be unchanged.
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -19,6 +19,10 @@
 	// Parts is the number of further rows that hold the encoded progress if it is too large for
 	// one row. Such a Progress has the state, and neither steps nor occurrences.
 	Parts int `cbor:"5,keyasint,omitempty"`
+	// Epoch and Revision identify the record: the epoch of the leader that wrote it, and its number
+	// among those of the job in that epoch.
+	Epoch    int64 `cbor:"6,keyasint,omitempty"`
+	Revision int   `cbor:"7,keyasint,omitempty"`
 }
 
 // StepProgress is the progress of one step of one occurrence.
