--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -73,7 +73,8 @@
 	pendingAcks  []pendingAck
 	// recheck is set if the last report lacked runs that the next one decides about.
 	recheck bool
-	// mayHaveRestarted is set while the last poll has failed.
+	// mayHaveRestarted is set from a failed poll, or an entry of a later incarnation, until the next
+	// report of the known incarnation.
 	mayHaveRestarted bool
 	health           health
 	slowdown         slowdown
