--- a/core/cell/record_test.go
+++ b/core/cell/record_test.go
@@ -20,7 +20,8 @@
 	const limit, attempts = 65_536, 4
 	memory := newMemoryStore()
 	memory.maxValue = limit
-	node, _ := testNodeWithOptions(t, "vm", memory, newFakeWorkers(0), newFakeWorkers(0), func(o *Options) { o.MaxRowBytes = limit })
+	node := idleElector(t).node
+	node.opts.MaxRowBytes = limit
 	l := newLeader(t.Context(), node, leaderRow{Epoch: 1}, 1, time.Now(), predecessor{})
 	want := jobs.Progress{State: jobs.Running, Started: true, Steps: []jobs.StepProgress{{}}}
 	for task := range jobs.MaxTasks {
