Encode progress outside the recorder's lock, and once

Found by reading the change again: encoded each record while it held the lock that every poller needs to add one, and encoded the record that did not fit a batch twice.

What is written, and in which order, is the same. TestSplitBatchKeepsLimits is new: the limits had no test of their own.

--- a/core/cell/record.go
+++ b/core/cell/record.go
@@ -16,8 +16,11 @@
 )
 
 const (
+	// maxRecordBatch is the maximum number of records that are taken from the queue at a time.
+	maxRecordBatch = 48
 	// maxCommitEntries and maxCommitBytes bound what one commit of progress writes. A call of the
 	// platform holds 100 entries and 1 MB, in an encoding that is a third larger than the values.
+	// Each job needs two entries or more, and one is the check of the epoch.
 	maxCommitEntries = 97
 	maxCommitBytes   = 500_000
 	// compactBatch is the maximum number of rows of finished jobs that one commit compacts, and
@@ -112,8 +115,10 @@
 		case <-r.wake:
 		}
 		for batch := r.nextBatch(); len(batch) > 0; batch = r.nextBatch() {
-			if !r.commit(ctx, batch) {
-				return
+			for _, part := range splitBatch(r.encodeAll(batch)) {
+				if !r.commit(ctx, part) {
+					return
+				}
 			}
 		}
 	}
@@ -126,37 +131,64 @@
 	parts []store.Change
 }
 
-// nextBatch removes a batch from the queue and returns it, within the limits of a commit. A
-// record that exceeds them by itself is a batch of its own.
-func (r *recorder) nextBatch() []encodedRecord {
+// nextBatch removes a batch from the queue and returns it.
+func (r *recorder) nextBatch() []engine.Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var batch []encodedRecord
-	entries, size := 0, 0
-	for len(r.queue) > 0 {
-		id := r.queue[0]
-		record, err := r.encode(r.queued[id])
+	n := min(len(r.queue), maxRecordBatch)
+	batch := make([]engine.Record, 0, n)
+	for _, id := range r.queue[:n] {
+		batch = append(batch, r.queued[id])
+		r.taken[id] = r.queued[id].ID.Revision
+		delete(r.queued, id)
+	}
+	r.queue = r.queue[n:]
+	return batch
+}
+
+// encodeAll encodes the records of a batch. The results of one that cannot be encoded stay
+// unacknowledged until a later record of the job can be.
+func (r *recorder) encodeAll(batch []engine.Record) []encodedRecord {
+	list := make([]encodedRecord, 0, len(batch))
+	for _, record := range batch {
+		encoded, err := r.encode(record)
 		if err != nil {
-			// The job's results stay unacknowledged until a later record of it can be encoded.
-			r.leader.node.opts.Logger.Warn("progress not encoded", "job", id, "error", err)
-			r.queue = r.queue[1:]
-			delete(r.queued, id)
+			r.leader.node.opts.Logger.Warn("progress not encoded", "job", record.ID.Job, "error", err)
 			continue
 		}
-		size += len(record.value)
-		for _, part := range record.parts {
-			size += len(part.(store.Put).Value)
-		}
-		// The job's row has a condition, which counts as well.
-		if entries += 2 + len(record.parts); len(batch) > 0 && (entries > maxCommitEntries || size > maxCommitBytes) {
-			break
+		list = append(list, encoded)
+	}
+	return list
+}
+
+// splitBatch splits a batch into parts within the limits of a commit. A record that exceeds them by
+// itself is a part of its own.
+func splitBatch(batch []encodedRecord) [][]encodedRecord {
+	var parts [][]encodedRecord
+	first, entries, size := 0, 0, 0
+	for i, record := range batch {
+		recordEntries, recordSize := record.extent()
+		if i > first && (entries+recordEntries > maxCommitEntries || size+recordSize > maxCommitBytes) {
+			parts = append(parts, batch[first:i])
+			first, entries, size = i, 0, 0
 		}
-		batch = append(batch, record)
-		r.taken[id] = record.ID.Revision
-		r.queue = r.queue[1:]
-		delete(r.queued, id)
+		entries += recordEntries
+		size += recordSize
 	}
-	return batch
+	if first < len(batch) {
+		parts = append(parts, batch[first:])
+	}
+	return parts
+}
+
+// extent returns the entries and the bytes that a record takes in a commit. The job's row has a
+// condition, which counts as an entry of its own.
+func (e encodedRecord) extent() (entries, size int) {
+	size = len(e.value)
+	for _, part := range e.parts {
+		size += len(part.(store.Put).Value)
+	}
+	return 2 + len(e.parts), size
 }
 
 // encode encodes a record. Progress that exceeds a row continues in others.
--- a/core/cell/record_test.go
+++ b/core/cell/record_test.go
@@ -267,3 +267,49 @@
 		})
 	}
 }
+
+// TestSplitBatchKeepsLimits checks that each part of a batch is within the limits of a commit unless it
+// is a single record, and that the parts have all records in order.
+func TestSplitBatchKeepsLimits(t *testing.T) {
+	record := func(revision, bytes, parts int) encodedRecord {
+		r := encodedRecord{Record: engine.Record{ID: engine.ProgressID{Revision: revision}}, value: make([]byte, bytes)}
+		for range parts {
+			r.parts = append(r.parts, store.Put{Value: make([]byte, bytes)})
+		}
+		return r
+	}
+	cases := map[string]struct {
+		count, bytes, parts int
+		// want holds the number of records in each part.
+		want []int
+	}{
+		"none":               {0, 0, 0, nil},
+		"small":              {48, 100, 0, []int{48}},
+		"too many entries":   {60, 100, 0, []int{48, 12}},
+		"too many bytes":     {10, 200_000, 0, []int{2, 2, 2, 2, 2}},
+		"records with parts": {4, 60_000, 3, []int{2, 2}},
+		"each beyond limits": {3, 60_000, 10, []int{1, 1, 1}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var batch []encodedRecord
+			for i := range c.count {
+				batch = append(batch, record(i, c.bytes, c.parts))
+			}
+			var got []int
+			next := 0
+			for _, part := range splitBatch(batch) {
+				got = append(got, len(part))
+				for _, r := range part {
+					if r.ID.Revision != next {
+						t.Errorf("record %d follows %d", r.ID.Revision, next-1)
+					}
+					next++
+				}
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("parts of %v records, want %v", got, c.want)
+			}
+		})
+	}
+}
