--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -258,7 +258,7 @@
 	row := leaderRow{}
 	if stored.Version != store.Absent {
 		if err := json.Unmarshal(stored.Value, &row); err != nil {
-			e.node.noteUnreadable("leader", stored.Key, 1, err)
+			e.node.noteUnreadableRow("leader", stored, err)
 			return
 		}
 	}
--- a/core/cell/feed.go
+++ b/core/cell/feed.go
@@ -60,7 +60,7 @@
 			p, err = jobs.Decode[jobs.Progress](data)
 		}
 		if err != nil {
-			l.node.noteUnreadable("progress", row.Key, 1, err)
+			l.node.noteUnreadableRow("progress", row, err)
 			l.unreadable[id] = true
 			continue
 		}
@@ -81,7 +81,7 @@
 		}
 		job, err := decodeJob(row)
 		if err != nil {
-			l.node.noteUnreadable("job", row.Key, 1, err)
+			l.node.noteUnreadableRow("job", row, err)
 			continue
 		}
 		if l.unreadable[job.ID] {
@@ -177,7 +177,7 @@
 func (l *leader) decodeWorker(row store.Row) (engine.Worker, bool) {
 	w, err := l.node.opts.Directory.DecodeWorker(row)
 	if err != nil {
-		l.node.noteUnreadable("worker", row.Key, 1, err)
+		l.node.noteUnreadableRow("worker", row, err)
 		return engine.Worker{}, false
 	}
 	return w, true
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"tanagerstack.org/core/engine"
+	"tanagerstack.org/core/store"
 )
 
 // latencyBuckets are the upper bounds of the histograms, in seconds: from an
@@ -76,6 +78,11 @@
 	n.opts.Logger.Warn("entry cannot be decoded and is left out", "kind", kind, "name", name, "count", count, "error", err)
 }
 
+// noteUnreadableRow counts and logs a row that could not be decoded.
+func (n *Node) noteUnreadableRow(kind string, row store.Row, err error) {
+	n.noteUnreadable(kind, row.Key, 1, fmt.Errorf("version %d: %w", row.Version, err))
+}
+
 // outcomeOf returns the outcome label of a call.
 func outcomeOf(err error) string {
 	if err != nil {
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -163,7 +163,7 @@
 		}
 		config, err := n.opts.Directory.DecodeConfig(row)
 		if err != nil {
-			n.noteUnreadable("config", row.Key, 1, err)
+			n.noteUnreadableRow("config", row, err)
 			continue
 		}
 		n.applyConfig(config)
