--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -237,10 +237,10 @@
 	e.log("worker unlisted", "worker", id, "runs", len(w.runs), "last-seen", now.Sub(w.lastSeen))
 }
 
-// workerRestarted handles a report of another incarnation. Runs that the earlier incarnation has listed are
-// gone. The new incarnation may have accepted others, or may accept them until it is polled with
-// a higher fencing token, so they are counted until then. The same holds for unknown runs of
-// previous leaders.
+// workerRestarted handles a report of another incarnation. Runs that the earlier incarnation has
+// listed are gone. The new incarnation may have accepted others, or may accept them until it is
+// polled with a higher fencing token, so they are counted until then. The same holds for unknown
+// runs of previous leaders.
 func (e *Engine) workerRestarted(now time.Time, w *worker, startedAt time.Time) {
 	e.log("worker restarted", "worker", w.ID, "runs", len(w.runs), "born", startedAt, "born-before", w.StartedAt, "entry-born", w.entryStartedAt)
 	w.StartedAt, w.incarnationSince = startedAt, now
--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -134,11 +134,13 @@
 // Objective returns the latency objective of a job with the given critical path, at most
 // MaxObjective.
 func (q *Queue) Objective(criticalPath time.Duration) time.Duration {
-	objective := q.Stretch*float64(criticalPath) + float64(q.Slack)
-	if !(objective < float64(MaxObjective)) {
+	stretched := q.Stretch * float64(criticalPath)
+	if !(stretched < float64(MaxObjective)) {
 		return MaxObjective
 	}
-	return time.Duration(max(objective, 0))
+	// The sum is one of integers: processors that fuse multiplication and addition round it otherwise.
+	objective := time.Duration(max(stretched, -float64(MaxObjective))) + min(max(q.Slack, -MaxObjective), MaxObjective)
+	return min(max(objective, 0), MaxObjective)
 }
 
 // CriticalPath returns the total estimate along the longest chain of dependent steps.
--- a/core/store/batcher.go
+++ b/core/store/batcher.go
@@ -28,8 +28,9 @@
 // transaction per call. It merges the transactions of a partition into calls within the
 // limits. If a call fails because of a version conflict, it sends the transactions without a
 // conflict again. If the service rejects a call, it sends each transaction in a call of its own,
-// so that one that the service never accepts fails alone. Transactions that write the same row never share a call, since each would
-// see the version from before the other. Partitions do not wait for each other.
+// so that one that the service never accepts fails alone. Transactions that write the same row
+// never share a call, since each would see the version from before the other. Partitions do not
+// wait for each other.
 type Batcher struct {
 	Service SingleCommitService
 	Limits  Limits
