Act as the leader only on proof that there is no later one

What callers saw: on real processes tasks ran again after they had ended as done, or twice at a time; both runs had the same sender.

Cause: a leader that is cut off from the store together with some workers does not learn that it was replaced. It took the leases on all other workers for expired after their term, while the next leader had adopted the runs there and renewed the leases. So it started these tasks again on the workers that only it reached, which knew no later fencing token. In the other direction, it kept renewing leases that the next leader had waited out. Class: a decision by time alone, on a state that another VM may have extended; split brain.

Now: a lease, a previous leader's lease and a late command count as expired only up to the time until which a renewal of the leader row, sent after it, has proved that nobody else led. Runs start and leases are granted for 2.5 s after the last proof only, which is within what the next leader waits for. The lines that start and drop runs log the epoch and the age of the proof.

--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -31,6 +31,10 @@
 	// new jobs: other VMs learn of the takeover from the store within a second, and a message
 	// of theirs may take half a second to arrive.
 	predecessorOverlap = 2 * time.Second
+	// leadershipTerm is how long after the last proof that it leads a leader starts runs and grants
+	// leases. It must end before lateLeaseGrace of the next leader has passed, and outlast two
+	// renewals through a slow store.
+	leadershipTerm = 2500 * time.Millisecond
 	// lateLeaseGrace is how much longer the leases of a previous leader may run if it is not
 	// proved to have ended: it may have granted leases until its row expired, and after that.
 	lateLeaseGrace = expireAfter + time.Second
@@ -101,6 +105,7 @@
 	for name, vm := range row.VMs {
 		l.followers[name] = &followerVM{entry: vm, seenAt: began}
 	}
+	l.confirm(began)
 	l.records = newRecorder(l)
 	l.dispatch = newDispatcher(l)
 	return l
@@ -223,6 +228,11 @@
 	l.apply(engine.ConfigChanged{Config: config})
 }
 
+// confirm extends the term: no other VM had taken over at the given time.
+func (l *leader) confirm(at time.Time) {
+	l.apply(engine.LeadershipConfirmed{At: at, Until: at.Add(leadershipTerm)})
+}
+
 func (l *leader) superseded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/cell/takeover.go
+++ b/core/cell/takeover.go
@@ -107,6 +107,7 @@
 	}
 	e.mu.Unlock()
 	l.rosterRecorded(roster)
+	l.confirm(now)
 }
 
 // encode returns the stored form of the row. If that is too large, it leaves out the jobs of lost
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -56,8 +56,9 @@
 // workers, and skipOverlap treats jobs stored during a takeover as new. ackEarly acknowledges
 // results before their commit. The others drop starts without an answer, runs on lost workers
 // before their lease expires, stored failures, and runs and results of unknown jobs.
+// skipConfirmation acts without proof that there is no later leader.
 type unsafeOptions struct {
-	skipPreviousWorkers, skipOverlap, ackEarly, forgetUnanswered, forgetLost, forgetFailures, forgetOrphans bool
+	skipPreviousWorkers, skipOverlap, ackEarly, forgetUnanswered, forgetLost, forgetFailures, forgetOrphans, skipConfirmation bool
 }
 
 // Logger writes structured log lines: a message, followed by alternating keys and values.
@@ -91,9 +92,12 @@
 	changedJobs map[jobs.ID]*job
 	// caughtUp is set once every job that the previous leader may have received first is known
 	// here.
-	caughtUp   bool
-	commands   []Command
-	superseded bool
+	caughtUp bool
+	// confirmed is the last proof of this leadership. unconfirmed is set while it is too old to act on.
+	confirmed   LeadershipConfirmed
+	unconfirmed bool
+	commands    []Command
+	superseded  bool
 	// passes counts the scheduling passes.
 	passes              int64
 	stragglersCheckedAt time.Time
@@ -144,6 +148,8 @@
 		e.jobAccepted(now, ev)
 	case JobsRead:
 		e.caughtUp = e.caughtUp || ev.Before.After(e.opts.PreviousActiveUntil)
+	case LeadershipConfirmed:
+		e.leadershipConfirmed(now, ev)
 	case JobCanceled:
 		e.jobCanceled(now, ev.ID)
 	case WorkerPolled:
@@ -167,9 +173,9 @@
 }
 
 // Schedule starts tasks where they fit and requests advice. It does nothing once a later leader
-// is known.
+// is known, or may exist.
 func (e *Engine) Schedule(now time.Time) []Command {
-	if !e.superseded {
+	if !e.superseded && e.mayLead(now) {
 		e.schedule(now)
 	}
 	return e.takeCommands()
@@ -217,26 +223,28 @@
 // tick handles everything that depends on time alone: expired leases and retention periods, stops
 // to send again, and the periodic check for stragglers.
 func (e *Engine) tick(now time.Time) {
+	e.noteTerm(now)
 	for _, w := range e.sortedWorkers {
 		e.expireLease(now, w)
 		e.retryStops(now, w)
 	}
 	e.expireOrphanedResults(now)
 	e.expireOrphanedRuns(now)
-	if !e.superseded && now.Sub(e.stragglersCheckedAt) >= stragglerCheckInterval {
+	if !e.superseded && e.mayLead(now) && now.Sub(e.stragglersCheckedAt) >= stragglerCheckInterval {
 		e.stragglersCheckedAt = now
 		e.moveStragglers(now)
 	}
-	if now.After(e.opts.PreviousLeasesUntil) {
-		e.expirePreviousWorkers(now)
+	if proved := e.provedUntil(now); proved.After(e.opts.PreviousLeasesUntil) {
+		e.expirePreviousWorkers(proved)
 	}
 }
 
 // expirePreviousWorkers drops the workers whose leases from the previous leader have expired,
-// except those that this leader has polled and whose lease it renews.
-func (e *Engine) expirePreviousWorkers(now time.Time) {
+// except those that this leader has polled and whose lease it renews. Proved is the time until which
+// there was no later leader.
+func (e *Engine) expirePreviousWorkers(proved time.Time) {
 	for id, ids := range e.previousWorkers {
-		if w := e.workers[id]; w != nil && w.synced && !w.leaseExpired(now) {
+		if w := e.workers[id]; w != nil && w.synced && !w.leaseExpired(proved) {
 			continue
 		}
 		e.log("leases of the previous leader on a worker have expired", "worker", id, "any-job", ids == nil, "jobs", len(ids))
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -58,6 +58,11 @@
 // JobsRead reports that all jobs stored before the given time have been delivered.
 type JobsRead struct{ Before time.Time }
 
+// LeadershipConfirmed reports that there was no later leader at the time At, so that no other leader
+// can have renewed a lease by then. The engine starts runs and grants leases until the time Until:
+// the next leader waits for what may follow from that.
+type LeadershipConfirmed struct{ At, Until time.Time }
+
 // JobCanceled reports that the cancellation of a job is stored.
 type JobCanceled struct{ ID jobs.ID }
 
@@ -135,6 +140,7 @@
 func (AdviceProxiesChanged) event() {}
 func (JobAccepted) event()          {}
 func (JobsRead) event()             {}
+func (LeadershipConfirmed) event()  {}
 func (JobCanceled) event()          {}
 func (WorkerPolled) event()         {}
 func (PollFailed) event()           {}
--- a/core/engine/lease.go
+++ b/core/engine/lease.go
@@ -30,17 +30,19 @@
 	return a.orphan == nil && (a.job == nil || a.job.committed >= a.revision)
 }
 
-// leaseExpired reports whether the worker's lease must have expired.
-func (w *worker) leaseExpired(now time.Time) bool {
-	return !w.clock.at.IsZero() && w.clock.lowerBound(now) >= w.leasedUntil
+// leaseExpired reports whether the lease that this leader granted must have expired at a time. It
+// reports false for a time before the last reading of the worker's clock.
+func (w *worker) leaseExpired(at time.Time) bool {
+	return !w.clock.at.IsZero() && !at.Before(w.clock.at) && w.clock.lowerBound(at) >= w.leasedUntil
 }
 
 // expireLease ends all runs on a worker whose lease must have expired, except those that an
 // incarnation may have accepted that has not answered yet.
 func (e *Engine) expireLease(now time.Time, w *worker) {
-	e.expireCommandsBeforeRestart(now, w)
+	proved := e.provedUntil(now)
+	e.expireCommandsBeforeRestart(now, proved, w)
 	lost := e.opts.unsafe.forgetLost && now.Sub(w.lastSeen) > maxReportAge && !w.clock.at.IsZero()
-	if len(w.runs) == 0 || !w.leaseExpired(now) && !lost {
+	if len(w.runs) == 0 || !w.leaseExpired(proved) && !lost {
 		return
 	}
 	expired := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return r.sentBeforeRestart })
@@ -48,6 +50,7 @@
 		return
 	}
 	e.log("worker lease expired", "worker", w.ID, "runs", len(expired), "last-seen", now.Sub(w.lastSeen), "born", w.StartedAt,
+		"epoch", e.opts.Epoch, "confirmed-before", now.Sub(e.confirmed.At),
 		"clock-at-least", w.clock.lowerBound(now), "clock-read", w.clock.reading, "clock-read-before", now.Sub(w.clock.at), "leased-until", w.leasedUntil)
 	w.synced, w.resultsKnown = false, false
 	for _, r := range expired {
@@ -58,12 +61,12 @@
 // expireCommandsBeforeRestart ends runs whose start command went to an earlier incarnation and is
 // too old to arrive. Polls that were sent until the restart was known may have renewed the lease
 // of the new incarnation.
-func (e *Engine) expireCommandsBeforeRestart(now time.Time, w *worker) {
+func (e *Engine) expireCommandsBeforeRestart(now, proved time.Time, w *worker) {
 	if w.synced {
 		return
 	}
 	for _, r := range w.sortedRuns() {
-		if r.sentBeforeRestart && now.Sub(r.phaseSince) > maxCommandDelay+LongestLease(e.opts.MaxLease) {
+		if r.sentBeforeRestart && proved.Sub(r.phaseSince) > maxCommandDelay+LongestLease(e.opts.MaxLease) {
 			e.presumeEnded(now, r, jobs.EndExpired, "the start command to an earlier incarnation of the worker is too old to arrive")
 		}
 	}
@@ -89,7 +92,8 @@
 	}
 	// A poll may be executed although it is not answered. A worker that has not answered for a
 	// while gets no further lease, since its runs could otherwise never be assumed to have ended.
-	if w.synced && now.Sub(w.lastSeen) < maxReportAge {
+	// Neither does any worker once the term has ended: a later leader waits for the leases.
+	if w.synced && now.Sub(w.lastSeen) < maxReportAge && e.mayLead(now) {
 		request.LeaseUntil = e.extendLease(now, w)
 	}
 	return request, true
--- a/core/engine/lease_test.go
+++ b/core/engine/lease_test.go
@@ -52,6 +52,7 @@
 		opts.LeaseTerm, opts.MaxLease = testLease, testLease
 	}
 	e := &testEngine{Engine: New(opts), now: testStart}
+	e.confirm()
 	for _, w := range workers {
 		e.apply(WorkerListed{Worker: w})
 		e.poll(w.ID, Report{})
@@ -72,9 +73,15 @@
 	return e.apply(WorkerPolled{Worker: id, Sent: e.now.Add(-time.Millisecond), Fence: e.fence(e.workers[id]), Report: report})
 }
 
-// runPass advances the time, delivers a Tick and makes a scheduling pass.
+// confirm proves to the engine that there is no later leader yet.
+func (e *testEngine) confirm() []Command {
+	return e.apply(LeadershipConfirmed{At: e.now, Until: e.now.Add(simTerm)})
+}
+
+// runPass advances the time, confirms the leadership, delivers a Tick and makes a scheduling pass.
 func (e *testEngine) runPass(after time.Duration) []Command {
 	e.now = e.now.Add(after)
+	e.confirm()
 	commands := e.apply(Tick{})
 	return append(commands, e.Schedule(e.now)...)
 }
@@ -271,6 +278,7 @@
 	e.poll("w1", Report{Clock: clockAt(e.now)})
 	for e.now.Sub(testStart) < 10*time.Minute {
 		e.now = e.now.Add(time.Second)
+		e.confirm()
 		e.poll("w1", Report{Clock: clockAt(e.now.Add(-transit))})
 		request, _ := e.NextPoll(e.now, "w1")
 		if term := request.LeaseUntil - clockAt(e.now); term > testLease || term < testLease-2*transit {
--- a/core/engine/roster.go
+++ b/core/engine/roster.go
@@ -24,11 +24,12 @@
 }
 
 // WantedRoster returns the roster to record, and whether it must be recorded before this leader
-// can use all of its workers. A later leader polls the recorded workers before it starts anything
+// can use all of its workers, or take a lease for expired. A later leader polls the recorded workers before it starts anything
 // again, so a worker must not be used before it is recorded.
 func (e *Engine) WantedRoster(now time.Time) (wanted Roster, urgent bool) {
 	wanted.Lost = make(map[string][]jobs.ID)
 	for _, w := range e.sortedWorkers {
+		urgent = urgent || e.awaitsConfirmation(now, w)
 		if !w.listed && len(w.unsettledJobs()) == 0 && !e.isPreviousWorker(w.ID) {
 			continue
 		}
--- a/core/engine/run_end.go
+++ b/core/engine/run_end.go
@@ -10,6 +10,7 @@
 func (e *Engine) presumeEnded(now time.Time, r *run, end jobs.End, why string) {
 	w := r.worker
 	e.log("run presumed ended", "task", r.task, "run", r.number, "worker", w.ID, "why", why, "end", end, "epoch", e.opts.Epoch,
+		"confirmed-before", now.Sub(e.confirmed.At),
 		"age", now.Sub(r.startSentAt), "phase", r.phase, "phase-age", now.Sub(r.phaseSince), "listed", r.listed, "repeated", r.repeated,
 		"sent-before-restart", r.sentBeforeRestart, "worker-seen-before", now.Sub(w.lastSeen), "born", w.StartedAt, "entry-born", w.entryStartedAt,
 		"fence", r.fence, "fence-now", e.fence(w), "last-sequence", w.lastSequence, "acked-up-to", w.ackedUpTo,
--- a/core/engine/simulation_rapid_test.go
+++ b/core/engine/simulation_rapid_test.go
@@ -43,6 +43,9 @@
 			sim.after(time.Second+randomBelow(r, 9*time.Second), func() { s.disconnected = false })
 		})
 	}
+	for range faults.splits {
+		sim.after(randomBelow(r, simLoadTime), func() { sim.split(2*time.Second + randomBelow(r, 12*time.Second)) })
+	}
 	for range faults.takeovers {
 		sim.after(randomBelow(r, simLoadTime), sim.startLeader)
 	}
@@ -95,6 +98,7 @@
 			slowPolls:      rapid.Bool().Draw(t, "slow-polls"),
 			slowStore:      rapid.Bool().Draw(t, "slow-store"),
 			slowFeed:       rapid.Bool().Draw(t, "slow-feed"),
+			splits:         rapid.IntRange(0, 2).Draw(t, "splits"),
 		}
 		sim := simulate(seed, faults, unsafeOptions{})
 		for _, v := range sim.violations {
@@ -134,6 +138,9 @@
 		"results and runs of unknown jobs are kept": {
 			unsafeOptions{forgetOrphans: true}, simFaults{takeovers: 6, keepOldLeaders: true, slowPolls: true, slowFeed: true},
 		},
+		"leases expire, and work starts, only while no other VM can lead": {
+			unsafeOptions{skipConfirmation: true}, simFaults{splits: 2},
+		},
 		"failures are counted across leaders": {
 			unsafeOptions{forgetFailures: true}, simFaults{failTask: 0.5, takeovers: 3},
 		},
--- a/core/engine/simulation_test.go
+++ b/core/engine/simulation_test.go
@@ -91,6 +91,9 @@
 	slowStore bool
 	// slowFeed makes new jobs reach the newest leader after up to three seconds.
 	slowFeed bool
+	// splits is how often the leader and some workers are cut off together from the store, from the
+	// other workers and from the next leader.
+	splits int
 }
 
 type simEvent struct {
@@ -118,6 +121,8 @@
 	*Engine
 	epoch   int64
 	stopped bool
+	// isolated is set while the leader is on the smaller side of a split.
+	isolated bool
 }
 
 // simWorker follows the rules that the platform documents for workers.
@@ -133,7 +138,9 @@
 	results      []RunResult
 	lastSequence int64
 	disconnected bool
-	down         bool
+	// isolated is set while the worker is on the smaller side of a split.
+	isolated bool
+	down     bool
 }
 
 type simRun struct {
@@ -239,6 +246,7 @@
 			sim.apply(l, JobCanceled{ID: id})
 		}
 	}
+	sim.confirm(l)
 	sim.tick(l)
 	sim.sendDirectory(l)
 	sim.sendJobsRead(l)
@@ -271,7 +279,7 @@
 	if roster, _ := l.WantedRoster(sim.now); l.epoch == sim.epoch {
 		l.RosterSent(roster)
 		sim.after(sim.delay(), func() {
-			if l.epoch == sim.epoch {
+			if l.epoch == sim.epoch && !l.isolated {
 				sim.recordedRoster = roster
 				l.RosterRecorded(roster)
 			}
@@ -280,13 +288,33 @@
 	sim.after(300*time.Millisecond, func() { sim.sendDirectory(l) })
 }
 
+// simTerm is how long after a proof of its leadership a leader may act.
+const simTerm = 2500 * time.Millisecond
+
+// confirm periodically proves to a leader that there was no later one when it asked the store.
+func (sim *simulation) confirm(l *simLeader) {
+	asked := sim.now
+	sim.after(sim.delay(), func() {
+		if l.epoch == sim.epoch && !l.isolated {
+			sim.apply(l, LeadershipConfirmed{At: asked, Until: asked.Add(simTerm)})
+		}
+	})
+	if !l.stopped && !l.Superseded() {
+		sim.after(500*time.Millisecond, func() { sim.confirm(l) })
+	}
+}
+
 // sendJobsRead periodically reports to a leader how far its job feed has progressed.
 func (sim *simulation) sendJobsRead(l *simLeader) {
 	sent, delay := sim.now, sim.delay()+25*time.Millisecond
 	if sim.faults.slowFeed {
 		delay += 3 * time.Second
 	}
-	sim.after(delay, func() { sim.apply(l, JobsRead{Before: sent}) })
+	sim.after(delay, func() {
+		if !l.isolated {
+			sim.apply(l, JobsRead{Before: sent})
+		}
+	})
 	if !l.stopped {
 		sim.after(500*time.Millisecond, func() { sim.sendJobsRead(l) })
 	}
@@ -339,8 +367,13 @@
 	sim.apply(l, event)
 }
 
-// record commits progress unless a later leader exists.
+// record commits progress unless a later leader exists. A leader without a path to the store tries
+// again.
 func (sim *simulation) record(l *simLeader, c Record) {
+	if l.isolated {
+		sim.after(200*time.Millisecond, func() { sim.record(l, c) })
+		return
+	}
 	if l.epoch != sim.epoch {
 		l.stopped = true
 		return
@@ -359,12 +392,12 @@
 	handle := func(s *simWorker) Event {
 		return StartAnswered{Worker: c.Worker, Task: c.Task, Run: c.Run, Outcome: s.start(c)}
 	}
-	sim.deliver(c.Worker, c.Fence, 300*time.Millisecond, handle, func(answer Event) {
+	sim.deliver(l, c.Worker, c.Fence, 300*time.Millisecond, handle, func(answer Event) {
 		if answer != nil {
 			sim.apply(l, answer)
 			return
 		}
-		sim.deliver(c.Worker, c.Fence, 600*time.Millisecond, handle, func(answer Event) {
+		sim.deliver(l, c.Worker, c.Fence, 600*time.Millisecond, handle, func(answer Event) {
 			if second, ok := answer.(StartAnswered); ok && second.Outcome == StartAccepted {
 				second.Repeated = true
 				sim.apply(l, second)
@@ -377,7 +410,7 @@
 
 // send sends a command once.
 func (sim *simulation) send(l *simLeader, id string, fence int64, handle func(*simWorker) Event, unanswered Event) {
-	sim.deliver(id, fence, 900*time.Millisecond, handle, func(answer Event) {
+	sim.deliver(l, id, fence, 900*time.Millisecond, handle, func(answer Event) {
 		if answer == nil {
 			answer = unanswered
 		}
@@ -387,7 +420,7 @@
 
 // deliver delivers a command to a worker at once, late, or not at all, and returns or loses its
 // answer. It calls done with the answer, or with nil after the timeout.
-func (sim *simulation) deliver(id string, fence int64, timeout time.Duration, handle func(*simWorker) Event, done func(Event)) {
+func (sim *simulation) deliver(l *simLeader, id string, fence int64, timeout time.Duration, handle func(*simWorker) Event, done func(Event)) {
 	arrives := sim.delay()
 	answered := true
 	switch {
@@ -404,7 +437,7 @@
 	incarnation := sim.workers[id].entry.StartedAt
 	sim.after(arrives, func() {
 		s := sim.workers[id]
-		if s.down || s.disconnected && arrives < time.Second {
+		if s.down || s.disconnected && arrives < time.Second || s.isolated != l.isolated {
 			return
 		}
 		// docs/PLATFORM.md, open questions: a command to an earlier incarnation that arrives
@@ -441,7 +474,7 @@
 		// The sender of the poll is suspended: the leader gives the poll up, but it still arrives
 		// later.
 		sim.after(2*time.Second+randomBelow(sim.rand, 10*time.Second), func() {
-			if s := sim.workers[id]; !s.down && !s.disconnected {
+			if s := sim.workers[id]; !s.down && !s.disconnected && s.isolated == l.isolated {
 				s.poll(request)
 			}
 		})
@@ -455,7 +488,7 @@
 	}
 	sim.after(arrives, func() {
 		s := sim.workers[id]
-		if s.down || s.disconnected {
+		if s.down || s.disconnected || s.isolated != l.isolated {
 			sim.after(500*time.Millisecond, func() { sim.apply(l, PollFailed{Worker: id}); sim.poll(l, id) })
 			return
 		}
@@ -665,6 +698,29 @@
 	})
 }
 
+// split cuts the leader and some workers off together for a time. The next leader takes over
+// meanwhile.
+func (sim *simulation) split(length time.Duration) {
+	old := sim.leaders[len(sim.leaders)-1]
+	if old.isolated {
+		return
+	}
+	setIsolated := func(isolated bool) {
+		old.isolated = isolated
+		for i, id := range sim.workerIDs() {
+			sim.workers[id].isolated = isolated && i < 2
+		}
+	}
+	setIsolated(true)
+	sim.after(1900*time.Millisecond, func() {
+		keep := sim.faults.keepOldLeaders
+		sim.faults.keepOldLeaders = true
+		sim.startLeader()
+		sim.faults.keepOldLeaders = keep
+	})
+	sim.after(length, func() { setIsolated(false) })
+}
+
 // accept stores a job and notifies the leaders.
 func (sim *simulation) accept(job jobs.Job) {
 	sim.version++
@@ -673,7 +729,7 @@
 	sim.accepted[job.ID] = sim.version
 	for _, l := range sim.leaders {
 		// VMs that do not know of a takeover yet notify the previous leader.
-		if l.epoch == sim.epoch || sim.now.Sub(sim.leaderSince) < staleNotifyTime {
+		if !l.isolated && (l.epoch == sim.epoch || sim.now.Sub(sim.leaderSince) < staleNotifyTime) {
 			delay := sim.delay()
 			if sim.faults.slowFeed && l.epoch == sim.epoch {
 				delay += randomBelow(sim.rand, 3*time.Second)
@@ -693,7 +749,9 @@
 	}
 	sim.canceled[id] = sim.now
 	for _, l := range sim.leaders {
-		sim.after(sim.delay(), func() { sim.apply(l, JobCanceled{ID: id}) })
+		if !l.isolated {
+			sim.after(sim.delay(), func() { sim.apply(l, JobCanceled{ID: id}) })
+		}
 	}
 }
 
--- a/core/engine/start.go
+++ b/core/engine/start.go
@@ -59,7 +59,7 @@
 			resumed++
 		}
 	}
-	e.log("runs started", "step", s.id, "run", number, "tasks", len(tasks), "left", s.tasksLeft, "where", string(where), "seen-before", oldestReport,
+	e.log("runs started", "step", s.id, "run", number, "epoch", e.opts.Epoch, "confirmed-before", now.Sub(e.confirmed.At), "tasks", len(tasks), "left", s.tasksLeft, "where", string(where), "seen-before", oldestReport,
 		"free-millicores", free, "waited", now.Sub(s.job.ArrivedAt), "late-by", now.Sub(s.job.deadline), "resumed", resumed)
 }
 
--- a/model/play/simulation.go
+++ b/model/play/simulation.go
@@ -80,6 +80,9 @@
 		config.Queues = append(config.Queues, s.Queues[i].settings())
 		c.result.Queues[s.Queues[i].Name] = &QueueResult{}
 	}
+	// Nobody else leads in the model.
+	forever := startTime.AddDate(1, 0, 0)
+	c.apply(engine.LeadershipConfirmed{At: forever, Until: forever})
 	c.apply(engine.ConfigChanged{Config: config})
 	names := make([]string, 0, s.VMs)
 	for i := range s.VMs {
