Wait out what the term of a previous leader allows

A refused connection counted as proof that the leader's process had ended, so that its successor neither waited for leases granted after the takeover nor for jobs that it may still start. The grace for a leader that may be alive rested on when others see its row expire, not on how long it acts.

A refused connection still makes another VM take over at once, but as from a leader that may be alive. The successor waits for the leader's term, the time that a relay may hold a command, and the longest lease.

--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -111,8 +111,9 @@
 	// proxiedSince is since when the store is reached only through other VMs, zero if it is
 	// reached directly.
 	proxiedSince time.Time
-	// holderGone is true if the holder's process is proved to have ended.
-	holderGone bool
+	// holderGone is true if the holder's process seems to have ended, holderEnded if that is proved. A
+	// refused connection proves nothing, since a firewall may refuse it too.
+	holderGone, holderEnded bool
 	// cancelSession ends this VM's leadership; it is nil while this VM does not lead. sessions
 	// waits for the loops of its leaderships.
 	cancelSession context.CancelFunc
@@ -290,7 +291,8 @@
 	}
 	e.row, e.version, e.known = row, version, true
 	// An earlier process of this VM cannot lead anymore.
-	e.holderGone = row.Holder == e.node.opts.Name && row.Instance != e.node.instance
+	e.holderEnded = row.Holder == e.node.opts.Name && row.Instance != e.node.instance
+	e.holderGone = e.holderEnded
 	if e.cancelSession != nil && row.Instance != e.node.instance {
 		e.endSession("another leader holds the row")
 	}
@@ -322,15 +324,16 @@
 	return !e.reachableSince.IsZero()
 }
 
-// noteHolderGone records that the process of an instance, if it holds the row, has ended.
-func (e *elector) noteHolderGone(instance, why string) {
+// noteHolderGone records that the process of an instance, if it holds the row, seems to have ended,
+// and whether that is proved.
+func (e *elector) noteHolderGone(instance, why string, proved bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.row.Instance != instance || e.holderGone || e.cancelSession != nil {
+	if e.row.Instance != instance || e.holderGone && (e.holderEnded || !proved) || e.cancelSession != nil {
 		return
 	}
-	e.holderGone = true
-	e.node.opts.Logger.Info("leader process ended", "epoch", e.row.Epoch, "holder", e.row.Holder, "why", why)
+	e.holderGone, e.holderEnded = true, proved
+	e.node.opts.Logger.Info("leader process ended", "epoch", e.row.Epoch, "holder", e.row.Holder, "why", why, "proved", proved)
 }
 
 // current returns the last known row.
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -27,17 +27,10 @@
 	// takes three seconds. Runs on a lost worker must expire before they start elsewhere, so
 	// the term should not be longer than a takeover needs.
 	leaseTerm = 5 * time.Second
-	// predecessorOverlap is how long after a takeover the previous leader may still learn of
-	// new jobs: other VMs learn of the takeover from the store within a second, and a message
-	// of theirs may take half a second to arrive.
-	predecessorOverlap = 2 * time.Second
 	// leadershipTerm is how long after the last proof that it leads a leader starts runs and grants
-	// leases. It must end before lateLeaseGrace of the next leader has passed, and outlast two
-	// renewals through a slow store.
+	// leases. It must outlast two renewals through a slow store. The next leader waits for what the
+	// term allows.
 	leadershipTerm = 2500 * time.Millisecond
-	// lateLeaseGrace is how much longer the leases of a previous leader may run if it is not
-	// proved to have ended: it may have granted leases until its row expired, and after that.
-	lateLeaseGrace = expireAfter + time.Second
 )
 
 // leader executes the decisions of the engine for one epoch.
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -172,12 +172,12 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		n.elector.refreshRow(ctx)
-		n.elector.noteHolderGone(row.Instance, "no process listens on its address")
+		n.elector.noteHolderGone(row.Instance, "no process listens on its address", false)
 	case err != nil:
 		// A leader that does not answer may be alive: whether it renews its row decides.
 	case reply.Instance != row.Instance:
 		n.elector.refreshRow(ctx)
-		n.elector.noteHolderGone(row.Instance, "another process listens on its address")
+		n.elector.noteHolderGone(row.Instance, "another process listens on its address", true)
 	case reply.Leading:
 		n.elector.noteConfirmed(row.Instance)
 	default:
--- a/core/cell/predecessor.go
+++ b/core/cell/predecessor.go
@@ -10,8 +10,7 @@
 type predecessor struct {
 	// leasesUntil is when the leases that it granted have expired at the latest.
 	leasesUntil time.Time
-	// activeUntil is until when it may still learn of new jobs and start them; zero if it has
-	// ended.
+	// activeUntil is until when it may still start runs, of new jobs too; zero if it has ended.
 	activeUntil time.Time
 }
 
@@ -19,12 +18,15 @@
 // instant. ended means that its process is proved to have ended, or that it has stepped down.
 // maxLease is the longest lease that workers grant.
 func predecessorOf(began time.Time, ended bool, maxLease time.Duration) predecessor {
-	// The previous leader granted leases of leaseTerm, but a worker that had just restarted without
-	// its knowledge may hold the longest lease that workers accept.
-	p := predecessor{leasesUntil: began.Add(engine.LongestLease(maxLease))}
+	lastCommand := began
+	p := predecessor{}
 	if !ended {
-		p.leasesUntil = p.leasesUntil.Add(lateLeaseGrace)
-		p.activeUntil = began.Add(predecessorOverlap)
+		// The last proof of its leadership is from before the takeover.
+		p.activeUntil = began.Add(leadershipTerm)
+		lastCommand = p.activeUntil
 	}
+	// The previous leader granted leases of leaseTerm, but a worker that had just restarted without
+	// its knowledge may hold the longest lease that workers accept. A relay may have held the command.
+	p.leasesUntil = lastCommand.Add(maxCommandAge + engine.LongestLease(maxLease))
 	return p
 }
--- a/core/cell/takeover.go
+++ b/core/cell/takeover.go
@@ -43,7 +43,7 @@
 // takeOver writes a row of the next epoch and starts to lead.
 func (e *elector) takeOver(ctx context.Context) {
 	e.mu.Lock()
-	previous, version, ended, changedAt := e.row, e.version, e.holderGone || e.row.Released, e.changedAt
+	previous, version, ended, changedAt := e.row, e.version, e.holderEnded || e.row.Released, e.changedAt
 	e.mu.Unlock()
 	next := leaderRow{
 		Epoch:    previous.Epoch + 1,
