Let the other VMs confirm the leader's term while the store answers nobody

While the renewal of its row is overdue, the leader asks all VMs that have sent it heartbeats, or did so to its predecessor, whether they have taken over. If all of them deny it, the term goes on from the time of the question. A VM that does not answer, or has not read the row since its start, may lead, so the leader pauses.

Left: a VM that nobody had heard of when the store went away is not asked.

--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -114,6 +114,8 @@
 	// holderGone is true if the holder's process seems to have ended, holderEnded if that is proved. A
 	// refused connection proves nothing, since a firewall may refuse it too.
 	holderGone, holderEnded bool
+	// takingOver is true while this VM's attempt to take over is underway.
+	takingOver bool
 	// cancelSession ends this VM's leadership; it is nil while this VM does not lead. sessions
 	// waits for the loops of its leaderships.
 	cancelSession context.CancelFunc
@@ -391,7 +393,8 @@
 		}
 		return
 	}
-	if e.shouldTakeOver(now) {
+	if e.beginTakeover(now) {
 		e.takeOver(ctx)
+		e.endTakeover()
 	}
 }
--- a/core/cell/elect_test.go
+++ b/core/cell/elect_test.go
@@ -54,8 +54,8 @@
 			now := time.Now()
 			e.row, e.version, e.known, e.holderGone = c.row, 1, true, c.holderGone
 			e.changedAt, e.reachableSince, e.lastAnswerAt = now.Add(-c.idle), now.Add(-time.Minute), now
-			if got := e.shouldTakeOver(now); got != c.want {
-				t.Errorf("shouldTakeOver: %v, want %v", got, c.want)
+			if got := e.beginTakeover(now); got != c.want {
+				t.Errorf("beginTakeover: %v, want %v", got, c.want)
 			}
 		})
 	}
--- a/core/cell/followers.go
+++ b/core/cell/followers.go
@@ -15,7 +15,8 @@
 func (l *leader) handleHello(h hello) helloReply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.followers[h.Name] = &followerVM{entry: vmEntry{Address: h.Address, Zone: h.Zone, Processors: h.Processors}, seenAt: time.Now()}
+	vm := &followerVM{entry: vmEntry{Address: h.Address, Zone: h.Zone, Processors: h.Processors}, seenAt: time.Now()}
+	l.followers[h.Name], l.members[h.Name] = vm, vm
 	return helloReply{Leading: true, Epoch: l.epoch, Pending: l.pendingLocked(), Instance: l.node.instance}
 }
 
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -27,10 +27,6 @@
 	// takes three seconds. Runs on a lost worker must expire before they start elsewhere, so
 	// the term should not be longer than a takeover needs.
 	leaseTerm = 5 * time.Second
-	// leadershipTerm is how long after the last proof that it leads a leader starts runs and grants
-	// leases. It must outlast two renewals through a slow store. The next leader waits for what the
-	// term allows.
-	leadershipTerm = 2500 * time.Millisecond
 )
 
 // leader executes the decisions of the engine for one epoch.
@@ -52,8 +48,11 @@
 	unreadable map[jobs.ID]bool
 	// feedFrom is the store version from which the feed follows the jobs.
 	feedFrom int64
-	// followers are the VMs that send heartbeats to this leader, by name.
-	followers map[string]*followerVM
+	// followers are the VMs that send heartbeats to this leader, by name. members are those that do,
+	// did so within memberRetention, or did so to the previous leader.
+	followers, members map[string]*followerVM
+	// confirmedAt is the time of the last proof that nobody else leads.
+	confirmedAt time.Time
 
 	// dispatch selects the path of each command to its worker.
 	dispatch *dispatcher
@@ -81,6 +80,7 @@
 		began:      began,
 		pollers:    make(map[string]*poller),
 		followers:  make(map[string]*followerVM),
+		members:    make(map[string]*followerVM),
 		unreadable: make(map[jobs.ID]bool),
 		wake:       make(chan struct{}, 1),
 	}
@@ -97,6 +97,7 @@
 	// The followers of the previous leader can relay until it is known which of them are alive.
 	for name, vm := range row.VMs {
 		l.followers[name] = &followerVM{entry: vm, seenAt: began}
+		l.members[name] = l.followers[name]
 	}
 	l.confirm(began)
 	l.records = newRecorder(l)
@@ -113,7 +114,7 @@
 	if !l.load(ctx) {
 		return
 	}
-	loops := []func(context.Context){l.runWorkers, l.runJobs, l.records.run, l.records.runCompact, l.runTicks}
+	loops := []func(context.Context){l.runWorkers, l.runJobs, l.records.run, l.records.runCompact, l.runTicks, l.runTerm}
 	for _, loop := range loops {
 		l.loops.Add(1)
 		go (&task{call: loop, done: &l.loops}).run(ctx)
@@ -221,11 +222,6 @@
 	l.apply(engine.ConfigChanged{Config: config})
 }
 
-// confirm extends the term: no other VM had taken over at the given time.
-func (l *leader) confirm(at time.Time) {
-	l.apply(engine.LeadershipConfirmed{At: at, Until: at.Add(leadershipTerm)})
-}
-
 func (l *leader) superseded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/cell/message.go
+++ b/core/cell/message.go
@@ -14,6 +14,7 @@
 	pathAdvice    = "/peer/ask"
 	pathRowUpdate = "/peer/news"
 	pathStore     = "/peer/store"
+	pathTerm      = "/peer/term"
 	// pathRelay opens a link, which carries frames instead of HTTP.
 	pathRelay = "/peer/relay"
 )
@@ -40,6 +41,19 @@
 	Instance string `cbor:"4,keyasint"`
 }
 
+// termRequest asks a VM whether it has taken over from a leader, or knows who has.
+type termRequest struct {
+	Epoch    int64  `cbor:"1,keyasint"`
+	Instance string `cbor:"2,keyasint"`
+}
+
+// termReply is the answer to a termRequest. Epoch is the latest epoch that the VM knows.
+type termReply struct {
+	// Confirmed is set if the leader is the last one that the VM knows, and the VM has not taken over.
+	Confirmed bool  `cbor:"1,keyasint"`
+	Epoch     int64 `cbor:"2,keyasint"`
+}
+
 // rowUpdate notifies the leader of a row of the jobs table that was just stored.
 type rowUpdate struct {
 	Row storedRow `cbor:"1,keyasint"`
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -108,12 +108,13 @@
 	pendingDesc = prometheus.NewDesc("tanager_pending_jobs", "Accepted jobs that have not begun.", []string{"queue"}, nil)
 	storeDesc   = prometheus.NewDesc("tanager_store_calls_total", "Calls to the store.", []string{"kind"}, nil)
 	relaysDesc  = prometheus.NewDesc("tanager_open_relays", "Relays that the leader sends orders through.", nil, nil)
+	termDesc    = prometheus.NewDesc("tanager_leadership_proof_age_seconds", "Age of the leader's last proof that no other VM leads.", nil, nil)
 	endsDesc    = prometheus.NewDesc("tanager_run_ends_total", "Ends of runs, as the leader of this epoch has seen them.", []string{"end"}, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (c nodeCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, endsDesc} {
+	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc} {
 		out <- desc
 	}
 }
@@ -146,6 +147,7 @@
 	l.mu.Lock()
 	ends, pending := l.engine.Counters(), l.pendingLocked()
 	l.mu.Unlock()
+	out <- prometheus.MustNewConstMetric(termDesc, prometheus.GaugeValue, l.confirmedBefore().Seconds())
 	out <- prometheus.MustNewConstMetric(relaysDesc, prometheus.GaugeValue, float64(l.dispatch.openLinks()))
 	for queue, count := range pending {
 		out <- prometheus.MustNewConstMetric(pendingDesc, prometheus.GaugeValue, float64(count), queue)
--- a/core/cell/predecessor_test.go
+++ b/core/cell/predecessor_test.go
@@ -56,7 +56,7 @@
 			now := time.Now()
 			e.changedAt, e.reachableSince, e.lastAnswerAt = now, now, now
 			e.node.handleHelloReply(t.Context(), e.row, c.reply, c.err)
-			if got := e.shouldTakeOver(now); got != c.takesOver || e.holderEnded != c.provedDead {
+			if got := e.beginTakeover(now); got != c.takesOver || e.holderEnded != c.provedDead {
 				t.Errorf("takes over: %v, end proved: %v; want %v, %v", got, e.holderEnded, c.takesOver, c.provedDead)
 			}
 		})
--- a/core/cell/serve.go
+++ b/core/cell/serve.go
@@ -34,6 +34,7 @@
 	handle(s, mux, pathAdvice, s.advise)
 	handle(s, mux, pathRowUpdate, s.rowUpdate)
 	handle(s, mux, pathStore, s.proxyStore)
+	handle(s, mux, pathTerm, s.confirmTerm)
 	mux.HandleFunc("POST "+pathRelay, s.openRelay)
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: peerIdleTimeout}
 	return s, nil
--- a/core/cell/takeover.go
+++ b/core/cell/takeover.go
@@ -14,10 +14,24 @@
 	"tanagerstack.org/core/store"
 )
 
-// shouldTakeOver reports whether the leadership is free and this VM should acquire it now.
-func (e *elector) shouldTakeOver(now time.Time) bool {
+// beginTakeover reports whether the leadership is free and this VM should acquire it now. Until
+// endTakeover is called, the VM confirms no leader's term.
+func (e *elector) beginTakeover(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.takingOver = e.shouldTakeOver(now)
+	return e.takingOver
+}
+
+func (e *elector) endTakeover() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.takingOver = false
+}
+
+// shouldTakeOver reports whether the leadership is free and this VM should acquire it now. The
+// caller holds e.mu.
+func (e *elector) shouldTakeOver(now time.Time) bool {
 	if !e.known || e.cancelSession != nil || e.reachableSince.IsZero() || e.node.stopping.Load() || e.node.opts.Store.DirectTransport() == nil {
 		return false
 	}
