Let tests open the connections of a VM

A cut between VMs, or between one VM and some workers, could not be made in a test, since each VM dials by itself. Nothing changes outside of tests.

--- a/core/cell/link.go
+++ b/core/cell/link.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -65,7 +64,7 @@
 func (k *relayLink) dial(ctx context.Context) (*frameConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", k.address.String())
+	conn, err := k.leader.node.opts.Dial(ctx, "tcp", k.address.String())
 	if err != nil {
 		return nil, err
 	}
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -36,7 +37,7 @@
 // noticed after that time, and a change must be in force within four seconds (the brief).
 const configWatchWait = 2 * time.Second
 
-// Options configure a Node. All fields are required but Meter, Processors and MemoryBytes.
+// Options configure a Node. All fields are required but Meter, Dial, Processors and MemoryBytes.
 type Options struct {
 	// Name is the name of this VM, PeerAddress the address on which it serves other VMs.
 	Name        string
@@ -50,6 +51,8 @@
 	Logger    Logger
 	// Meter counts the bytes exchanged with other VMs; it may be nil.
 	Meter *meter.Meter
+	// Dial opens connections to other VMs; nil means net.Dialer.DialContext.
+	Dial meter.Dialer
 	// MaxLease is the longest lease that workers grant, StopTime the longest time they take to
 	// stop a run.
 	MaxLease time.Duration
@@ -82,7 +85,10 @@
 // New returns a node that is idle until Run is called.
 func New(opts Options) *Node {
 	n := &Node{opts: opts, instance: rand.Text()}
-	n.peers = newPeerClient(opts.Meter)
+	if n.opts.Dial == nil {
+		n.opts.Dial = (&net.Dialer{}).DialContext
+	}
+	n.peers = newPeerClient(&n.opts)
 	n.metrics = newMetrics(n)
 	n.elector = newElector(n)
 	opts.Store.SetProxy(&storeProxy{node: n}, LeaderTable, LeaderKey)
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -46,10 +46,14 @@
 	meter *meter.Meter
 }
 
-func newPeerClient(m *meter.Meter) *peerClient {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	return &peerClient{meter: m, http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+func newPeerClient(opts *Options) *peerClient {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+		defer cancel()
+		return opts.Dial(ctx, network, address)
+	}
+	return &peerClient{meter: opts.Meter, http: &http.Client{Transport: &http.Transport{
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdlePeerConnections,
 		IdleConnTimeout:     peerIdleTimeout,
 		DisableCompression:  true,
