--- a/core/engine/simulation_rapid_test.go
+++ b/core/engine/simulation_rapid_test.go
@@ -69,6 +69,10 @@
 	if advice {
 		job.Queue.Advice = &jobs.AdviceSettings{RequestTime: 20 * time.Millisecond, PerWorkerTime: time.Millisecond, TicketValidity: 2 * time.Second}
 	}
+	if serial%10 == 9 {
+		job.Steps[0].Estimate += testLease // outlasts the lease of a lost worker
+		return job
+	}
 	for i := 1; i < 1+r.IntN(3); i++ {
 		step := job.Steps[0]
 		step.Count, step.Gang = 1+r.IntN(3), false
