Keep results of unknown jobs until the feed has delivered their jobs

What callers could see: a task runs again after its end as done was acknowledged. Cause: a result whose job the feed had not delivered was discarded, and so acknowledged, 20 s after it was listed, whether the store answered or not. Now the feed must have delivered all jobs stored before the result was listed as well.

TestResultIsKeptWhileTheFeedIsAway failed before: acknowledged, then started again. The two tests of the retention report now, as the feed does, how far it has read; their bounds are unchanged.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -93,6 +93,8 @@
 	// caughtUp is set once every job that the previous leader may have received first is known
 	// here.
 	caughtUp bool
+	// jobsRead is the time up to which all stored jobs are known here.
+	jobsRead time.Time
 	// confirmed is the last proof of this leadership. unconfirmed is set while it is too old to act on.
 	confirmed   LeadershipConfirmed
 	unconfirmed bool
@@ -147,6 +149,7 @@
 	case JobAccepted:
 		e.jobAccepted(now, ev)
 	case JobsRead:
+		e.jobsRead = ev.Before
 		e.caughtUp = e.caughtUp || ev.Before.After(e.opts.PreviousActiveUntil)
 	case LeadershipConfirmed:
 		e.leadershipConfirmed(now, ev)
--- a/core/engine/orphan.go
+++ b/core/engine/orphan.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// orphanRetention is the time for which runs and results of unknown jobs are kept. The feed
-// delivers a stored job within a second or two, and outages of the store last up to 14 s.
+// orphanRetention is the shortest time for which runs and results of unknown jobs are kept. They are
+// kept on until the feed has delivered all jobs that were stored before they were listed.
 const orphanRetention = 20 * time.Second
 
 // orphanedResult is a result for a job that the feed has not delivered yet: a previous leader was
@@ -15,22 +15,28 @@
 type orphanedResult struct {
 	result RunResult
 	worker *worker
-	// until is the time at which the result is discarded.
-	until time.Time
+	// listedAt is when the result was first listed.
+	listedAt time.Time
 }
 
 // orphanedRun is a run of a job that the feed has not delivered yet.
 type orphanedRun struct {
 	run *run
-	// until is the time at which the run is stopped.
-	until time.Time
+	// listedAt is when the run was first listed.
+	listedAt time.Time
+}
+
+// jobIsUnknown reports whether no job is stored that a run or a result of an unknown job, which was
+// listed at a time, can belong to.
+func (e *Engine) jobIsUnknown(now, listedAt time.Time) bool {
+	return now.Sub(listedAt) >= orphanRetention && e.jobsRead.After(listedAt)
 }
 
 // keepOrphanedRun lets a run continue until its job is known. The worker gets no new work
 // meanwhile, since the run's demand is not known.
 func (e *Engine) keepOrphanedRun(now time.Time, r *run) {
 	e.log("keeping run of an unknown job", "task", r.task, "run", r.number, "worker", r.worker.ID)
-	e.orphanedRuns[r.task.Job] = append(e.orphanedRuns[r.task.Job], orphanedRun{run: r, until: now.Add(orphanRetention)})
+	e.orphanedRuns[r.task.Job] = append(e.orphanedRuns[r.task.Job], orphanedRun{run: r, listedAt: now})
 }
 
 // matchOrphanedRuns assigns the kept runs of a job to its tasks.
@@ -57,7 +63,7 @@
 func (e *Engine) expireOrphanedRuns(now time.Time) {
 	for id, list := range e.orphanedRuns {
 		kept := slices.DeleteFunc(list, func(o orphanedRun) bool {
-			if now.Before(o.until) {
+			if !e.jobIsUnknown(now, o.listedAt) {
 				return false
 			}
 			if o.run.worker.runs[o.run.runKey] == o.run {
@@ -73,7 +79,7 @@
 }
 
 func (e *Engine) keepOrphanedResult(now time.Time, w *worker, result RunResult) *orphanedResult {
-	o := &orphanedResult{result: result, worker: w, until: now.Add(orphanRetention)}
+	o := &orphanedResult{result: result, worker: w, listedAt: now}
 	e.orphanedResults[result.Task.Job] = append(e.orphanedResults[result.Task.Job], o)
 	return o
 }
@@ -109,7 +115,7 @@
 	for id, list := range e.orphanedResults {
 		var kept []*orphanedResult
 		for _, o := range list {
-			if now.Before(o.until) {
+			if !e.jobIsUnknown(now, o.listedAt) {
 				kept = append(kept, o)
 				continue
 			}
--- a/core/engine/orphan_test.go
+++ b/core/engine/orphan_test.go
@@ -46,12 +46,33 @@
 	if request, _ := e.NextPoll(e.now, "w1"); request.AckedUpTo != 0 {
 		t.Errorf("results acknowledged up to %d before orphanRetention, want 0", request.AckedUpTo)
 	}
+	e.apply(JobsRead{Before: e.now})
 	e.runPass(orphanRetention)
 	if request, _ := e.NextPoll(e.now, "w1"); request.AckedUpTo != 1 {
 		t.Errorf("results acknowledged up to %d after orphanRetention, want 1", request.AckedUpTo)
 	}
 }
 
+// TestResultIsKeptWhileTheFeedIsAway guards against a task that runs again after its end as done was
+// acknowledged: the store is away for longer than orphanRetention, and its job is delivered late.
+func TestResultIsKeptWhileTheFeedIsAway(t *testing.T) {
+	e := newTestEngine(t, Options{Epoch: 2}, testWorker("w1"))
+	done := Report{Results: []RunResult{{Sequence: 1, Task: jobs.TaskID{StepID: jobs.StepID{Job: "job"}}, Run: 1, End: jobs.EndDone}}}
+	e.apply(JobsRead{Before: e.now.Add(-time.Second)})
+	for end := e.now.Add(2 * orphanRetention); e.now.Before(end); {
+		e.poll("w1", done)
+		e.runPass(100 * time.Millisecond)
+	}
+	if request, _ := e.NextPoll(e.now, "w1"); request.AckedUpTo != 0 {
+		t.Errorf("results acknowledged up to %d before their job was delivered", request.AckedUpTo)
+	}
+	e.apply(JobAccepted{Job: testJob("job", 1), Inherited: true})
+	e.poll("w1", done)
+	if starts := commandsOfType[Start](e.runPass(0)); len(starts) > 0 {
+		t.Errorf("started %+v after its end as done was listed", starts)
+	}
+}
+
 // TestRunOfUnheardJobIsKept guards against stopping a run because the feed has not delivered its
 // job yet. The run must continue and become the run of its task once the job is delivered.
 func TestRunOfUnheardJobIsKept(t *testing.T) {
@@ -82,6 +103,7 @@
 	var stoppedAfter time.Duration
 	for e.now.Sub(testStart) < 2*orphanRetention && stoppedAfter == 0 {
 		e.NextPoll(e.now, "w1")
+		e.apply(JobsRead{Before: e.now})
 		commands := append(e.poll("w1", report), e.runPass(time.Second)...)
 		if len(commandsOfType[Stop](commands)) > 0 {
 			stoppedAfter = e.now.Sub(testStart)
