Wait again for a worker that restarts within the term of the previous leader

What callers could see: two runs of a task. A worker that the new leader had polled restarts, has seen no fencing token, and takes a start of the previous leader, which may act until its term ends; the new leader had stopped waiting for the worker at its first poll.

TestRestartReopensWorkerToPreviousLeader failed before: an inherited job started on another worker 250 ms after the takeover.

--- a/core/engine/term_test.go
+++ b/core/engine/term_test.go
@@ -76,3 +76,31 @@
 		t.Errorf("starts after the proof: %+v, want one of the job", starts)
 	}
 }
+
+// TestRestartReopensWorkerToPreviousLeader guards against running a task twice: a worker that was polled
+// restarts, knows no fencing token, and takes a start from the previous leader.
+func TestRestartReopensWorkerToPreviousLeader(t *testing.T) {
+	for name, c := range map[string]struct {
+		restartAfter time.Duration
+		want         bool
+	}{
+		"while the previous leader may act": {200 * time.Millisecond, false},
+		"after its term":                    {simTerm + time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			active := testStart.Add(simTerm)
+			opts := Options{
+				Epoch: 2, PreviousActiveUntil: active, PreviousLeasesUntil: active.Add(testLease + time.Second),
+				PreviousRoster: Roster{Workers: []string{"w1", "w2"}},
+			}
+			e := newTestEngine(t, opts, testWorker("w1"), testWorker("w2"))
+			e.now = e.now.Add(c.restartAfter)
+			e.answer("w1", testStart.Add(time.Second), Report{Clock: time.Second})
+			e.apply(JobAccepted{Job: testJob("job", 1), Inherited: true})
+			e.confirm()
+			if started := len(e.cutOff(time.Second)) > 0; started != c.want {
+				t.Errorf("started on w2 before w1 was polled again: %v, want %v", started, c.want)
+			}
+		})
+	}
+}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -246,6 +246,10 @@
 	w.StartedAt, w.incarnationSince = startedAt, now
 	w.synced, w.resultsKnown = false, false
 	w.raiseFence()
+	if now.Before(e.opts.PreviousActiveUntil) {
+		// It knows no fencing token, so the previous leader can start runs there again.
+		e.previousWorkers[w.ID] = nil
+	}
 	w.clock = clock{}
 	w.leasedUntil = 0
 	w.lastSequence, w.ackedUpTo, w.pendingAcks = 0, 0, nil
