Take no lease for expired that is not known yet

What callers could see: two runs of a task. After a restart of its worker the lease counted as zero until a poll with the last fencing token was answered. A run that an earlier report listed was dropped at the next tick. A report without that token sets the longest lease as well.

TestLeaseIsUnknownUntilSynchronized failed before.

--- a/core/engine/term_test.go
+++ b/core/engine/term_test.go
@@ -104,3 +104,21 @@
 		})
 	}
 }
+
+// TestLeaseIsUnknownUntilSynchronized guards against starting a task again whose worker has listed it
+// as running, in a report that did not carry the last fencing token.
+func TestLeaseIsUnknownUntilSynchronized(t *testing.T) {
+	e := newTestEngine(t, Options{}, testWorker("w1"))
+	start := e.startOne(t, "job")
+	running := Report{Running: []ActiveRun{{Task: start.Task, Run: start.Run}}}
+	restarted := testStart.Add(time.Second)
+	e.answer("w1", restarted, Report{Clock: time.Second})
+	request, _ := e.NextPoll(e.now, "w1")
+	e.apply(PollFailed{Worker: "w1", Fence: request.Fence})
+	running.Clock, running.StartedAt = 2*time.Second, restarted
+	e.apply(WorkerPolled{Worker: "w1", Sent: e.now, Fence: request.Fence, Report: running})
+	e.runPass(time.Second)
+	if len(e.workers["w1"].runs) != 1 {
+		t.Error("the run was given up although its worker lists it as running")
+	}
+}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -299,12 +299,14 @@
 		e.checkMissingRuns(now, w, ev.Sent, listed, unclear)
 	}
 	w.advanceAcks()
-	// A report to a poll with a lower token proves nothing about commands that are still underway.
-	if !w.synced && ev.Fence == e.fence(w) {
-		w.synced = true
+	if !w.synced {
 		// Commands with lower tokens may have granted a lease by the clock of an earlier
 		// incarnation, so the worker may hold the longest one that it accepts.
 		w.leasedUntil = max(w.leasedUntil, ev.Report.Clock+e.opts.MaxLease)
+	}
+	// A report to a poll with a lower token proves nothing about commands that are still underway.
+	if !w.synced && ev.Fence == e.fence(w) {
+		w.synced = true
 		e.log("worker synchronized by its first poll", "worker", w.ID, "running", len(ev.Report.Running), "ended", len(ev.Report.Results), "all-ends-listed", allListed, "former-left", len(e.previousWorkers))
 	}
 	if w.synced && !w.resultsKnown && allListed && len(unclear) == 0 {
