Rest the term on electors that the leader row lists

A leader forgot a VM 30 s after its last heartbeat; one that was cut off for longer had nobody left to ask and confirmed its own term.

The row lists up to 16 electors, spread over the failure domains. Only they may take over as soon as the row expires; another VM waits for 20 s without a change. So a leader without the store needs the word of the electors of each version of the row that may be stored, however long they are silent, and of nobody else, until 20 s after its last renewal. Without electors it needs the store. In a large fleet it asks 16 VMs, not 146.

TestElectorsAreAskedHoweverLongTheyAreSilent, TestElectorsOfAFleet and the new cases of TestWhenToTakeOver guard it; TestProofCountsFromItsRequest fails if a proof counts from its answer.

--- a/core/cell/direct.go
+++ b/core/cell/direct.go
@@ -47,11 +47,13 @@
 	return outcomeAfterRetry(outcome), true, err
 }
 
-// isStale reports whether more than maxCommandAge has passed since an instant. It compares both
-// the monotonic and the wall clock, since the monotonic clock may not advance while the VM is
-// suspended.
-func isStale(since time.Time) bool {
-	return time.Since(since) > maxCommandAge || time.Now().Round(0).Sub(since.Round(0)) > maxCommandAge
+// isStale reports whether more than maxCommandAge has passed since an instant.
+func isStale(since time.Time) bool { return elapsed(since, time.Now()) > maxCommandAge }
+
+// elapsed returns the time between two instants, by the monotonic or the wall clock, whichever has
+// advanced more: the monotonic clock may stand still while the VM is suspended.
+func elapsed(since, now time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
 }
 
 func (d directPath) tryStart(ctx context.Context, command engine.Start, timeout time.Duration) (engine.StartOutcome, error) {
--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -30,6 +30,9 @@
 	// leader of 350 workers uses 0.35 processors and 260 MB.
 	minLeaderProcessors = 0.36
 	minLeaderMemory     = 270 << 20
+	// unlistedExpireAfter is the same for a VM that the row does not list as an elector. It exceeds the
+	// outages of the store, in which a leader relies on the word of the electors.
+	unlistedExpireAfter = 20 * time.Second
 	// smallVMDelay is how much longer VMs below these limits wait before they take over.
 	smallVMDelay = 600 * time.Millisecond
 	// confirmationValidFor is how long a leader's reply to a heartbeat counts as proof that it
@@ -67,6 +70,9 @@
 	// VMs are some of the VMs that send heartbeats to the leader, and the leader itself, by
 	// name.
 	VMs map[string]vmEntry `json:"vms,omitempty"`
+	// Electors are the VMs that may take over once the row expires, by name, with the addresses of
+	// their peer servers. Other VMs wait for unlistedExpireAfter. If there are none, all VMs may.
+	Electors map[string]netip.AddrPort `json:"electors,omitempty"`
 	// Renewals counts the renewals, so that each renewal changes the row.
 	Renewals int64 `json:"beat"`
 }
@@ -94,6 +100,8 @@
 	reachableSince time.Time
 	lastAnswerAt   time.Time
 	known          bool
+	// seenAt is when this version of the row was first seen.
+	seenAt time.Time
 	// confirmedAt is when the leader last confirmed that it leads. watchPaused is true if the
 	// row was not watched for a while before the current watch, and versionAtPause is the
 	// version of the row at that time.
@@ -291,6 +299,7 @@
 	if !e.watchPaused || row.Instance != e.row.Instance {
 		e.changedAt = time.Now()
 	}
+	e.seenAt = time.Now()
 	e.row, e.version, e.known = row, version, true
 	// An earlier process of this VM cannot lead anymore.
 	e.holderEnded = row.Holder == e.node.opts.Name && row.Instance != e.node.instance
--- a/core/cell/elect_test.go
+++ b/core/cell/elect_test.go
@@ -35,11 +35,15 @@
 // over: longer while its leader loads the stored jobs, and not at all once the leader's process
 // is known to have ended.
 func TestWhenToTakeOver(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	elector, others := map[string]netip.AddrPort{"vm": address}, map[string]netip.AddrPort{"other": address}
 	cases := map[string]struct {
 		row        leaderRow
 		idle       time.Duration
 		holderGone bool
-		want       bool
+		// ended is set if the end of its process is proved as well.
+		ended bool
+		want  bool
 	}{
 		"renewed recently":               {row: leaderRow{Epoch: 1}, idle: time.Second},
 		"not renewed":                    {row: leaderRow{Epoch: 1}, idle: expireAfter + time.Second, want: true},
@@ -47,12 +51,19 @@
 		"loading for too long":           {row: leaderRow{Epoch: 1, Loading: true}, idle: loadingExpireAfter + time.Second, want: true},
 		"loading, and its process ended": {row: leaderRow{Epoch: 1, Loading: true}, idle: time.Second, holderGone: true, want: true},
 		"released":                       {row: leaderRow{Epoch: 1, Released: true}, idle: time.Millisecond, want: true},
+		"listed as elector":              {row: leaderRow{Epoch: 1, Electors: elector}, idle: expireAfter + time.Second, want: true},
+		"not listed":                     {row: leaderRow{Epoch: 1, Electors: others}, idle: unlistedExpireAfter - time.Second},
+		"not listed for long":            {row: leaderRow{Epoch: 1, Electors: others}, idle: unlistedExpireAfter + time.Second, want: true},
+		"not listed, refused":            {row: leaderRow{Epoch: 1, Electors: others}, idle: time.Second, holderGone: true},
+		"not listed, process ended":      {row: leaderRow{Epoch: 1, Electors: others}, idle: time.Second, holderGone: true, ended: true, want: true},
+		"not listed, released":           {row: leaderRow{Epoch: 1, Released: true, Electors: others}, idle: time.Millisecond, want: true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			e := idleElector(t)
 			now := time.Now()
-			e.row, e.version, e.known, e.holderGone = c.row, 1, true, c.holderGone
+			e.row, e.version, e.known, e.holderGone, e.holderEnded = c.row, 1, true, c.holderGone, c.ended
+			e.seenAt = now.Add(-c.idle)
 			e.changedAt, e.reachableSince, e.lastAnswerAt = now.Add(-c.idle), now.Add(-time.Minute), now
 			if got := e.beginTakeover(now); got != c.want {
 				t.Errorf("beginTakeover: %v, want %v", got, c.want)
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -51,8 +53,11 @@
 	// followers are the VMs that send heartbeats to this leader, by name. members are those that do,
 	// did so within memberRetention, or did so to the previous leader.
 	followers, members map[string]*followerVM
-	// confirmedAt is the time of the last proof that nobody else leads.
-	confirmedAt time.Time
+	// electors are the VMs that a version of the row may list that is stored.
+	electors map[string]netip.AddrPort
+	// confirmedAt is the time of the last proof that nobody else leads, renewedAt that of the last
+	// one by the store.
+	confirmedAt, renewedAt time.Time
 
 	// dispatch selects the path of each command to its worker.
 	dispatch *dispatcher
@@ -81,6 +86,8 @@
 		pollers:    make(map[string]*poller),
 		followers:  make(map[string]*followerVM),
 		members:    make(map[string]*followerVM),
+		electors:   maps.Clone(row.Electors),
+		renewedAt:  began,
 		unreadable: make(map[jobs.ID]bool),
 		wake:       make(chan struct{}, 1),
 	}
--- a/core/cell/takeover.go
+++ b/core/cell/takeover.go
@@ -35,7 +35,7 @@
 	if !e.known || e.cancelSession != nil || e.reachableSince.IsZero() || e.node.stopping.Load() || e.node.opts.Store.DirectTransport() == nil {
 		return false
 	}
-	if e.version == store.Absent || e.row.Released || e.holderGone {
+	if e.version == store.Absent || e.row.Released || e.holderEnded || e.holderGone && e.isElector() {
 		if e.freeSince.IsZero() {
 			e.freeSince = now
 		}
@@ -50,10 +50,22 @@
 	if e.row.Loading {
 		limit = loadingExpireAfter
 	}
+	if !e.isElector() {
+		limit = max(limit, unlistedExpireAfter)
+		if e.seenAt.After(idleSince) {
+			idleSince = e.seenAt
+		}
+	}
 	// Only an answer of the store after that time proves that the row is unchanged.
 	return e.lastAnswerAt.Sub(idleSince) > limit+e.jitter+e.takeoverDelay && now.Sub(e.lastAnswerAt) < expireAfter
 }
 
+// isElector reports whether this VM may take over as soon as the row expires. The caller holds e.mu.
+func (e *elector) isElector() bool {
+	_, listed := e.row.Electors[e.node.opts.Name]
+	return listed || len(e.row.Electors) == 0
+}
+
 // takeOver writes a row of the next epoch and starts to lead.
 func (e *elector) takeOver(ctx context.Context) {
 	e.mu.Lock()
@@ -67,8 +79,10 @@
 		Workers:  previous.Workers,
 		Lost:     previous.Lost,
 		VMs:      previous.VMs,
+		Electors: maps.Clone(previous.Electors),
 		Loading:  true,
 	}
+	delete(next.Electors, next.Holder)
 	began := time.Now()
 	written, err := e.write(ctx, next, version, store.Put{Table: LeaderTable, Key: epochKey, Value: fmt.Append(nil, next.Epoch)})
 	if err != nil {
@@ -105,6 +119,7 @@
 	row.Renewals++
 	row.Workers, row.Lost = roster.Workers, roster.Lost
 	row.VMs = l.vms()
+	row.Electors = l.nextElectors(time.Now())
 	row.Loading = l.pending() == nil
 	l.rosterSent(roster)
 	now := time.Now()
@@ -121,7 +136,7 @@
 	}
 	e.mu.Unlock()
 	l.rosterRecorded(roster)
-	l.confirm(now)
+	l.noteRenewed(now, row.Electors)
 }
 
 // encode returns the stored form of the row. If that is too large, it leaves out the jobs of lost
--- a/core/cell/term.go
+++ b/core/cell/term.go
@@ -1,7 +1,12 @@
 package cell
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -9,9 +14,10 @@
 	"tanagerstack.org/core/store"
 )
 
-// A leader proves that nobody else leads by renewing its row. While the store answers nobody, the
-// other VMs prove it instead: all of them confirm that they have not taken over. A leader that is
-// cut off together with some VMs lacks the answers of the others, one of which may lead.
+// A leader proves that nobody else leads by renewing its row. While the row is not renewed, the
+// electors that it lists prove it instead: all of them confirm that they have not taken over, and no
+// other VM may take over before unlistedExpireAfter. A leader that is cut off together with some
+// electors lacks the answers of the others, one of which may lead.
 
 const (
 	// leadershipTerm is how long after the last proof that it leads a leader starts runs and grants
@@ -24,9 +30,10 @@
 	termInterval   = 300 * time.Millisecond
 	// termTimeout bounds a round. A proof holds from the start of its round.
 	termTimeout = 500 * time.Millisecond
-	// memberRetention is how long after its last heartbeat a VM may be alive without having been
-	// seen by the leader.
-	memberRetention = 30 * time.Second
+	// memberRetention is how long after its last heartbeat a VM remains an elector.
+	memberRetention = 10 * time.Second
+	// maxElectors bounds the electors. They are spread over the failure domains.
+	maxElectors = 16
 )
 
 // confirm extends the term: no other VM had taken over at the given time.
@@ -46,50 +53,93 @@
 	return time.Since(l.confirmedAt)
 }
 
-// runTerm asks the other VMs to confirm the term while the row is not renewed, until ctx ends.
-func (l *leader) runTerm(ctx context.Context) {
-	for store.Sleep(ctx, termInterval) {
-		members, overdue := l.termMembers(time.Now())
-		if !overdue {
-			continue
-		}
-		asked := time.Now()
-		confirmed, missing := l.askMembers(ctx, members)
-		if missing == "" {
-			l.confirm(asked)
-		}
-		l.node.opts.Logger.Info("other VMs asked to confirm the term", "epoch", l.epoch, "confirmed", confirmed, "of", len(members), "missing", missing)
-	}
+// noteRenewed records that the row was renewed with the given electors by a write sent at a time.
+func (l *leader) noteRenewed(at time.Time, electors map[string]netip.AddrPort) {
+	l.mu.Lock()
+	l.renewedAt, l.electors = at, maps.Clone(electors)
+	l.mu.Unlock()
+	l.confirm(at)
 }
 
-// termMembers returns the VMs that may take over, and whether the last proof is overdue.
-func (l *leader) termMembers(now time.Time) (members map[string]vmEntry, overdue bool) {
+// nextElectors returns the electors to list in the next version of the row. Until it is known to be
+// stored, those of the last one count as well.
+func (l *leader) nextElectors(now time.Time) map[string]netip.AddrPort {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.confirmedAt) < renewalOverdue {
-		return nil, false
-	}
-	members = make(map[string]vmEntry, len(l.members))
+	byZone := make(map[string][]string)
 	for name, vm := range l.members {
 		switch {
 		case name == l.node.opts.Name:
+			delete(l.members, name)
 		case now.Sub(vm.seenAt) > memberRetention:
 			delete(l.members, name)
 		default:
-			members[name] = vm.entry
+			byZone[vm.entry.Zone] = append(byZone[vm.entry.Zone], name)
 		}
 	}
-	return members, true
+	zones := slices.Sorted(maps.Keys(byZone))
+	for _, zone := range zones {
+		slices.SortFunc(byZone[zone], func(a, b string) int {
+			return cmp.Or(cmp.Compare(l.members[b].entry.Processors, l.members[a].entry.Processors), strings.Compare(a, b))
+		})
+	}
+	next := make(map[string]netip.AddrPort)
+	for rank := 0; len(next) < min(maxElectors, len(l.members)); rank++ {
+		for _, zone := range zones {
+			if rank < len(byZone[zone]) && len(next) < maxElectors {
+				name := byZone[zone][rank]
+				next[name] = l.members[name].entry.Address
+			}
+		}
+	}
+	if l.electors == nil {
+		l.electors = make(map[string]netip.AddrPort)
+	}
+	maps.Copy(l.electors, next)
+	return next
+}
+
+// runTerm asks the electors to confirm the term while the row is not renewed, until ctx ends.
+func (l *leader) runTerm(ctx context.Context) {
+	for store.Sleep(ctx, termInterval) {
+		l.confirmByElectors(ctx)
+	}
+}
+
+// confirmByElectors confirms the term if it is overdue and all electors say that they have not taken
+// over.
+func (l *leader) confirmByElectors(ctx context.Context) {
+	asked := time.Now()
+	electors := l.overdueElectors(asked)
+	if len(electors) == 0 {
+		return
+	}
+	confirmed, missing := l.askElectors(ctx, electors)
+	if missing == "" {
+		l.confirm(asked)
+	}
+	l.node.opts.Logger.Info("electors asked to confirm the term", "epoch", l.epoch, "confirmed", confirmed, "of", len(electors), "missing", missing)
+}
+
+// overdueElectors returns the VMs that may take over, if the last proof is overdue and no other VM
+// may. Without electors all VMs may.
+func (l *leader) overdueElectors(now time.Time) map[string]netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.confirmedAt) < renewalOverdue || elapsed(l.renewedAt, now) > unlistedExpireAfter {
+		return nil
+	}
+	return maps.Clone(l.electors)
 }
 
-// askMembers asks VMs to confirm the term. It returns how many did, and the name of one that did not.
-func (l *leader) askMembers(ctx context.Context, members map[string]vmEntry) (confirmed int, missing string) {
+// askElectors asks VMs to confirm the term. It returns how many did, and the name of one that did not.
+func (l *leader) askElectors(ctx context.Context, electors map[string]netip.AddrPort) (confirmed int, missing string) {
 	ctx, cancel := context.WithTimeout(ctx, termTimeout)
 	defer cancel()
-	calls := make([]*termCall, 0, len(members))
+	calls := make([]*termCall, 0, len(electors))
 	var pending sync.WaitGroup
-	for name, vm := range members {
-		call := &termCall{leader: l, name: name, vm: vm, done: &pending}
+	for name, address := range electors {
+		call := &termCall{leader: l, name: name, address: address, done: &pending}
 		calls = append(calls, call)
 		pending.Add(1)
 		go call.run(ctx)
@@ -109,7 +159,7 @@
 type termCall struct {
 	leader    *leader
 	name      string
-	vm        vmEntry
+	address   netip.AddrPort
 	done      *sync.WaitGroup
 	confirmed bool
 }
@@ -117,7 +167,7 @@
 func (c *termCall) run(ctx context.Context) {
 	defer c.done.Done()
 	request := termRequest{Epoch: c.leader.epoch, Instance: c.leader.node.instance}
-	reply, err := exchange[termRequest, termReply](ctx, c.leader.node.peers, c.vm.Address, pathTerm, request)
+	reply, err := exchange[termRequest, termReply](ctx, c.leader.node.peers, c.address, pathTerm, request)
 	if err == nil && reply.Epoch > c.leader.epoch {
 		c.leader.node.elector.abandon(c.leader.epoch, "a peer knows a later epoch")
 	}
--- a/core/cell/term_test.go
+++ b/core/cell/term_test.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"tanagerstack.org/core/store"
 )
 
@@ -31,7 +37,13 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			e := idleElector(t)
-			e.row, e.known, e.takingOver = c.row, !c.unknown, c.takingOver
+			e.row, e.known, e.version = c.row, !c.unknown, 1
+			if c.takingOver {
+				e.changedAt, e.reachableSince, e.lastAnswerAt = time.Now().Add(-time.Minute), time.Now().Add(-time.Minute), time.Now()
+				if !e.beginTakeover(time.Now()) {
+					t.Fatal("no takeover begins")
+				}
+			}
 			if c.leads {
 				_, e.cancelSession = context.WithCancel(t.Context())
 			}
@@ -54,7 +66,7 @@
 					if l = node.leader(); l != nil {
 						l.mu.Lock()
 						defer l.mu.Unlock()
-						return len(l.members) >= 2 && l.loaded
+						return len(l.electors) == 2 && l.loaded
 					}
 				}
 				return false
@@ -67,7 +79,7 @@
 			})
 			if !reachesAll {
 				l.mu.Lock()
-				l.members["elsewhere"] = &followerVM{entry: vmEntry{Address: freeAddress(t)}, seenAt: time.Now().Add(time.Hour)}
+				l.electors["elsewhere"] = freeAddress(t)
 				l.mu.Unlock()
 			}
 			store.Sleep(t.Context(), leadershipTerm+termInterval+termTimeout)
@@ -80,8 +92,8 @@
 			}
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			if request, ok := l.engine.NextPoll(time.Now(), "w1"); ok && request.LeaseUntil > 0 {
-				t.Error("a lease is granted after the term")
+			if request, ok := l.engine.NextPoll(time.Now(), "w1"); !ok || request.LeaseUntil > 0 {
+				t.Errorf("poll after the term: %+v (%v), want one without a lease", request, ok)
 			}
 			if commands := l.engine.Schedule(time.Now()); len(commands) > 0 {
 				t.Errorf("commands after the term: %+v", commands)
@@ -89,3 +101,118 @@
 		})
 	}
 }
+
+// idleLeader returns a leader that does not run, of a node on a store.
+func idleLeader(t *testing.T, memory *memoryStore, row leaderRow) *leader {
+	t.Helper()
+	client, err := store.New(store.Options{Transport: memory})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	node := New(Options{Name: "vm", Store: client, Workers: newFakeWorkers(0), Logger: silentLogger{}, MaxLease: time.Second})
+	row.Holder, row.Instance = "vm", node.instance
+	version, err := node.elector.write(t.Context(), row, store.Absent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	node.elector.adopt(row, version)
+	l := newLeader(t.Context(), node, row, version, time.Now(), predecessor{})
+	node.setLeader(l)
+	return l
+}
+
+// TestElectorsAreAskedHoweverLongTheyAreSilent guards against a leader that takes its term up again
+// once it has heard nothing of the VMs beyond a cut for long, one of which leads.
+func TestElectorsAreAskedHoweverLongTheyAreSilent(t *testing.T) {
+	l := idleLeader(t, newMemoryStore(), leaderRow{Epoch: 1})
+	l.handleHello(hello{Name: "beyond", Address: freeAddress(t)})
+	electors := l.nextElectors(time.Now())
+	l.noteRenewed(time.Now(), electors)
+	l.members["beyond"].seenAt = time.Now().Add(-time.Hour)
+	l.confirmedAt = time.Now().Add(-time.Second)
+	l.renewedAt = l.confirmedAt
+	l.nextElectors(time.Now()) // not stored
+	l.confirmByElectors(t.Context())
+	if before := l.confirmedBefore(); before < time.Second {
+		t.Errorf("the term was confirmed %s ago without the word of an elector", before)
+	}
+	l.electors = map[string]netip.AddrPort{}
+	l.confirmByElectors(t.Context())
+	if before := l.confirmedBefore(); before < time.Second {
+		t.Errorf("the term was confirmed %s ago without any elector", before)
+	}
+}
+
+// TestElectorsOfAFleet checks that the electors are spread over the failure domains, that the next
+// leader asks the same ones, and that no others are asked.
+func TestElectorsOfAFleet(t *testing.T) {
+	l := idleLeader(t, newMemoryStore(), leaderRow{Epoch: 1})
+	for i := range 146 {
+		l.handleHello(hello{Name: fmt.Sprintf("vm%03d", i), Zone: fmt.Sprintf("zone%d", i/30), Address: freeAddress(t)})
+	}
+	electors := l.nextElectors(time.Now())
+	zones := make(map[string]int)
+	for name := range electors {
+		zones[l.members[name].entry.Zone]++
+	}
+	for zone, count := range zones {
+		if count < maxElectors/5 || count > maxElectors/5+1 {
+			t.Errorf("%d of %d electors in %s", count, len(electors), zone)
+		}
+	}
+	next := idleLeader(t, newMemoryStore(), leaderRow{Epoch: 2, Electors: electors})
+	if asked := next.overdueElectors(time.Now().Add(renewalOverdue)); len(asked) != maxElectors || len(zones) != 5 {
+		t.Errorf("the next leader asks %d of %d VMs in %d domains", len(asked), maxElectors, len(zones))
+	}
+	if asked := next.overdueElectors(time.Now().Add(unlistedExpireAfter + time.Second)); len(asked) > 0 {
+		t.Errorf("%d VMs are asked although others may have taken over", len(asked))
+	}
+}
+
+// TestProofCountsFromItsRequest guards against a leader that counts its term from the answer to its
+// renewal or to its question: another VM may have taken over in between.
+func TestProofCountsFromItsRequest(t *testing.T) {
+	const transit = 30 * time.Millisecond
+	cases := map[string]func(t *testing.T, l *leader, memory *memoryStore) (executedAt *time.Time){
+		"renewal of the row": func(t *testing.T, l *leader, memory *memoryStore) *time.Time {
+			var at time.Time
+			memory.setFault(func([]store.Change) storeFault {
+				time.Sleep(transit)
+				at = time.Now()
+				return noFault
+			})
+			roster, _ := l.wantedRoster()
+			l.node.elector.renew(t.Context(), l, roster)
+			return &at
+		},
+		"word of the electors": func(t *testing.T, l *leader, _ *memoryStore) *time.Time {
+			var at time.Time
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(transit)
+				at = time.Now()
+				body, err := cbor.Marshal(termReply{Confirmed: true, Epoch: l.epoch})
+				if err != nil {
+					t.Error(err)
+				}
+				_, _ = w.Write(body)
+			}))
+			defer server.Close()
+			l.electors = map[string]netip.AddrPort{"other": netip.MustParseAddrPort(server.Listener.Addr().String())}
+			l.confirmByElectors(t.Context())
+			return &at
+		},
+	}
+	for name, prove := range cases {
+		t.Run(name, func(t *testing.T) {
+			memory := newMemoryStore()
+			l := idleLeader(t, memory, leaderRow{Epoch: 1})
+			began := time.Now().Add(-time.Second)
+			l.confirmedAt = began
+			executedAt := prove(t, l, memory)
+			if !l.confirmedAt.After(began) || !l.confirmedAt.Before(executedAt.Add(-transit)) {
+				t.Errorf("confirmed as of %s before the request was executed, want more than %s", executedAt.Sub(l.confirmedAt), transit)
+			}
+		})
+	}
+}
