Wait for the term of the leader before the last one

What callers could see: a task runs twice. A leader that is replaced may act until its term ends. The end of a leader counts now only if its epoch was seen for longer than a term. The wait allows for a slow clock too.

TestTwoTakeoversWithinOneTerm failed before.

--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -100,8 +100,8 @@
 	reachableSince time.Time
 	lastAnswerAt   time.Time
 	known          bool
-	// seenAt is when this version of the row was first seen.
-	seenAt time.Time
+	// seenAt is when this version of the row was first seen, and epochSeenAt when this epoch was.
+	seenAt, epochSeenAt time.Time
 	// confirmedAt is when the leader last confirmed that it leads. watchPaused is true if the
 	// row was not watched for a while before the current watch, and versionAtPause is the
 	// version of the row at that time.
@@ -300,6 +300,9 @@
 		e.changedAt = time.Now()
 	}
 	e.seenAt = time.Now()
+	if !e.known || row.Epoch != e.row.Epoch {
+		e.epochSeenAt = e.seenAt
+	}
 	e.row, e.version, e.known = row, version, true
 	// An earlier process of this VM cannot lead anymore.
 	e.holderEnded = row.Holder == e.node.opts.Name && row.Instance != e.node.instance
--- a/core/cell/predecessor.go
+++ b/core/cell/predecessor.go
@@ -21,8 +21,8 @@
 	lastCommand := began
 	p := predecessor{}
 	if !ended {
-		// The last proof of its leadership is from before the takeover.
-		p.activeUntil = began.Add(leadershipTerm)
+		// The last proof of its leadership is from before the takeover. Its clock may be slow too.
+		p.activeUntil = began.Add(engine.LongestLease(leadershipTerm))
 		lastCommand = p.activeUntil
 	}
 	// The previous leader granted leases of leaseTerm, but a worker that had just restarted without
--- a/core/cell/takeover.go
+++ b/core/cell/takeover.go
@@ -69,7 +69,9 @@
 // takeOver writes a row of the next epoch and starts to lead.
 func (e *elector) takeOver(ctx context.Context) {
 	e.mu.Lock()
-	previous, version, ended, changedAt := e.row, e.version, e.holderEnded || e.row.Released, e.changedAt
+	previous, version, changedAt := e.row, e.version, e.changedAt
+	// The leader before the last one may act until its term ends as well.
+	ended := (e.holderEnded || e.row.Released) && time.Since(e.epochSeenAt) > leadershipTerm
 	e.mu.Unlock()
 	next := leaderRow{
 		Epoch:    previous.Epoch + 1,
--- a/core/cell/term_test.go
+++ b/core/cell/term_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/store"
 )
 
@@ -216,3 +217,42 @@
 		})
 	}
 }
+
+// TestTwoTakeoversWithinOneTerm guards against starting a job that a leader may start as well: the
+// leader that replaced it ended at once.
+func TestTwoTakeoversWithinOneTerm(t *testing.T) {
+	memory := newMemoryStore()
+	memory.put(t, "config", "config", "1")
+	memory.put(t, "workers", "w1", "ready")
+	put := func(row leaderRow) {
+		data, _, err := row.encode(func([]byte) bool { return false })
+		if err != nil {
+			t.Fatal(err)
+		}
+		memory.put(t, LeaderTable, epochKey, fmt.Sprint(row.Epoch))
+		memory.put(t, LeaderTable, LeaderKey, string(data))
+	}
+	row := leaderRow{Epoch: 1, Holder: "a", Instance: "a1", Address: freeAddress(t), Workers: []string{"beyond a cut"}}
+	put(row)
+	row.Epoch, row.Holder, row.Instance = 2, "b", "b1"
+	replaced := time.Now()
+	put(row)
+	row.Released, row.Renewals = true, 1
+	put(row)
+	workers := newFakeWorkers(10 * time.Millisecond)
+	node, _ := testNode(t, "c", memory, workers)
+	eventually(t, "the third VM leads", leads(node))
+	data, err := jobs.Encode(testJob("new"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	memory.put(t, JobsTable, "new", string(data))
+	eventually(t, "the job is started", func() bool {
+		workers.mu.Lock()
+		defer workers.mu.Unlock()
+		return len(workers.starts) > 0
+	})
+	if after := time.Since(replaced); after < leadershipTerm {
+		t.Errorf("started %s after the first leader was replaced, whose term may last %s", after, leadershipTerm)
+	}
+}
