Acknowledge no result that was not read

What callers could see: a task runs again after it has ended as done. Cause: the leader acknowledged results up to the highest number that it had handled. A result with a lower number that the worker lists later, or whose row could not be decoded in that report, was acknowledged unread. The worker forgets it, so that the run counts as lapsed once two reports lack it.

Results are handled in any order. One that follows a gap in the numbers is acknowledged once two reports in a row lack the numbers in between, the rule that holds for a run that a report lacks. A row that stays unreadable holds up nothing else.

TestUnreadResultIsNotAcknowledged and TestReportInFlightSettlesNoGap failed before: acknowledged up to 2 after a report that lacked 1.

--- a/core/engine/lease.go
+++ b/core/engine/lease.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,22 +11,46 @@
 // pendingAck is a result that can be acknowledged once a commit is known.
 type pendingAck struct {
 	sequence int64
+	// listedAt is the time of the first report that listed the result. afterGap is set once a later
+	// report proves that the worker has no unread result with a lower number.
+	listedAt time.Time
+	afterGap bool
 	job      *job
 	revision int
 	// orphan is the result while its job is not known, otherwise nil.
 	orphan *orphanedResult
 }
 
-// advanceAcks acknowledges results in sequence, up to the first one that waits for a commit.
+// advanceAcks acknowledges results in sequence, up to the first one that waits for a commit, or
+// that follows a result that may not have been read.
 func (w *worker) advanceAcks() {
 	n := 0
-	for n < len(w.pendingAcks) && w.pendingAcks[n].committed() {
+	for n < len(w.pendingAcks) && w.pendingAcks[n].committed() && (w.pendingAcks[n].afterGap || w.pendingAcks[n].sequence == w.ackedUpTo+1) {
 		w.ackedUpTo = w.pendingAcks[n].sequence
 		n++
 	}
 	w.pendingAcks = w.pendingAcks[n:]
 }
 
+// settleGaps handles the gaps in the numbers of a report's results, which answers a poll sent at the
+// given time. A worker may list a result later than one with a higher number, or in a row that cannot
+// be decoded, and forgets it once the higher one is acknowledged. So two reports in a row must lack
+// a number.
+func (w *worker) settleGaps(sent time.Time) {
+	for i := range w.pendingAcks {
+		w.pendingAcks[i].afterGap = w.pendingAcks[i].afterGap || sent.After(w.pendingAcks[i].listedAt)
+	}
+}
+
+// findAck returns the index in pendingAcks of a result, or of the one that follows it, and whether
+// the result was handled before.
+func (w *worker) findAck(sequence int64) (i int, handled bool) {
+	i, handled = slices.BinarySearchFunc(w.pendingAcks, sequence, func(a pendingAck, sequence int64) int {
+		return cmp.Compare(a.sequence, sequence)
+	})
+	return i, handled || sequence <= w.ackedUpTo
+}
+
 func (a pendingAck) committed() bool {
 	return a.orphan == nil && (a.job == nil || a.job.committed >= a.revision)
 }
@@ -83,7 +108,7 @@
 		Destination: w.destination(),
 		Fence:       e.fence(w),
 		AckedUpTo:   w.ackedUpTo,
-		AcksPending: w.lastSequence > w.ackedUpTo,
+		AcksPending: len(w.pendingAcks) > 0,
 		Recheck:     w.recheck,
 	}
 	// The results of a new incarnation are numbered from 1 again. It would forget them unseen.
@@ -108,7 +133,7 @@
 	LeaseUntil time.Duration
 	// AckedUpTo is the sequence number of the last result that the worker may forget.
 	AckedUpTo int64
-	// AcksPending is set if results wait for a commit before they can be acknowledged.
+	// AcksPending is set if results wait for a commit, or a report, before they can be acknowledged.
 	AcksPending bool
 	// Recheck is set if the worker is to answer at once, because the last report lacked runs.
 	Recheck bool
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -189,10 +190,11 @@
 // resultReported handles a result that a worker's report lists. Results that were handled before
 // are skipped.
 func (e *Engine) resultReported(now time.Time, w *worker, result RunResult) {
-	if result.Sequence <= w.lastSequence {
+	position, handled := w.findAck(result.Sequence)
+	if handled {
 		return
 	}
-	w.lastSequence = result.Sequence
+	w.lastSequence = max(w.lastSequence, result.Sequence)
 	key := runKey{result.Task, result.Run}
 	r := w.runs[key]
 	t, j := e.task(result.Task), e.jobs[result.Task.Job]
@@ -206,7 +208,7 @@
 		e.applyEnd(now, t, result.Run, result.End)
 	}
 	w.health.observe(now, result.End, result.Task.Job)
-	ack := pendingAck{sequence: result.Sequence}
+	ack := pendingAck{sequence: result.Sequence, listedAt: now}
 	switch {
 	case e.opts.unsafe.ackEarly:
 	case j != nil:
@@ -214,7 +216,7 @@
 	case !e.opts.unsafe.forgetOrphans:
 		ack.orphan = e.keepOrphanedResult(now, w, result)
 	}
-	w.pendingAcks = append(w.pendingAcks, ack)
+	w.pendingAcks = slices.Insert(w.pendingAcks, position, ack)
 }
 
 // logResults logs the new results of a report in one line, each as a task, a run number and an
@@ -225,7 +227,7 @@
 	}
 	var list []byte
 	for _, result := range results {
-		if result.Sequence <= w.lastSequence {
+		if _, handled := w.findAck(result.Sequence); handled {
 			continue
 		}
 		if len(list) > 0 {
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -66,8 +66,9 @@
 	// stopped in favor of others.
 	stopping  int
 	evictable evictableCapacity
-	// lastSequence is the sequence number of the last result handled, ackedUpTo that of the last
-	// one up to which all progress is committed.
+	// lastSequence is the highest sequence number of a result handled, ackedUpTo that of the last
+	// one up to which all results are handled and all progress is committed. pendingAcks holds the
+	// results handled beyond it, in sequence.
 	lastSequence int64
 	ackedUpTo    int64
 	pendingAcks  []pendingAck
@@ -281,6 +282,7 @@
 	for _, result := range ev.Report.Results {
 		e.resultReported(now, w, result)
 	}
+	w.settleGaps(ev.Sent)
 	listed := make(map[runKey]bool, len(ev.Report.Running))
 	for _, active := range ev.Report.Running {
 		listed[runKey{active.Task, active.Run}] = true
