Count no standstill of a VM as silence of the leader

What callers could see: a leader that renews its row and answers heartbeats is replaced, which delays all jobs for seconds. Cause: a VM that pauses its watch of the row dates changes that it sees afterwards back to the leader's last confirmation. If the VM itself stood still meanwhile (frozen, or without processor time), that is longer ago than a leader may be silent, so the VM took over right after it had read a fresh renewal.

Such a change is dated back by one second at most: a pause ends that long after the last confirmation unless the VM stood still. So the row must stay unchanged for 0.8 s and more after the first watch, which is longer than between renewals.

TestStandstillIsNoSilence failed before in both cases that must not take over.

--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -39,6 +39,8 @@
 	// confirms that it leads. The row carries little else and changes twice a second: without
 	// pauses, the watches of 147 VMs make up two thirds of all calls to the store.
 	maxWatchPause = 2500 * time.Millisecond
+	// maxUnconfirmedPause is how long after the leader's last confirmation a pause ends.
+	maxUnconfirmedPause = confirmationValidFor + electInterval
 	// electInterval is the time between two steps of the elector.
 	electInterval = 100 * time.Millisecond
 	// leaderWatchWait bounds a watch of the leader row. It exceeds renewInterval, so that no
@@ -287,9 +289,15 @@
 		e.node.opts.Logger.Info("leader changed", "epoch", row.Epoch, "holder", row.Holder, "address", row.Address, "released", row.Released)
 	}
 	// A change after a pause happened at an unknown earlier time. In this case pauseWatch has
-	// set changedAt to the time at which the leader was last known to be alive.
-	if !e.watchPaused || row.Instance != e.row.Instance {
-		e.changedAt = time.Now()
+	// set changedAt to the time at which the leader was last known to be alive. If that is longer
+	// ago than a pause lasts without a confirmation, this VM stood still meanwhile.
+	now := time.Now()
+	earliest := now.Add(-maxUnconfirmedPause)
+	switch {
+	case !e.watchPaused || row.Instance != e.row.Instance:
+		e.changedAt = now
+	case e.changedAt.Before(earliest):
+		e.changedAt = earliest
 	}
 	e.row, e.version, e.known = row, version, true
 	// An earlier process of this VM cannot lead anymore.
--- a/core/cell/elect_test.go
+++ b/core/cell/elect_test.go
@@ -131,6 +131,37 @@
 	}
 }
 
+// TestStandstillIsNoSilence guards against a VM that takes over from a leader that renews its row,
+// because the VM itself stood still while it did not watch the row.
+func TestStandstillIsNoSilence(t *testing.T) {
+	const silence = expireAfter - confirmationValidFor + maxTakeoverJitter
+	cases := map[string]struct {
+		// alive is how long before the first watch after a pause the leader was last known to be alive,
+		// and unchanged how long the row stays unchanged after that watch.
+		alive, unchanged time.Duration
+		want             bool
+	}{
+		"stood still":                       {3 * time.Second, 0, false},
+		"stood still, renewal not yet due":  {3 * time.Second, renewInterval, false},
+		"stood still, leader silent since":  {3 * time.Second, silence, true},
+		"leader silent since it was paused": {confirmationValidFor, silence, true},
+		"leader not silent for long enough": {confirmationValidFor, expireAfter - maxUnconfirmedPause, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := idleElector(t)
+			e.row, e.version, e.known = leaderRow{Epoch: 1, Instance: "leader"}, 1, true
+			now := time.Now()
+			e.watchPaused, e.changedAt, e.reachableSince = true, now.Add(-c.alive), now.Add(-time.Minute)
+			e.adopt(leaderRow{Epoch: 1, Instance: "leader", Renewals: 1}, 2)
+			e.lastAnswerAt = now.Add(c.unchanged)
+			if got := e.beginTakeover(e.lastAnswerAt); got != c.want {
+				t.Errorf("takes over: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // fakeLeader is a leader that can stop answering heartbeats or renewing its row.
 type fakeLeader struct {
 	t       *testing.T
