Fail a test whose node does not start

A node of a test takes an address that was free a moment ago. If another process takes it first, the node ended without a word, and its test failed a minute later at a condition that cannot be met. The error of Run fails the test now.

--- a/core/cell/fakes_test.go
+++ b/core/cell/fakes_test.go
@@ -321,7 +321,7 @@
 	}
 	node = New(opts)
 	ctx, cancel := context.WithCancel(context.Background())
-	run := &nodeRun{node: node, ctx: ctx, done: make(chan struct{})}
+	run := &nodeRun{t: t, node: node, ctx: ctx, done: make(chan struct{})}
 	go run.run()
 	var once sync.Once
 	stop = func() {
@@ -336,6 +336,7 @@
 }
 
 type nodeRun struct {
+	t    *testing.T
 	node *Node
 	ctx  context.Context
 	done chan struct{}
@@ -343,7 +344,9 @@
 
 func (r *nodeRun) run() {
 	defer close(r.done)
-	_ = r.node.Run(r.ctx)
+	if err := r.node.Run(r.ctx); err != nil {
+		r.t.Errorf("node %s: %v", r.node.opts.Name, err)
+	}
 }
 
 func testWorker(row store.Row) (engine.Worker, error) {
