Test that a worker whose capacity has shrunk gets nothing until it fits

A worker's capacity may shrink and grow while the worker runs. The tests pass on the code as it is: the engine takes the capacity from each entry of the incarnation that answers, counts all that may run against it, in each dimension, and what is free may be negative.

The steps of the preemption test become a type, so that a test can act between them.

--- a/core/engine/preempt_test.go
+++ b/core/engine/preempt_test.go
@@ -31,57 +31,79 @@
 	return e
 }
 
-// runPreemptionTest simulates six seconds, in which the adviser permits all workers and stops
-// take 300 ms. It returns how many runs were stopped, and when the gang started or zero.
+// preemptionTest simulates the workers and the adviser of newPreemptionTest. The adviser permits all
+// workers, and stops take 300 ms.
+type preemptionTest struct {
+	*testEngine
+	ends    map[string][]RunResult
+	pending []AdviceRequest
+	stops   map[Stop]time.Time
+	// stopped is the number of runs that were stopped, gangAfter the time at which the gang started
+	// or zero.
+	stopped   int
+	gangAfter time.Duration
+}
+
+// runPreemptionTest simulates six seconds. It returns how many runs were stopped, and when the gang
+// started or zero.
 func runPreemptionTest(e *testEngine) (stopped int, gangAfter time.Duration) {
-	ends := make(map[string][]RunResult)
-	var pending []AdviceRequest
-	stops := make(map[Stop]time.Time)
-	for e.now.Sub(testStart) < 6*time.Second {
-		commands := e.runPass(50 * time.Millisecond)
-		for _, s := range commandsOfType[Start](commands) {
-			if s.Task.Job == "gang" && gangAfter == 0 {
-				gangAfter = e.now.Sub(testStart)
-			}
-			e.apply(StartAnswered{Worker: s.Worker, Task: s.Task, Run: s.Run, Outcome: StartAccepted})
+	p := &preemptionTest{testEngine: e, ends: make(map[string][]RunResult), stops: make(map[Stop]time.Time)}
+	for p.now.Sub(testStart) < 6*time.Second {
+		p.step()
+	}
+	return p.stopped, p.gangAfter
+}
+
+// step simulates 50 ms and returns the start commands.
+func (p *preemptionTest) step() []Start {
+	commands := p.runPass(50 * time.Millisecond)
+	starts := commandsOfType[Start](commands)
+	for _, s := range starts {
+		if s.Task.Job == "gang" && p.gangAfter == 0 {
+			p.gangAfter = p.now.Sub(testStart)
 		}
-		for _, s := range commandsOfType[Stop](commands) {
-			stops[s] = e.now
-			stopped++
-			e.apply(StopAnswered{Worker: s.Worker, Task: s.Task, Run: s.Run, Confirmed: true})
+		p.apply(StartAnswered{Worker: s.Worker, Task: s.Task, Run: s.Run, Outcome: StartAccepted})
+	}
+	for _, s := range commandsOfType[Stop](commands) {
+		p.stops[s] = p.now
+		p.stopped++
+		p.apply(StopAnswered{Worker: s.Worker, Task: s.Task, Run: s.Run, Confirmed: true})
+	}
+	for s, at := range p.stops {
+		if p.now.Sub(at) >= 300*time.Millisecond {
+			list := p.ends[s.Worker]
+			p.ends[s.Worker] = append(list, RunResult{Sequence: int64(len(list) + 1), Task: s.Task, Run: s.Run, End: jobs.EndStopped, Checkpoint: "saved"})
+			delete(p.stops, s)
 		}
-		for s, at := range stops {
-			if e.now.Sub(at) >= 300*time.Millisecond {
-				list := ends[s.Worker]
-				ends[s.Worker] = append(list, RunResult{Sequence: int64(len(list) + 1), Task: s.Task, Run: s.Run, End: jobs.EndStopped, Checkpoint: "saved"})
-				delete(stops, s)
+	}
+	p.answerAdvice(commandsOfType[AdviceRequest](commands))
+	for _, id := range []string{"w1", "w2"} {
+		report := Report{Results: p.ends[id]}
+		for key, r := range p.workers[id].runs {
+			if r.phase == confirmed {
+				report.Running = append(report.Running, ActiveRun{Task: key.task, Run: key.number, Percent: int(p.now.Sub(testStart) / (200 * time.Millisecond))})
 			}
 		}
-		pending = append(pending, commandsOfType[AdviceRequest](commands)...)
-		var outstanding []AdviceRequest
-		for _, request := range pending {
-			if e.now.Sub(testStart) < request.Cost {
-				outstanding = append(outstanding, request)
-				continue
-			}
-			event := AdviceAnswered{Step: request.Step, Proxy: request.Proxy, Workers: request.Workers, Valid: 1500 * time.Millisecond}
-			for _, id := range request.Workers {
-				event.Tickets = append(event.Tickets, Ticket{Worker: id, Value: "t"})
-			}
-			e.apply(event)
+		p.poll(id, report)
+	}
+	return starts
+}
+
+// answerAdvice answers the pending requests whose answer is due.
+func (p *preemptionTest) answerAdvice(requests []AdviceRequest) {
+	var outstanding []AdviceRequest
+	for _, request := range append(p.pending, requests...) {
+		if p.now.Sub(testStart) < request.Cost {
+			outstanding = append(outstanding, request)
+			continue
 		}
-		pending = outstanding
-		for _, id := range []string{"w1", "w2"} {
-			report := Report{Results: ends[id]}
-			for key, r := range e.workers[id].runs {
-				if r.phase == confirmed {
-					report.Running = append(report.Running, ActiveRun{Task: key.task, Run: key.number, Percent: int(e.now.Sub(testStart) / (200 * time.Millisecond))})
-				}
-			}
-			e.poll(id, report)
+		event := AdviceAnswered{Step: request.Step, Proxy: request.Proxy, Workers: request.Workers, Valid: 1500 * time.Millisecond}
+		for _, id := range request.Workers {
+			event.Tickets = append(event.Tickets, Ticket{Worker: id, Value: "t"})
 		}
+		p.apply(event)
 	}
-	return stopped, gangAfter
+	p.pending = outstanding
 }
 
 // TestGangStopsLessUrgentWork checks when running work is preempted for a gang that needs all its
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -51,6 +51,33 @@
 	})
 }
 
+// TestFitCount guards against tasks that count as fitting where more is in use than there is.
+func TestFitCount(t *testing.T) {
+	task := roster.Resources{Millicores: 1000, MemoryBytes: 1000, Accelerators: 1}
+	cases := map[string]struct {
+		demand, free roster.Resources
+		want         int
+	}{
+		"several":                        {task, roster.Resources{Millicores: 2999, MemoryBytes: 9000, Accelerators: 9}, 2},
+		"no more than the limit":         {task, roster.Resources{Millicores: 9000, MemoryBytes: 9000, Accelerators: 9}, 4},
+		"none free":                      {task, roster.Resources{}, 0},
+		"over by a part of a task":       {task, roster.Resources{Millicores: -1, MemoryBytes: 9000, Accelerators: 9}, 0},
+		"over by several tasks":          {task, roster.Resources{Millicores: -5000, MemoryBytes: 9000, Accelerators: 9}, 0},
+		"memory over":                    {task, roster.Resources{Millicores: 9000, MemoryBytes: -1, Accelerators: 9}, 0},
+		"accelerators over":              {task, roster.Resources{Millicores: 9000, MemoryBytes: 9000, Accelerators: -1}, 0},
+		"no demand where none is free":   {roster.Resources{MemoryBytes: 1000}, roster.Resources{MemoryBytes: 9000}, 4},
+		"no demand where more is in use": {roster.Resources{MemoryBytes: 1000}, roster.Resources{Millicores: -1, MemoryBytes: 9000}, 0},
+		"no demand at all":               {roster.Resources{}, roster.Resources{}, 4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := FitCount(c.demand, c.free, 4); got != c.want {
+				t.Errorf("%d fit, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 func release(t *rapid.T, l *Ledger, charges map[Task]Charge, key Task, p Proof, now time.Time, skew time.Duration) {
 	c, charged := charges[key]
 	wantReleased := !charged
