--- a/core/engine/capacity_test.go
+++ b/core/engine/capacity_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -213,3 +214,61 @@
 		})
 	}
 }
+
+// TestWorkersAreNotKeptForGangThatCannotFit guards against workers that idle for a gang that does not
+// fit even when they are empty, since a capacity has shrunk.
+func TestWorkersAreNotKeptForGangThatCannotFit(t *testing.T) {
+	const memory = 16 << 30
+	cases := map[string]struct {
+		w1, w2 roster.Resources
+		// member is the demand of each of the gang's four members.
+		member roster.Resources
+		// want is the number of small tasks that start on each worker, where a task of a core lasts.
+		want map[string]int
+	}{
+		"members fit nowhere": {
+			roster.Resources{Millicores: 3000, MemoryBytes: memory}, roster.Resources{Millicores: 3000, MemoryBytes: memory},
+			roster.Resources{Millicores: 4000}, map[string]int{"w1": 2, "w2": 2},
+		},
+		"too few members fit": {
+			roster.Resources{Millicores: 4000, MemoryBytes: memory}, roster.Resources{Millicores: 2000, MemoryBytes: memory},
+			roster.Resources{Millicores: 2000}, map[string]int{"w1": 3, "w2": 1},
+		},
+		"members fit on both workers": {
+			roster.Resources{Millicores: 4000, MemoryBytes: memory}, roster.Resources{Millicores: 4000, MemoryBytes: memory},
+			roster.Resources{Millicores: 2000}, map[string]int{},
+		},
+		"a worker has too little memory for a member": {
+			roster.Resources{Millicores: 8000, MemoryBytes: memory}, roster.Resources{Millicores: 9000, MemoryBytes: 1 << 30},
+			roster.Resources{Millicores: 2000, MemoryBytes: 2 << 30}, map[string]int{"w2": 8},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngine(t, Options{}, testWorker("w1"), testWorker("w2"))
+			lasting := testJob("lasting", 2)
+			lasting.Steps[0].Service, lasting.Steps[0].MaxPerWorker = true, 1
+			e.apply(JobAccepted{Job: lasting})
+			e.startAll(0)
+			gang := testJob("gang", 4)
+			gang.Steps[0].Gang, gang.Steps[0].PerTask = true, c.member
+			gang.Queue.Slack = time.Minute
+			e.apply(JobAccepted{Job: gang})
+			e.setCapacity("w1", func(r *roster.Resources) { *r = c.w1 })
+			e.setCapacity("w2", func(r *roster.Resources) { *r = c.w2 })
+			for e.now.Sub(testStart) < dedicateAfter+time.Second {
+				e.pollAll(nil)
+				if started := e.startAll(100 * time.Millisecond); len(started) > 0 {
+					t.Fatalf("started %v, want nothing", started)
+				}
+			}
+			small := testJob("small", 9)
+			small.Queue.Slack, small.Steps[0].PerTask.MemoryBytes = time.Hour, 0
+			e.apply(JobAccepted{Job: small})
+			e.pollAll(nil)
+			if got := e.startAll(100 * time.Millisecond); fmt.Sprint(got) != fmt.Sprint(c.want) {
+				t.Errorf("started %v small tasks, want %v", got, c.want)
+			}
+		})
+	}
+}
