Ask the adviser for fillers about workers that are not over their capacity

What callers would see: a job of fillers waits longer than it must. A request names eight workers with the most free processors; those whose capacity has shrunk below what is in use counted like workers that are full to the point. Fillers fit on the latter and not on the former, so a whole request, and the tickets of its answer, can be in vain.

Cause: expectedFree raised a negative number of free processors to zero, which is meant for the expected use alone. A step that needs no processors fits into zero.

Evidence: TestAdviceOnShrunkWorkers failed before: eight of sixteen workers were 2 cores over, and the request named just these eight. No start was affected: starts go by freeFor, which did not raise it.

The expected use still makes nothing negative; what is in use or reserved does.

--- a/core/engine/capacity_test.go
+++ b/core/engine/capacity_test.go
@@ -272,3 +272,33 @@
 		})
 	}
 }
+
+// TestAdviceOnShrunkWorkers guards against requests for fillers that name workers over their capacity,
+// on which nothing fits, in place of others.
+func TestAdviceOnShrunkWorkers(t *testing.T) {
+	var workers []Worker
+	for i := range 2 * minWorkersPerRequest {
+		workers = append(workers, testWorker(fmt.Sprintf("w%02d", i)))
+	}
+	e := newTestEngine(t, Options{}, workers...)
+	e.apply(AdviceProxiesChanged{Names: []string{"vm1", "vm2"}})
+	e.apply(JobAccepted{Job: testJob("running", 8*minWorkersPerRequest)})
+	e.startAll(0)
+	for _, w := range workers[:minWorkersPerRequest] {
+		e.setProcessors(w.ID, 2000)
+	}
+	fillers := testJob("fillers", 2)
+	fillers.Steps[0].Filler, fillers.Steps[0].PerTask.MemoryBytes = true, 0
+	fillers.Queue.Advice = &jobs.AdviceSettings{RequestTime: 20 * time.Millisecond, PerWorkerTime: time.Millisecond, TicketValidity: 2 * time.Second}
+	e.apply(JobAccepted{Job: fillers})
+	e.pollAll(nil)
+	requests := commandsOfType[AdviceRequest](e.runPass(50 * time.Millisecond))
+	if len(requests) != 1 {
+		t.Fatalf("%d requests, want 1", len(requests))
+	}
+	for _, id := range requests[0].Workers {
+		if w := e.workers[id]; w.free().Millicores < 0 {
+			t.Errorf("%s was named, which is %d millicores over its capacity", id, -w.free().Millicores)
+		}
+	}
+}
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -96,10 +96,10 @@
 func (w *worker) free() roster.Resources { return ledger.Difference(w.Capacity, w.used) }
 
 // expectedFree returns the free capacity that is left once the outstanding advice requests are
-// answered.
+// answered. What they are expected to use cannot make it negative, but more may be in use than there is.
 func (w *worker) expectedFree() roster.Resources {
 	free := ledger.Difference(w.free(), w.reserved)
-	free.Millicores = max(0, free.Millicores-w.expectedMillicores)
+	free.Millicores = max(min(0, free.Millicores), free.Millicores-w.expectedMillicores)
 	return free
 }
 
