Test which incarnation's capacity counts

An entry of another incarnation than the one that answers adds no capacity, with the worker's capacity changing meanwhile.

--- a/core/engine/capacity_test.go
+++ b/core/engine/capacity_test.go
@@ -176,6 +176,41 @@
 	}
 }
 
+// TestCapacityOfAnotherIncarnation guards against starts by the capacity of an incarnation of a worker
+// that does not answer.
+func TestCapacityOfAnotherIncarnation(t *testing.T) {
+	later := testStart.Add(time.Minute)
+	cases := map[string]struct {
+		entry time.Time
+		// answers holds the incarnations that answer after the entry.
+		answers []time.Time
+		want    int
+	}{
+		"present incarnation":                   {testStart, []time.Time{testStart}, 4},
+		"earlier incarnation":                   {testStart.Add(-time.Minute), []time.Time{testStart}, 0},
+		"later incarnation without an answer":   {later, nil, 0},
+		"later incarnation of unknown runs":     {later, []time.Time{later}, 0},
+		"later incarnation that was polled":     {later, []time.Time{later, later}, 4},
+		"another incarnation than in the entry": {testStart, []time.Time{later, later}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngine(t, Options{}, testWorker("w1"))
+			e.setProcessors("w1", 0)
+			entry := testWorker("w1")
+			entry.StartedAt = c.entry
+			e.apply(WorkerListed{Worker: entry})
+			e.apply(JobAccepted{Job: testJob("job", 9)})
+			for _, startedAt := range c.answers {
+				e.answer("w1", startedAt, Report{})
+			}
+			if got := e.startAll(50 * time.Millisecond)["w1"]; got != c.want {
+				t.Errorf("%d starts, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 // TestGangDoesNotOverfillShrunkWorker guards against a gang that starts in capacity reserved for it
 // on a worker that has shrunk since.
 func TestGangDoesNotOverfillShrunkWorker(t *testing.T) {
