Let capacities shrink and grow in the engine's simulation

A worker's capacity shrinks for a time, in one dimension or in all. Its entry shows that up to a heartbeat later, the directory reaches the leaders up to a second after it was read, and a leader that is cut off from the store gets no directory. A start breaks the rule if it brings a worker over each capacity that it has had since 5.5 s before the start was decided: stability_ms of the users' sites and a heartbeat. Memory and accelerators are checked as well now, not only processors.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -56,9 +56,10 @@
 // workers, and skipOverlap treats jobs stored during a takeover as new. ackEarly acknowledges
 // results before their commit. The others drop starts without an answer, runs on lost workers
 // before their lease expires, stored failures, and runs and results of unknown jobs.
-// skipConfirmation acts without proof that there is no later leader.
+// skipConfirmation acts without proof that there is no later leader. keepCapacity ignores changes of
+// a worker's capacity.
 type unsafeOptions struct {
-	skipPreviousWorkers, skipOverlap, ackEarly, forgetUnanswered, forgetLost, forgetFailures, forgetOrphans, skipConfirmation bool
+	skipPreviousWorkers, skipOverlap, ackEarly, forgetUnanswered, forgetLost, forgetFailures, forgetOrphans, skipConfirmation, keepCapacity bool
 }
 
 // Logger writes structured log lines: a message, followed by alternating keys and values.
--- a/core/engine/simulation_rapid_test.go
+++ b/core/engine/simulation_rapid_test.go
@@ -49,6 +49,10 @@
 	for range faults.takeovers {
 		sim.after(randomBelow(r, simLoadTime), sim.startLeader)
 	}
+	for range faults.resizes {
+		s := sim.workers[fmt.Sprintf("w%d", r.IntN(4))]
+		sim.after(randomBelow(r, simLoadTime), func() { sim.resize(s, time.Second+randomBelow(r, 9*time.Second)) })
+	}
 	sim.run(simLoadTime)
 	sim.faults = simFaults{keepOldLeaders: faults.keepOldLeaders, advice: faults.advice, slowStore: faults.slowStore, slowPolls: faults.slowPolls}
 	sim.run(simLoadTime + simSettleTime)
@@ -99,6 +103,8 @@
 			slowStore:      rapid.Bool().Draw(t, "slow-store"),
 			slowFeed:       rapid.Bool().Draw(t, "slow-feed"),
 			splits:         rapid.IntRange(0, 2).Draw(t, "splits"),
+			resizes:        rapid.IntRange(0, 6).Draw(t, "resizes"),
+			slowDirectory:  rapid.Bool().Draw(t, "slow-directory"),
 		}
 		sim := simulate(seed, faults, unsafeOptions{})
 		for _, v := range sim.violations {
@@ -141,6 +147,9 @@
 		"leases expire, and work starts, only while no other VM can lead": {
 			unsafeOptions{skipConfirmation: true}, simFaults{splits: 2},
 		},
+		"a capacity that has shrunk counts": {
+			unsafeOptions{keepCapacity: true}, simFaults{resizes: 6},
+		},
 		"failures are counted across leaders": {
 			unsafeOptions{forgetFailures: true}, simFaults{failTask: 0.5, takeovers: 3},
 		},
--- a/core/engine/simulation_test.go
+++ b/core/engine/simulation_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/ledger"
 	"tanagerstack.org/core/roster"
 )
 
@@ -94,6 +95,10 @@
 	// splits is how often the leader and some workers are cut off together from the store, from the
 	// other workers and from the next leader.
 	splits int
+	// resizes is how often a worker's capacity shrinks for a time.
+	resizes int
+	// slowDirectory makes the directory reach the leaders after up to a second.
+	slowDirectory bool
 }
 
 type simEvent struct {
@@ -127,22 +132,32 @@
 
 // simWorker follows the rules that the platform documents for workers.
 type simWorker struct {
-	sim          *simulation
-	entry        Worker
-	startedAt    time.Time
-	clockRate    float64
-	fence        int64
-	leaseUntil   time.Duration
-	running      map[runKey]*simRun
-	lastEndedRun map[jobs.TaskID]int
-	results      []RunResult
-	lastSequence int64
-	disconnected bool
+	sim   *simulation
+	entry Worker
+	// listedCapacity is the capacity in the directory entry, which lags behind. capacities holds
+	// those of this incarnation, the present one last.
+	listedCapacity roster.Resources
+	capacities     []simCapacity
+	startedAt      time.Time
+	clockRate      float64
+	fence          int64
+	leaseUntil     time.Duration
+	running        map[runKey]*simRun
+	lastEndedRun   map[jobs.TaskID]int
+	results        []RunResult
+	lastSequence   int64
+	disconnected   bool
 	// isolated is set while the worker is on the smaller side of a split.
 	isolated bool
 	down     bool
 }
 
+// simCapacity is a capacity of a worker until the next one.
+type simCapacity struct {
+	roster.Resources
+	since time.Time
+}
+
 type simRun struct {
 	key       runKey
 	demand    roster.Resources
@@ -183,6 +198,27 @@
 	s.fence, s.leaseUntil, s.results, s.lastSequence = 0, 0, nil, 0
 	s.running = make(map[runKey]*simRun)
 	s.lastEndedRun = make(map[jobs.TaskID]int)
+	s.listedCapacity = s.entry.Capacity
+	s.capacities = []simCapacity{{s.entry.Capacity, s.sim.now}}
+}
+
+// setCapacity changes the worker's capacity. Its entry shows that with the next heartbeat.
+func (s *simWorker) setCapacity(capacity roster.Resources) {
+	s.entry.Capacity = capacity
+	s.capacities = append(s.capacities, simCapacity{capacity, s.sim.now})
+	s.sim.after(randomBelow(s.sim.rand, simHeartbeat), func() { s.listedCapacity = s.entry.Capacity })
+}
+
+// mayUse reports whether a start that was decided at the given time may bring a worker to the used
+// amount: the worker has had enough capacity since, or before by no more than simCapacityGrace.
+func (s *simWorker) mayUse(used roster.Resources, decided time.Time) bool {
+	for i, c := range s.capacities {
+		last := i == len(s.capacities)-1
+		if (last || s.capacities[i+1].since.Add(simCapacityGrace).After(decided)) && ledger.Fits(used, c.Resources) {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *simWorker) clock() time.Duration {
@@ -272,10 +308,24 @@
 	var entries []Worker
 	for _, id := range sim.workerIDs() {
 		if s := sim.workers[id]; !s.down {
-			entries = append(entries, s.entry)
+			entry := s.entry
+			entry.Capacity = s.listedCapacity
+			entries = append(entries, entry)
 		}
 	}
-	sim.apply(l, WorkersListed{Workers: entries})
+	if sim.faults.slowDirectory {
+		sim.after(randomBelow(sim.rand, time.Second), func() { sim.receiveDirectory(l, entries) })
+		return
+	}
+	sim.receiveDirectory(l, entries)
+}
+
+// receiveDirectory delivers a directory to a leader with a path to the store, and records the roster
+// that the leader wants.
+func (sim *simulation) receiveDirectory(l *simLeader, entries []Worker) {
+	if !l.isolated {
+		sim.apply(l, WorkersListed{Workers: entries})
+	}
 	if roster, _ := l.WantedRoster(sim.now); l.epoch == sim.epoch {
 		l.RosterSent(roster)
 		sim.after(sim.delay(), func() {
@@ -288,6 +338,13 @@
 	sim.after(300*time.Millisecond, func() { sim.sendDirectory(l) })
 }
 
+// simHeartbeat is the longest time until a worker's entry shows a change, and simCapacityGrace the
+// time after which starts must follow from a capacity that has shrunk.
+const (
+	simHeartbeat     = 1500 * time.Millisecond
+	simCapacityGrace = 4*time.Second + simHeartbeat
+)
+
 // simTerm is how long after a proof of its leadership a leader may act.
 const simTerm = 2500 * time.Millisecond
 
@@ -389,8 +446,9 @@
 // sendStart sends a start, and sends it once more if it is not answered within 300 ms.
 func (sim *simulation) sendStart(l *simLeader, c Start) {
 	unanswered := StartAnswered{Worker: c.Worker, Task: c.Task, Run: c.Run, Outcome: StartUnknown}
+	decided := sim.now
 	handle := func(s *simWorker) Event {
-		return StartAnswered{Worker: c.Worker, Task: c.Task, Run: c.Run, Outcome: s.start(c)}
+		return StartAnswered{Worker: c.Worker, Task: c.Task, Run: c.Run, Outcome: s.start(c, decided)}
 	}
 	sim.deliver(l, c.Worker, c.Fence, 300*time.Millisecond, handle, func(answer Event) {
 		if answer != nil {
@@ -547,8 +605,9 @@
 	return true
 }
 
-// start executes a start command and checks that the start is allowed.
-func (s *simWorker) start(c Start) StartOutcome {
+// start executes a start command that was decided at the given time, and checks that the start is
+// allowed.
+func (s *simWorker) start(c Start, decided time.Time) StartOutcome {
 	sim := s.sim
 	s.endExpired()
 	key := runKey{c.Task, c.Run}
@@ -566,7 +625,7 @@
 		return StartAlreadyEnded
 	}
 	sim.starts++
-	sim.checkStart(s, c)
+	sim.checkStart(s, c, decided)
 	job := sim.jobs[c.Task.Job]
 	step := job.Steps[c.Task.Step]
 	r := &simRun{key: key, demand: step.PerTask, gang: step.Gang, startedAt: sim.now}
@@ -587,7 +646,7 @@
 }
 
 // checkStart checks the safety rules for a started task.
-func (sim *simulation) checkStart(s *simWorker, c Start) {
+func (sim *simulation) checkStart(s *simWorker, c Start, decided time.Time) {
 	job, ok := sim.jobs[c.Task.Job]
 	if !ok || c.Spec != job.Spec {
 		sim.addViolation("%s started, but was not submitted", c.Task)
@@ -615,12 +674,12 @@
 			sim.addViolation("%s started before step %d was done", c.Task, predecessor)
 		}
 	}
-	used := job.Steps[c.Task.Step].PerTask.Millicores
+	used := job.Steps[c.Task.Step].PerTask
 	for key := range s.running {
-		used += sim.jobs[key.task.Job].Steps[key.task.Step].PerTask.Millicores
+		used = ledger.Sum(used, sim.jobs[key.task.Job].Steps[key.task.Step].PerTask)
 	}
-	if used > s.entry.Capacity.Millicores {
-		sim.addViolation("%s has %d of %d millicores in use", s.entry.ID, used, s.entry.Capacity.Millicores)
+	if !s.mayUse(used, decided) {
+		sim.addViolation("%s has %+v of %+v in use with %s", s.entry.ID, used, s.entry.Capacity, c.Task)
 	}
 }
 
@@ -698,6 +757,22 @@
 	})
 }
 
+// resize lets the capacity of a worker shrink in one dimension or in all for a time.
+func (sim *simulation) resize(s *simWorker, length time.Duration) {
+	full := testWorker(s.entry.ID).Capacity
+	capacity := s.entry.Capacity
+	switch sim.rand.IntN(4) {
+	case 0:
+		capacity = roster.Resources{}
+	case 1:
+		capacity.MemoryBytes = sim.rand.Int64N(full.MemoryBytes)
+	default:
+		capacity.Millicores = sim.rand.Int64N(full.Millicores)
+	}
+	s.setCapacity(capacity)
+	sim.after(length, func() { s.setCapacity(full) })
+}
+
 // split cuts the leader and some workers off together for a time. The next leader takes over
 // meanwhile.
 func (sim *simulation) split(length time.Duration) {
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -209,6 +209,9 @@
 	}
 	w.entryStartedAt = entry.StartedAt
 	entry.StartedAt = w.StartedAt
+	if e.opts.unsafe.keepCapacity {
+		entry.Capacity = w.Capacity
+	}
 	w.Worker = entry
 }
 
