Give up a task that crashes its workers

A task that crashes the worker that runs it starts on one worker after the other as long as its job lives, and takes them all out of service in turn.

Cause: nothing counted crashes. A run on a worker that restarted, or was lost, ended as expired and started again without bound, and neither logs nor metrics told a crash from a lease that lapsed.

All runs on a crashed worker are suspects now. Their crashes are part of the job's progress and are committed before the task starts again, so they outlive the leader. After two, the task starts only on a worker without other work, so that a sound task is not given up for its neighbor; after the third its job fails. Workers that are lost without proof count until the same incarnation answers again; for the first of these the commit is not awaited. At most a quarter of the workers is kept for such tasks.

The simulation settles for longer by 30 s for each deadly task, which takes a worker away three times.

--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -109,12 +109,13 @@
 	storeDesc   = prometheus.NewDesc("tanager_store_calls_total", "Calls to the store.", []string{"kind"}, nil)
 	relaysDesc  = prometheus.NewDesc("tanager_open_relays", "Relays that the leader sends orders through.", nil, nil)
 	termDesc    = prometheus.NewDesc("tanager_leadership_proof_age_seconds", "Age of the leader's last proof that no other VM leads.", nil, nil)
+	crashesDesc = prometheus.NewDesc("tanager_task_crashes_total", "Crashes of workers under tasks, those of them that were withdrawn, and jobs that were given up, as the leader of this epoch has seen them.", []string{"outcome"}, nil)
 	endsDesc    = prometheus.NewDesc("tanager_run_ends_total", "Ends of runs, as the leader of this epoch has seen them.", []string{"end"}, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (c nodeCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc} {
+	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc} {
 		out <- desc
 	}
 }
@@ -155,6 +156,9 @@
 	for end, count := range endCounts(ends) {
 		out <- prometheus.MustNewConstMetric(endsDesc, prometheus.CounterValue, float64(count), end)
 	}
+	for outcome, count := range map[string]int64{"counted": ends.Crashes, "withdrawn": ends.CrashesWithdrawn, "given-up": ends.GivenUp} {
+		out <- prometheus.MustNewConstMetric(crashesDesc, prometheus.CounterValue, float64(count), outcome)
+	}
 }
 
 func endCounts(c engine.Counters) map[string]int64 {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -55,10 +55,10 @@
 // violations. skipPreviousWorkers starts inherited jobs without waiting for the previous leader's
 // workers, and skipOverlap treats jobs stored during a takeover as new. ackEarly acknowledges
 // results before their commit. The others drop starts without an answer, runs on lost workers
-// before their lease expires, stored failures, and runs and results of unknown jobs.
+// before their lease expires, stored failures, stored crashes, and runs and results of unknown jobs.
 // skipConfirmation acts without proof that there is no later leader.
 type unsafeOptions struct {
-	skipPreviousWorkers, skipOverlap, ackEarly, forgetUnanswered, forgetLost, forgetFailures, forgetOrphans, skipConfirmation bool
+	skipPreviousWorkers, skipOverlap, ackEarly, forgetUnanswered, forgetLost, forgetFailures, forgetOrphans, skipConfirmation, forgetCrashes bool
 }
 
 // Logger writes structured log lines: a message, followed by alternating keys and values.
@@ -102,6 +102,8 @@
 	passes              int64
 	stragglersCheckedAt time.Time
 	counters            Counters
+	// keptWorkers is the number of workers that are kept for isolated tasks.
+	keptWorkers int
 }
 
 // Counters holds the number of decisions so far. All counts only grow.
@@ -109,6 +111,9 @@
 	Starts, Stops, AdviceRequests, Records       int64
 	EndsDone, EndsFailed, EndsExpired, EndsOther int64
 	NoCapacity, InvalidTicket, Unknown           int64
+	// Crashes counts the crashes of workers under tasks, CrashesWithdrawn those that were none, and
+	// GivenUp the jobs that failed because of them.
+	Crashes, CrashesWithdrawn, GivenUp int64
 }
 
 // New returns an Engine that knows no jobs and no workers.
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -61,7 +61,9 @@
 	// lastRun is the highest run number used for a task of the step.
 	lastRun  int
 	failures []jobs.Failure
-	advice   stepAdvice
+	// crashes holds the runs whose worker crashed.
+	crashes []jobs.Failure
+	advice  stepAdvice
 	// reservation is the capacity reserved for the step, or nil.
 	reservation *reservation
 	// evictions counts how often running work was stopped for the step.
@@ -83,8 +85,12 @@
 	step *step
 	done bool
 	// run is the run that may exist, or nil.
-	run        *run
-	failures   int
+	run      *run
+	failures int
+	// crashes counts the runs whose worker crashed. heldUntil is the revision of the progress that
+	// must be committed before the task starts again.
+	crashes    int
+	heldUntil  int
 	checkpoint string
 	// duration is the duration of the run that completed the task, completedOn the worker it ran
 	// on.
@@ -122,21 +128,21 @@
 	return true
 }
 
-// hasWaiting reports whether a task of the step is neither done nor has a run.
+// hasWaiting reports whether a task of the step is neither done nor has a run, and may start.
 func (s *step) hasWaiting() bool {
 	for _, t := range s.tasks {
-		if !t.done && t.run == nil {
+		if !t.done && t.run == nil && !t.held() {
 			return true
 		}
 	}
 	return false
 }
 
-// waiting returns the tasks that are neither done nor have a run.
+// waiting returns the tasks that are neither done nor have a run, and may start.
 func (s *step) waiting() []*task {
 	var list []*task
 	for _, t := range s.tasks {
-		if !t.done && t.run == nil {
+		if !t.done && t.run == nil && !t.held() {
 			list = append(list, t)
 		}
 	}
@@ -280,6 +286,14 @@
 				s.addFailure(s.tasks[f.Task], f.Run)
 			}
 		}
+		for _, crash := range sp.Crashes {
+			if unsafe.forgetCrashes {
+				break
+			}
+			if crash.Task >= 0 && crash.Task < len(s.tasks) {
+				s.addCrash(s.tasks[crash.Task], crash.Run)
+			}
+		}
 		j.closeIfDone(o)
 	}
 }
--- a/core/engine/lease.go
+++ b/core/engine/lease.go
@@ -54,6 +54,7 @@
 		"clock-at-least", w.clock.lowerBound(now), "clock-read", w.clock.reading, "clock-read-before", now.Sub(w.clock.at), "leased-until", w.leasedUntil)
 	w.synced, w.resultsKnown = false, false
 	for _, r := range expired {
+		r.suspectCrash(presumedCrash)
 		e.presumeEnded(now, r, jobs.EndExpired, "the worker's lease has expired")
 	}
 }
@@ -67,6 +68,7 @@
 	}
 	for _, r := range w.sortedRuns() {
 		if r.sentBeforeRestart && proved.Sub(r.phaseSince) > maxCommandDelay+LongestLease(e.opts.MaxLease) {
+			r.suspectCrash(presumedCrash)
 			e.presumeEnded(now, r, jobs.EndExpired, "the start command to an earlier incarnation of the worker is too old to arrive")
 		}
 	}
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -12,6 +12,7 @@
 func (e *Engine) schedule(now time.Time) {
 	e.expireProxyRequests(now)
 	e.expireReservations(now)
+	e.releaseKeptWorkers(now)
 	e.passes++
 	pass := &pass{
 		now: now, number: e.passes, noProxyFor: make(map[string]bool), ticketedSteps: make(map[string]int), dedicated: make(map[*worker]*step),
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -22,9 +22,10 @@
 	if s.job.Queue.Advice != nil && !s.advice.hasTicket(now) {
 		return nil
 	}
+	isolatedGang := s.Gang && s.tasks[0].isolated()
 	var list []candidate
 	consider := func(w *worker) {
-		if p.dedicated[w] != nil || !s.mayRunOn(w) {
+		if p.dedicated[w] != nil || !s.mayRunOn(w) || isolatedGang && !w.vacantFor(now, s) {
 			return
 		}
 		if fits := s.fits(w, limit); fits > 0 {
@@ -70,7 +71,8 @@
 
 // mayRunOn reports whether tasks of the step may run on a worker, apart from capacity and advice.
 func (s *step) mayRunOn(w *worker) bool {
-	return w.Service == s.job.Queue.Service && w.hasLabel(s.RequiredLabel) && !w.interferesWith(s)
+	return w.Service == s.job.Queue.Service && w.hasLabel(s.RequiredLabel) && !w.interferesWith(s) &&
+		(w.keptFor == nil || w.keptFor.step == s)
 }
 
 // interferesWith reports whether tasks of the step must not share the worker with its current
@@ -117,31 +119,43 @@
 		return 0
 	}
 	number := e.nextRun(s)
-	placed := 0
+	started := make([]*task, 0, len(tasks))
+	full := false
 	for _, t := range tasks {
-		c := pickCandidate(list, t)
-		if c == nil {
-			break
+		isolated := t.isolated()
+		if full && !isolated {
+			continue
+		}
+		c := e.pickCandidate(p, list, t)
+		switch {
+		case c != nil:
+			c.fits--
+			e.start(p.now, t, c.worker, number)
+			started = append(started, t)
+			if isolated {
+				e.keep(c.worker, t)
+			}
+		case isolated:
+			e.keepWorkerFor(p, t)
+		default:
+			full = true
 		}
-		c.fits--
-		e.start(p.now, t, c.worker, number)
-		placed++
 	}
-	if placed > 0 {
+	if len(started) > 0 {
 		s.lastRun = number
 		e.releaseReservation(s)
-		e.logStarts(p.now, s, tasks[:placed], number)
+		e.logStarts(p.now, s, started, number)
 	}
-	return placed
+	return len(started)
 }
 
-// pickCandidate returns the first candidate with free capacity that the task does not avoid, or
-// otherwise any candidate with free capacity.
-func pickCandidate(list []candidate, t *task) *candidate {
+// pickCandidate returns the first candidate with free capacity that the task may use and does not
+// avoid, or otherwise any that it may use.
+func (e *Engine) pickCandidate(p *pass, list []candidate, t *task) *candidate {
 	var fallback *candidate
 	for i := range list {
 		c := &list[i]
-		if c.fits == 0 {
+		if c.fits == 0 || !e.mayHost(p, c.worker, t) {
 			continue
 		}
 		if !slices.Contains(t.avoid, c.worker.ID) {
--- a/core/engine/progress.go
+++ b/core/engine/progress.go
@@ -57,7 +57,7 @@
 }
 
 func (s *step) progress() (jobs.StepProgress, bool) {
-	sp := jobs.StepProgress{Occurrence: s.id.Occurrence, Step: s.id.Step, Failures: s.failures}
+	sp := jobs.StepProgress{Occurrence: s.id.Occurrence, Step: s.id.Step, Failures: s.failures, Crashes: s.crashes}
 	switch s.tasksLeft {
 	case 0:
 		sp.AllDone = true
@@ -69,7 +69,7 @@
 			}
 		}
 	}
-	return sp, sp.AllDone || len(sp.Done) > 0 || len(sp.Failures) > 0
+	return sp, sp.AllDone || len(sp.Done) > 0 || len(sp.Failures) > 0 || len(sp.Crashes) > 0
 }
 
 // Status is the state of a job as visible to its caller.
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -62,6 +62,8 @@
 	// sentBeforeRestart is set if the start command was sent before the engine knew that the
 	// worker had restarted.
 	sentBeforeRestart bool
+	// crash tells whether the run ends because its worker crashed.
+	crash crashEvidence
 	// percent is the share of the work that is done, startPercent the share in the first report
 	// of a resumed run, and progressAt the time at which percent last changed.
 	percent, startPercent int
@@ -73,7 +75,7 @@
 
 // confirmArrival records that the worker has or had the run.
 func (r *run) confirmArrival() {
-	r.sentBeforeRestart = false
+	r.sentBeforeRestart, r.crash = false, noCrash
 	if r.owner != nil {
 		r.owner.step.job.started = true
 	}
@@ -138,6 +140,9 @@
 	r.owner = t
 	t.run = r
 	t.step.lastRun = max(t.step.lastRun, r.number)
+	if t.isolated() {
+		e.keep(r.worker, t)
+	}
 	e.log("run adopted", "task", r.task, "run", r.number, "worker", r.worker.ID)
 }
 
--- a/core/engine/run_end.go
+++ b/core/engine/run_end.go
@@ -12,7 +12,7 @@
 	e.log("run presumed ended", "task", r.task, "run", r.number, "worker", w.ID, "why", why, "end", end, "epoch", e.opts.Epoch,
 		"confirmed-before", now.Sub(e.confirmed.At),
 		"age", now.Sub(r.startSentAt), "phase", r.phase, "phase-age", now.Sub(r.phaseSince), "listed", r.listed, "repeated", r.repeated,
-		"sent-before-restart", r.sentBeforeRestart, "worker-seen-before", now.Sub(w.lastSeen), "born", w.StartedAt, "entry-born", w.entryStartedAt,
+		"sent-before-restart", r.sentBeforeRestart, "crash", r.crash, "worker-seen-before", now.Sub(w.lastSeen), "born", w.StartedAt, "entry-born", w.entryStartedAt,
 		"fence", r.fence, "fence-now", e.fence(w), "last-sequence", w.lastSequence, "acked-up-to", w.ackedUpTo,
 		"clock-at-least", w.clock.lowerBound(now), "clock-read-before", now.Sub(w.clock.at), "leased-until", w.leasedUntil)
 	e.endRun(now, r, end, "")
@@ -47,6 +47,9 @@
 	if end == jobs.EndFailed {
 		t.avoid = append(t.avoid, r.worker.ID)
 	}
+	if r.crash != noCrash {
+		e.runCrashed(now, r)
+	}
 	e.applyEnd(now, t, r.number, end)
 }
 
--- a/core/engine/simulation_rapid_test.go
+++ b/core/engine/simulation_rapid_test.go
@@ -12,11 +12,12 @@
 	"tanagerstack.org/core/jobs"
 )
 
-// The size of a simulation: the time with load and faults, the time to settle afterwards, and the
-// number of jobs.
+// The size of a simulation: the time with load and faults, the time to settle afterwards, the time that
+// each deadly task adds, which takes a worker away maxCrashes times, and the number of jobs.
 const (
 	simLoadTime   = 12 * time.Second
 	simSettleTime = 60 * time.Second
+	simDeadlyTime = maxCrashes * 10 * time.Second
 	simJobCount   = 30
 )
 
@@ -27,6 +28,9 @@
 	r := rand.New(rand.NewPCG(seed, 11))
 	for i := range simJobCount {
 		job := randomJob(r, i, faults.advice)
+		if i < faults.deadly {
+			sim.deadly[jobs.TaskID{StepID: jobs.StepID{Job: job.ID}}] = true
+		}
 		sim.after(randomBelow(r, simLoadTime), func() { sim.accept(job) })
 		if r.IntN(12) == 0 {
 			sim.after(randomBelow(r, simLoadTime), func() { sim.cancel(job.ID) })
@@ -50,8 +54,9 @@
 		sim.after(randomBelow(r, simLoadTime), sim.startLeader)
 	}
 	sim.run(simLoadTime)
-	sim.faults = simFaults{keepOldLeaders: faults.keepOldLeaders, advice: faults.advice, slowStore: faults.slowStore, slowPolls: faults.slowPolls}
-	sim.run(simLoadTime + simSettleTime)
+	sim.faults = simFaults{keepOldLeaders: faults.keepOldLeaders, advice: faults.advice, slowStore: faults.slowStore, slowPolls: faults.slowPolls, newIDs: faults.newIDs}
+	sim.run(simLoadTime + simSettleTime + time.Duration(faults.deadly)*simDeadlyTime)
+	sim.checkFailedJobs()
 	return sim
 }
 
@@ -79,8 +84,9 @@
 }
 
 // TestWorldHolds simulates random loads with faults of all kinds. It guards against tasks that
-// run twice, before the steps they depend on, more often than their attempts allow, or beyond a
-// worker's capacity, and against jobs that do not finish once the faults are over.
+// run twice, before the steps they depend on, more often than their attempts or their crashes allow, or
+// beyond a worker's capacity, and against jobs that fail without cause, or do not finish once the
+// faults are over.
 func TestWorldHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
@@ -99,6 +105,8 @@
 			slowStore:      rapid.Bool().Draw(t, "slow-store"),
 			slowFeed:       rapid.Bool().Draw(t, "slow-feed"),
 			splits:         rapid.IntRange(0, 2).Draw(t, "splits"),
+			deadly:         rapid.IntRange(0, 3).Draw(t, "deadly"),
+			newIDs:         rapid.Bool().Draw(t, "new-ids"),
 		}
 		sim := simulate(seed, faults, unsafeOptions{})
 		for _, v := range sim.violations {
@@ -144,6 +152,9 @@
 		"failures are counted across leaders": {
 			unsafeOptions{forgetFailures: true}, simFaults{failTask: 0.5, takeovers: 3},
 		},
+		"crashes are counted across leaders": {
+			unsafeOptions{forgetCrashes: true}, simFaults{deadly: 3, takeovers: 6},
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/core/engine/simulation_test.go
+++ b/core/engine/simulation_test.go
@@ -35,8 +35,18 @@
 	// acknowledged holds the tasks for which a result as done was acknowledged to a worker.
 	acknowledged map[jobs.TaskID]bool
 	// failed counts the acknowledged failures of each task.
-	failed     map[jobs.TaskID]int
+	failed map[jobs.TaskID]int
+	// failures counts the failed runs of each task, those of a gang at its first task, and
+	// failedRuns holds them.
+	failures   map[jobs.TaskID]int
+	failedRuns map[runKey]bool
 	completed  map[jobs.TaskID]bool
+	// deadly holds the tasks that crash each worker that starts them. crashes holds the workers that
+	// crashed under each task, those of a gang at its first task, and lateStarts the starts after
+	// maxCrashes of them.
+	deadly     map[jobs.TaskID]bool
+	crashes    map[jobs.TaskID][]simCrash
+	lateStarts map[jobs.TaskID]int
 	violations []string
 	faults     simFaults
 	unsafe     unsafeOptions
@@ -94,6 +104,16 @@
 	// splits is how often the leader and some workers are cut off together from the store, from the
 	// other workers and from the next leader.
 	splits int
+	// deadly is the number of jobs with a task that crashes its workers. With newIDs, these workers
+	// come back under other IDs.
+	deadly int
+	newIDs bool
+}
+
+// simCrash is the crash of a worker under a run. It is alone if the worker ran nothing else.
+type simCrash struct {
+	run   int
+	alone bool
 }
 
 type simEvent struct {
@@ -164,19 +184,28 @@
 		acknowledged:       make(map[jobs.TaskID]bool),
 		failed:             make(map[jobs.TaskID]int),
 		completed:          make(map[jobs.TaskID]bool),
+		failures:           make(map[jobs.TaskID]int),
+		failedRuns:         make(map[runKey]bool),
+		deadly:             make(map[jobs.TaskID]bool),
+		crashes:            make(map[jobs.TaskID][]simCrash),
+		lateStarts:         make(map[jobs.TaskID]int),
 		faults:             faults,
 		unsafe:             unsafe,
 		committedRevisions: make(map[leaderJob]int),
 	}
 	for i := range 4 {
-		entry := testWorker(fmt.Sprintf("w%d", i))
-		s := &simWorker{sim: sim, entry: entry, clockRate: 1 - 0.02*sim.rand.Float64()}
-		s.boot()
-		sim.workers[entry.ID] = s
+		sim.addWorker(fmt.Sprintf("w%d", i))
 	}
 	return sim
 }
 
+func (sim *simulation) addWorker(id string) {
+	entry := testWorker(id)
+	s := &simWorker{sim: sim, entry: entry, clockRate: 1 - 0.02*sim.rand.Float64()}
+	s.boot()
+	sim.workers[id] = s
+}
+
 func (s *simWorker) boot() {
 	s.startedAt = s.sim.now
 	s.entry.StartedAt = s.sim.now.Add(time.Millisecond)
@@ -533,8 +562,20 @@
 	s.lastSequence++
 	s.results = append(s.results, RunResult{Sequence: s.lastSequence, Task: r.key.task, Run: r.key.number, End: end})
 	s.lastEndedRun[r.key.task] = max(s.lastEndedRun[r.key.task], r.key.number)
-	if end == jobs.EndDone {
+	switch end {
+	case jobs.EndDone:
 		s.sim.completed[r.key.task] = true
+	case jobs.EndFailed:
+		s.sim.noteFailure(r.key)
+	}
+}
+
+// noteFailure counts a failed run, once for all members of a gang.
+func (sim *simulation) noteFailure(key runKey) {
+	key.task = sim.countedTask(key.task)
+	if !sim.failedRuns[key] {
+		sim.failedRuns[key] = true
+		sim.failures[key.task]++
 	}
 }
 
@@ -573,6 +614,13 @@
 	r.duration = time.Duration((0.5 + sim.rand.Float64()) * float64(step.Estimate))
 	s.running[key] = r
 	incarnation := s.entry.StartedAt
+	if sim.deadly[c.Task] {
+		sim.after(randomBelow(sim.rand, r.duration), func() {
+			if s.entry.StartedAt.Equal(incarnation) && s.running[key] == r {
+				sim.crashUnderTask(s.entry.ID)
+			}
+		})
+	}
 	end := jobs.EndDone
 	if sim.happens(sim.faults.failTask) {
 		end = jobs.EndFailed
@@ -596,6 +644,13 @@
 	if sim.acknowledged[c.Task] {
 		sim.addViolation("%s started again after its result was acknowledged", c.Task)
 	}
+	counted := sim.countedTask(c.Task)
+	if crashes := sim.crashes[counted]; len(crashes) >= maxCrashes && c.Task == counted {
+		sim.lateStarts[counted]++
+		if sim.lateStarts[counted] > sim.allowedLateStarts() {
+			sim.addViolation("%s started although workers crashed under its runs %v", c.Task, crashes)
+		}
+	}
 	if sim.failed[c.Task] >= job.Queue.Attempts {
 		sim.addViolation("%s started after %d failures", c.Task, sim.failed[c.Task])
 	}
@@ -690,14 +745,103 @@
 	if s.down {
 		return
 	}
-	s.down = true
-	s.running = make(map[runKey]*simRun)
+	sim.takeDown(s)
 	sim.after(down, func() {
 		s.boot()
 		s.down = false
 	})
 }
 
+// takeDown ends a worker and records the crash for its runs.
+func (sim *simulation) takeDown(s *simWorker) {
+	s.down = true
+	s.endExpired()
+	for _, r := range s.sortedRuns() {
+		counted := sim.countedTask(r.key.task)
+		alone := true
+		for key := range s.running {
+			alone = alone && (key == r.key || r.gang && key.task.StepID == r.key.task.StepID)
+		}
+		list := sim.crashes[counted]
+		if i := slices.IndexFunc(list, func(c simCrash) bool { return c.run == r.key.number }); i >= 0 {
+			list[i].alone = list[i].alone || alone
+			continue
+		}
+		sim.crashes[counted] = append(list, simCrash{r.key.number, alone})
+	}
+	s.running = make(map[runKey]*simRun)
+}
+
+// countedTask returns the task at which crashes are counted.
+func (sim *simulation) countedTask(id jobs.TaskID) jobs.TaskID {
+	if sim.jobs[id.Job].Steps[id.Step].Gang {
+		id.Index = 0
+	}
+	return id
+}
+
+// crashUnderTask takes a worker down, which comes back after seconds.
+func (sim *simulation) crashUnderTask(id string) {
+	down := time.Second + randomBelow(sim.rand, 4*time.Second)
+	if !sim.faults.newIDs || sim.workers[id].down {
+		sim.crash(id, down)
+		return
+	}
+	sim.takeDown(sim.workers[id])
+	sim.after(down, func() {
+		// The digit in the ID decides what the adviser permits.
+		added := fmt.Sprintf("%s-%d", id[:2], len(sim.workers))
+		sim.addWorker(added)
+		for _, l := range sim.leaders {
+			sim.poll(l, added)
+		}
+	})
+}
+
+// allowedLateStarts returns how often a task may start after maxCrashes workers have crashed under it.
+// The users' rule allows two. They are needed only across leaders: a leader does not see the
+// crash of a worker that it has not polled yet.
+func (sim *simulation) allowedLateStarts() int {
+	if len(sim.leaders) > 1 {
+		return 2
+	}
+	return 0
+}
+
+// isDeadly reports whether a task, or a member of its gang, crashes its workers.
+func (sim *simulation) isDeadly(counted jobs.TaskID) bool {
+	for task := range sim.deadly {
+		if sim.countedTask(task) == counted {
+			return true
+		}
+	}
+	return false
+}
+
+// simCrashesToGiveUp is the number of crashes under a task after which users accept that its job fails.
+const simCrashesToGiveUp = 2
+
+// checkFailedJobs checks that only jobs fail whose attempts are used up, or with a task under which
+// simCrashesToGiveUp workers have crashed. If the task crashes no workers, the last one must have run
+// it alone.
+func (sim *simulation) checkFailedJobs() {
+	for id, p := range sim.progress {
+		if p.State != jobs.Failed {
+			continue
+		}
+		reason := false
+		for task, failures := range sim.failures {
+			reason = reason || task.Job == id && failures >= sim.jobs[id].Queue.Attempts
+		}
+		for task, crashes := range sim.crashes {
+			reason = reason || task.Job == id && len(crashes) >= simCrashesToGiveUp && (sim.isDeadly(task) || crashes[len(crashes)-1].alone)
+		}
+		if !reason {
+			sim.addViolation("%s failed without cause", id)
+		}
+	}
+}
+
 // split cuts the leader and some workers off together for a time. The next leader takes over
 // meanwhile.
 func (sim *simulation) split(length time.Duration) {
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -76,8 +76,12 @@
 	// mayHaveRestarted is set from a failed poll, or an entry of a later incarnation, until the next
 	// report of the known incarnation.
 	mayHaveRestarted bool
-	health           health
-	slowdown         slowdown
+	// presumedCrashes holds the runs that were lost with the present incarnation and count as crashes.
+	presumedCrashes []runKey
+	// keptFor is the isolated task that the worker runs or is kept for, or nil.
+	keptFor  *task
+	health   health
+	slowdown slowdown
 	// unknownDemandRuns counts the runs whose demand is not known.
 	unknownDemandRuns int
 }
@@ -249,7 +253,9 @@
 	w.clock = clock{}
 	w.leasedUntil = 0
 	w.lastSequence, w.ackedUpTo, w.pendingAcks = 0, 0, nil
+	w.presumedCrashes = nil
 	for _, r := range w.sortedRuns() {
+		r.suspectCrash(provedCrash)
 		if r.listed && !r.repeated {
 			e.presumeEnded(now, r, jobs.EndExpired, "the worker restarted")
 			continue
@@ -273,6 +279,7 @@
 		return
 	}
 	w.clock.observe(now, ev.Report.Clock)
+	e.withdrawPresumedCrashes(w)
 	// An idle worker delays its answer to a poll and reports its state at the time of the answer,
 	// so the age of the report is counted from its arrival.
 	w.lastSeen = now
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -11,7 +11,7 @@
 	State State `cbor:"1,keyasint"`
 	// Started is set once a task of the job has started.
 	Started bool `cbor:"2,keyasint,omitempty"`
-	// Steps has an entry for each step with done tasks or failed runs, except in occurrences that
+	// Steps has an entry for each step with done tasks, failed runs or crashes, except in occurrences that
 	// are done.
 	Steps []StepProgress `cbor:"3,keyasint,omitempty"`
 	// Done has the occurrences whose tasks are all done.
@@ -34,9 +34,11 @@
 	Done    []int `cbor:"4,keyasint,omitempty"`
 	// Failures lists the failed runs. A failed run of a gang is listed once, for its first task.
 	Failures []Failure `cbor:"5,keyasint,omitempty"`
+	// Crashes lists the runs whose worker crashed, in the same way.
+	Crashes []Failure `cbor:"6,keyasint,omitempty"`
 }
 
-// Failure identifies a failed run by the index of its task and the number of the run.
+// Failure identifies a run that failed, or whose worker crashed, by the index of its task and the number of the run.
 type Failure struct {
 	Task int `cbor:"1,keyasint"`
 	Run  int `cbor:"2,keyasint"`
