--- a/core/engine/crash_test.go
+++ b/core/engine/crash_test.go
@@ -247,3 +247,62 @@
 		t.Errorf("records %+v, %d crashes withdrawn, want one record without crashes", records, e.Counters().CrashesWithdrawn)
 	}
 }
+
+// TestIsolatedTaskGetsAWorker guards against a suspect that never starts, because other work keeps
+// all workers busy, and against suspects that stop the fleet.
+func TestIsolatedTaskGetsAWorker(t *testing.T) {
+	ids := []string{"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"}
+	e := newCrashTest(t, ids...)
+	ends := make(map[jobs.TaskID]time.Time)
+	running := make(map[string]map[jobs.TaskID]int)
+	suspects := make(map[jobs.ID]bool)
+	for n := range 6 {
+		id := jobs.ID("suspect" + string(rune('0'+n)))
+		suspects[id] = true
+		crashes := []jobs.Failure{{Run: 1}, {Run: 2}}
+		e.apply(JobAccepted{Job: testJob(id, 1), Progress: jobs.Progress{Steps: []jobs.StepProgress{{Crashes: crashes}}}})
+	}
+	e.apply(JobAccepted{Job: testJob("load", 2000)})
+	started, present := 0, 0
+	for range 200 {
+		for _, s := range commandsOfType[Start](e.runPass(100 * time.Millisecond)) {
+			if running[s.Worker] == nil {
+				running[s.Worker] = make(map[jobs.TaskID]int)
+			}
+			for other := range running[s.Worker] {
+				if suspects[s.Task.Job] || suspects[other.Job] {
+					t.Errorf("%s started beside %s on %s", s.Task, other, s.Worker)
+				}
+			}
+			if suspects[s.Task.Job] {
+				started++
+				present++
+			}
+			if most := int(maxKeptShare * float64(len(ids))); present > most {
+				t.Errorf("%d suspects at a time on %d workers, want at most %d", present, len(ids), most)
+			}
+			e.accept([]Start{s})
+			running[s.Worker][s.Task] = s.Run
+			ends[s.Task] = e.now.Add(500 * time.Millisecond).Add(time.Duration(s.Task.Index%7) * 100 * time.Millisecond)
+		}
+		for _, id := range ids {
+			var r Report
+			for task, run := range running[id] {
+				if e.now.Before(ends[task]) {
+					r.Running = append(r.Running, ActiveRun{Task: task, Run: run})
+					continue
+				}
+				delete(running[id], task)
+				e.sequence[id]++
+				r.Results = append(r.Results, RunResult{Sequence: e.sequence[id], Task: task, Run: run, End: jobs.EndDone})
+				if suspects[task.Job] {
+					present--
+				}
+			}
+			e.commit(e.report(id, r))
+		}
+	}
+	if started != len(suspects) {
+		t.Errorf("%d of %d suspects started", started, len(suspects))
+	}
+}
