--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -154,13 +154,14 @@
 	fleetFits := 0
 	for _, w := range e.sortedWorkers {
 		permitted, asked := s.advice.verdicts[w]
-		fits := s.fitsIfEmpty(w, missing)
-		if fits == 0 || !w.listed || w.Leaving || asked && !permitted || !s.mayRunOn(w) {
+		usable := p.isOpen(w) && (!advised || permitted)
+		// Workers count that are out of contact, or that the adviser was not asked about yet.
+		if asked && !permitted || !usable && fleetFits >= missing || !w.listed || w.Leaving || !s.mayRunOn(w) {
 			continue
 		}
-		// Workers count that are out of contact, or that the adviser was not asked about yet.
+		fits := s.fitsIfEmpty(w, missing)
 		fleetFits += fits
-		if p.isOpen(w) && (!advised || permitted) {
+		if usable && fits > 0 {
 			list = append(list, candidate{worker: w, free: w.free(), fits: fits})
 		}
 	}
