--- a/core/cell/elect_test.go
+++ b/core/cell/elect_test.go
@@ -144,7 +144,7 @@
 		"stood still":                       {3 * time.Second, 0, false},
 		"stood still, renewal not yet due":  {3 * time.Second, renewInterval, false},
 		"stood still, leader silent since":  {3 * time.Second, silence, true},
-		"leader silent since it was paused": {confirmationValidFor, silence, true},
+		"leader silent since it confirmed":  {confirmationValidFor, silence, true},
 		"leader not silent for long enough": {confirmationValidFor, expireAfter - maxUnconfirmedPause, false},
 	}
 	for name, c := range cases {
@@ -261,7 +261,7 @@
 				return
 			}
 			store.Sleep(t.Context(), 2*expireAfter+maxWatchPause)
-			// On a busy machine the fake leader may fall silent for long enough.
+			// On a busy machine the fake leader may fail to renew its row in time.
 			if silence, takenOver := l.replaced(); takenOver && silence < expireAfter-maxUnconfirmedPause {
 				t.Errorf("the VM took over %s after the leader renewed its row", silence)
 			}
--- a/core/engine/lease.go
+++ b/core/engine/lease.go
@@ -11,10 +11,10 @@
 // pendingAck is a result that can be acknowledged once a commit is known.
 type pendingAck struct {
 	sequence int64
-	// listedAt is the time of the first report that listed the result. afterGap is set once a later
+	// listedAt is the time of the first report that listed the result. settled is set once a later
 	// report proves that the worker has no unread result with a lower number.
 	listedAt time.Time
-	afterGap bool
+	settled  bool
 	job      *job
 	revision int
 	// orphan is the result while its job is not known, otherwise nil.
@@ -25,7 +25,7 @@
 // that follows a result that may not have been read.
 func (w *worker) advanceAcks() {
 	n := 0
-	for n < len(w.pendingAcks) && w.pendingAcks[n].committed() && (w.pendingAcks[n].afterGap || w.pendingAcks[n].sequence == w.ackedUpTo+1) {
+	for n < len(w.pendingAcks) && w.pendingAcks[n].committed() && (w.pendingAcks[n].settled || w.pendingAcks[n].sequence == w.ackedUpTo+1) {
 		w.ackedUpTo = w.pendingAcks[n].sequence
 		n++
 	}
@@ -38,7 +38,7 @@
 // a number.
 func (w *worker) settleGaps(sent time.Time) {
 	for i := range w.pendingAcks {
-		w.pendingAcks[i].afterGap = w.pendingAcks[i].afterGap || sent.After(w.pendingAcks[i].listedAt)
+		w.pendingAcks[i].settled = w.pendingAcks[i].settled || sent.After(w.pendingAcks[i].listedAt)
 	}
 }
 
