--- /dev/null
+++ b/core/lease/extension_test.go
@@ -0,0 +1,152 @@
+package lease
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"tanagerstack.org/core/store"
+)
+
+// interceptedTables lets a test replace calls to the tables.
+type interceptedTables struct {
+	store.Tables
+	commit func(context.Context, ...store.Change) (int64, error)
+	read   func(ctx context.Context, table, key string) (store.Row, error)
+}
+
+func (i *interceptedTables) Commit(ctx context.Context, changes ...store.Change) (int64, error) {
+	if i.commit != nil {
+		return i.commit(ctx, changes...)
+	}
+	return i.Tables.Commit(ctx, changes...)
+}
+
+func (i *interceptedTables) Read(ctx context.Context, table, key string) (store.Row, error) {
+	if i.read != nil {
+		return i.read(ctx, table, key)
+	}
+	return i.Tables.Read(ctx, table, key)
+}
+
+func unreadable(context.Context, string, string) (store.Row, error) {
+	return store.Row{}, store.ErrUnavailable
+}
+
+// newVoter returns a Manager of the voter b that has not read the row.
+func newVoter(tables store.Tables, now func() time.Time) *Manager {
+	return NewManager(Options{
+		Tables: tables, Domain: "zurich-a", Name: "b", ClockSkew: testSkew, Term: testTerm, MaxTaskLease: testTerm,
+		Voters: func() []string { return []string{"a", "b"} }, Now: now,
+	})
+}
+
+// requestExtension lets holder ask voter for the extension that it needs, and reports whether
+// the voter has promised it.
+func requestExtension(t *testing.T, holder, voter *Manager, now time.Time) bool {
+	t.Helper()
+	wanted, others, needed := holder.ExtensionNeeded(now)
+	if !needed || !slices.Equal(others, []string{"b"}) {
+		t.Fatalf("extension needed: %v, by the promises of %v", needed, others)
+	}
+	if !voter.Promise(wanted) {
+		return false
+	}
+	holder.Extend(wanted)
+	return true
+}
+
+func checkOneGrant(t *testing.T, a, b *Manager, now time.Time) {
+	t.Helper()
+	ofA, holdsA := a.Current(now)
+	ofB, holdsB := b.Current(now)
+	if holdsA && holdsB {
+		t.Errorf("two valid grants: %+v and %+v", ofA, ofB)
+	}
+}
+
+// A voter that may have acquired the lease without knowing promised the extension of another VM.
+func TestNoPromiseWhileAcquisitionIsUnresolved(t *testing.T) {
+	tests := map[string]struct {
+		// executeLate executes the write after the voter has read the row again.
+		executeLate, readable bool
+	}{
+		"executed, then tables unreachable": {},
+		"executed after the next read":      {executeLate: true, readable: true},
+		"executed after an outage":          {executeLate: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := &fakeClock{at: time.Now()}
+			memory := store.NewMemory()
+			a := newHolder(t, memory, "a", []string{"a", "b"}, c.now)
+			tables := &interceptedTables{Tables: memory}
+			b := newVoter(tables, c.now)
+			if err := b.RunOnce(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			c.at = c.at.Add(testTerm + 2*testSkew)
+			var late []store.Change
+			tables.commit = func(ctx context.Context, changes ...store.Change) (int64, error) {
+				late = changes
+				if !test.executeLate {
+					if _, err := memory.Commit(ctx, changes...); err != nil {
+						return 0, err
+					}
+				}
+				if !test.readable {
+					tables.read = unreadable
+				}
+				return 0, store.ErrOutcomeUnknown
+			}
+			if err := b.RunOnce(t.Context()); err == nil {
+				t.Fatal("b knows the outcome of its acquisition")
+			}
+			promised := requestExtension(t, a, b, c.now())
+			if test.executeLate {
+				if _, err := memory.Commit(t.Context(), late...); err != nil {
+					t.Fatal(err)
+				}
+			}
+			tables.commit, tables.read = nil, nil
+			if err := b.RunOnce(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if _, holds := b.Current(c.now()); !holds {
+				t.Error("b does not hold the lease that it has acquired")
+			}
+			if promised {
+				t.Error("b promised an extension while its acquisition was unresolved")
+			}
+			checkOneGrant(t, a, b, c.now())
+		})
+	}
+}
+
+// A voter refuses promises for good after an acquisition that was void.
+func TestPromiseAfterResolvedAcquisition(t *testing.T) {
+	c := &fakeClock{at: time.Now()}
+	memory := store.NewMemory()
+	a := newHolder(t, memory, "a", []string{"a", "b"}, c.now)
+	tables := &interceptedTables{Tables: memory}
+	b := newVoter(tables, c.now)
+	if err := b.RunOnce(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	c.at = c.at.Add(testTerm + 2*testSkew)
+	tables.commit = func(context.Context, ...store.Change) (int64, error) { return 0, store.ErrOutcomeUnknown }
+	if err := b.RunOnce(t.Context()); err == nil {
+		t.Fatal("b knows the outcome of its acquisition")
+	}
+	c.at = c.at.Add(DefaultRenewInterval)
+	for _, m := range []*Manager{a, b} {
+		if err := m.RunOnce(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.at = c.at.Add(testTerm)
+	if !requestExtension(t, a, b, c.now()) {
+		t.Error("b refuses although the row was written since, so that its acquisition is void")
+	}
+}
--- a/core/lease/manager.go
+++ b/core/lease/manager.go
@@ -66,9 +66,12 @@
 	mu sync.Mutex
 	// lastRow is the last row that was read or written. held is set if its holder is this
 	// process.
-	lastRow  row
-	held     bool
-	released bool
+	lastRow row
+	held    bool
+	// unresolvedEpoch is the newest epoch of the writes of unknown outcome over rowVersion; 0
+	// if there is none. One of them may still take effect while the row has that version.
+	unresolvedEpoch int64
+	released        bool
 	// inheritedTaskDeadline is the latest deadline that previous holders may have given to a
 	// task, as of the acquisition.
 	inheritedTaskDeadline time.Time
@@ -250,10 +253,14 @@
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
-		m.rowVersion = version
+		m.setRowVersion(version)
 		m.observe(r)
 		return nil
-	case errors.Is(err, store.ErrOutcomeUnknown), errors.As(err, &conflict):
+	case errors.Is(err, store.ErrOutcomeUnknown):
+		m.noteUnresolved(r)
+		_, readErr := m.read(ctx)
+		return errors.Join(err, readErr)
+	case errors.As(err, &conflict):
 		_, readErr := m.read(ctx)
 		return errors.Join(err, readErr)
 	default:
@@ -261,8 +268,26 @@
 	}
 }
 
-// read reads the stored row and makes it the last known one, which also resolves a write of
-// unknown result.
+// setRowVersion records the version of the stored row. A new version resolves all writes of
+// unknown outcome: each has taken effect or is void. The caller must hold storeMu.
+func (m *Manager) setRowVersion(version int64) {
+	if version == m.rowVersion {
+		return
+	}
+	m.rowVersion = version
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unresolvedEpoch = 0
+}
+
+// noteUnresolved records a write of unknown outcome.
+func (m *Manager) noteUnresolved(r row) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unresolvedEpoch = max(m.unresolvedEpoch, r.Epoch)
+}
+
+// read reads the stored row and makes it the last known one.
 func (m *Manager) read(ctx context.Context) (row, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -274,7 +299,7 @@
 	if err != nil {
 		return row{}, err
 	}
-	m.rowVersion = stored.Version
+	m.setRowVersion(stored.Version)
 	m.observe(current)
 	return current, nil
 }
