Promise no extension before the row has been read

What callers could see: two entry VMs that schedule the same failure domain, one after the other and then the first one again.

Cause: a process that has just started and does not reach the tables knows no epoch, so it promised each holder its extension, also after its previous process had acquired the lease itself.

Evidence: TestNoPromiseBeforeRowIsRead before: the restarted process promises, and a holds epoch 1 again although b held epoch 2.

Why it works: after a read since its start a process knows all epochs that its VM has acquired before, and from then on its own.

TestWhoMayTakeAfterTheDeadline: the candidate had promised without having read the row, which is refused now. It reads the row first, and the test also checks that the promise is given. What it then may do is checked as before.

--- a/core/lease/doc.go
+++ b/core/lease/doc.go
@@ -12,8 +12,9 @@
 // A holder that is cut off from the platform may continue with an Extension, for
 // which every voter must promise not to acquire the lease before a given time. The
 // voters are the entry VMs of the stored roster, as listed in the row. If one
-// promise is missing, the grant ends at the row's deadline. A VM that the row does
-// not list as a voter may acquire the lease only when no voter of the row is in the
-// stored roster any more. A VM that has just started waits for as long as a promise
-// can last, because its previous process may have made one.
+// promise is missing, the grant ends at the row's deadline. A voter promises nothing
+// before it has read the row, or while its own acquisition may still take effect. A VM
+// that the row does not list as a voter may acquire the lease only when no voter of the
+// row is in the stored roster any more. A VM that has just started waits for as long as
+// a promise can last, because its previous process may have made one.
 package lease
--- a/core/lease/extension.go
+++ b/core/lease/extension.go
@@ -43,14 +43,15 @@
 }
 
 // Promise promises that this VM does not acquire the lease before the end of an extension.
-// It returns false and promises nothing if this VM holds the lease, or knows or may have
-// acquired a newer epoch than the extension's. It first waits for an acquisition in progress.
+// It returns false and promises nothing if this VM holds the lease, knows or may have acquired
+// a newer epoch than the extension's, or has not read the row since its start: its previous
+// process may have acquired the lease. It first waits for an acquisition in progress.
 func (m *Manager) Promise(e Extension) bool {
 	m.storeMu.Lock()
 	defer m.storeMu.Unlock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.held || m.lastRow.Epoch > e.Epoch || m.promise.Epoch > e.Epoch || m.unresolvedEpoch > e.Epoch {
+	if !m.rowKnown || m.held || m.lastRow.Epoch > e.Epoch || m.promise.Epoch > e.Epoch || m.unresolvedEpoch > e.Epoch {
 		return false
 	}
 	m.promise = Extension{
--- a/core/lease/extension_test.go
+++ b/core/lease/extension_test.go
@@ -150,3 +150,36 @@
 		t.Error("b refuses although the row was written since, so that its acquisition is void")
 	}
 }
+
+// A voter that had held the lease itself promised the extension of its predecessor after a restart.
+func TestNoPromiseBeforeRowIsRead(t *testing.T) {
+	c := &fakeClock{at: time.Now()}
+	memory := store.NewMemory()
+	a := newHolder(t, memory, "a", []string{"a", "b"}, c.now)
+	before := newVoter(memory, c.now)
+	c.at = c.at.Add(testTerm + 2*testSkew)
+	if err := before.RunOnce(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if grant, holds := before.Current(c.now()); !holds || grant.Epoch != 2 {
+		t.Fatalf("b did not acquire the lease: %+v", grant)
+	}
+	tables := &interceptedTables{Tables: memory, read: unreadable}
+	restarted := newVoter(tables, c.now)
+	if err := restarted.RunOnce(t.Context()); err == nil {
+		t.Fatal("the restarted process read the row")
+	}
+	if requestExtension(t, a, restarted, c.now()) {
+		t.Error("the restarted process promised an extension before it read the row")
+	}
+	if grant, holds := a.Current(c.now()); holds {
+		t.Errorf("a holds the lease again: %+v", grant)
+	}
+	tables.read = nil
+	if err := restarted.RunOnce(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if requestExtension(t, a, restarted, c.now()) {
+		t.Error("the restarted process promised an extension of an earlier epoch")
+	}
+}
--- a/core/lease/manager.go
+++ b/core/lease/manager.go
@@ -68,6 +68,8 @@
 	// process.
 	lastRow row
 	held    bool
+	// rowKnown is set once this process has read the row.
+	rowKnown bool
 	// unresolvedEpoch is the newest epoch of the writes of unknown outcome over rowVersion; 0
 	// if there is none. One of them may still take effect while the row has that version.
 	unresolvedEpoch int64
@@ -309,7 +311,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := m.lastRow
-	m.lastRow = r
+	m.lastRow, m.rowKnown = r, true
 	if before.Epoch != r.Epoch {
 		m.extension = Extension{}
 	}
--- a/core/lease/manager_test.go
+++ b/core/lease/manager_test.go
@@ -158,11 +158,22 @@
 
 func (c *fakeClock) now() time.Time { return c.at }
 
+// readAndPromise lets candidate read the row and promise an extension of twice the term.
+func readAndPromise(t *testing.T, _, candidate *Manager, c *fakeClock) {
+	t.Helper()
+	if err := candidate.RunOnce(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if !candidate.Promise(Extension{Epoch: 1, Until: c.now().Add(2 * testTerm)}) {
+		t.Fatal("the candidate promises nothing")
+	}
+}
+
 func TestWhoMayTakeAfterTheDeadline(t *testing.T) {
 	tests := map[string]struct {
 		candidate string
 		voters    []string
-		prepare   func(first, candidate *Manager, c *fakeClock)
+		prepare   func(t *testing.T, first, candidate *Manager, c *fakeClock)
 		wait      time.Duration
 		want      bool
 	}{
@@ -171,19 +182,15 @@
 		"non-voter while a voter is listed": {candidate: "c", voters: []string{"a", "b"}, wait: time.Hour},
 		"immediately after a release": {
 			candidate: "b", voters: []string{"a", "b"}, want: true,
-			prepare: func(first, _ *Manager, _ *fakeClock) { _ = first.Release(context.Background()) },
+			prepare: func(_ *testing.T, first, _ *Manager, _ *fakeClock) { _ = first.Release(context.Background()) },
 		},
 		"voter during its promise": {
 			candidate: "b", voters: []string{"a", "b"}, wait: testTerm + 2*testSkew,
-			prepare: func(_, candidate *Manager, c *fakeClock) {
-				candidate.Promise(Extension{Epoch: 1, Until: c.now().Add(2 * testTerm)})
-			},
+			prepare: readAndPromise,
 		},
 		"voter after the end of its promise": {
 			candidate: "b", voters: []string{"a", "b"}, wait: 3 * testTerm, want: true,
-			prepare: func(_, candidate *Manager, c *fakeClock) {
-				candidate.Promise(Extension{Epoch: 1, Until: c.now().Add(2 * testTerm)})
-			},
+			prepare: readAndPromise,
 		},
 	}
 	for name, test := range tests {
@@ -196,7 +203,7 @@
 			})
 			first := newHolder(t, tables, "a", test.voters, c.now)
 			if test.prepare != nil {
-				test.prepare(first, candidate, c)
+				test.prepare(t, first, candidate, c)
 			}
 			c.at = c.at.Add(test.wait)
 			if err := candidate.RunOnce(t.Context()); err != nil {
