Ask the voters of unresolved renewals for an extension

What callers could see: two entry VMs that schedule the same failure domain, and so tasks that start twice.

Cause: the holder's renewal stores the voters of its present roster. If the outcome is unknown, or while the write is in progress, the holder asks the voters of the row that it read last. A new voter that the stored row lists is not asked, and may acquire the lease after the row's deadline.

Evidence: TestExtensionNeedsVotersOfUnresolvedRenewal before: the holder asks b only, during and after the write of a row that lists b and c.

Why it works: one of the known row and the unresolved writes is the stored row, as long as no other VM has written. The holder needs the promises of all voters in all of them, so it has those of the stored row. A write is unresolved from before it is sent.

--- a/core/lease/extension.go
+++ b/core/lease/extension.go
@@ -16,15 +16,23 @@
 }
 
 // ExtensionNeeded returns the extension to request, and the names of the other voters. It
-// returns false if this VM does not hold the lease or is not a voter itself, or if the row's
+// returns false if this VM does not hold the lease or may not be a voter itself, or if the row's
 // deadline is more than half a term away.
 func (m *Manager) ExtensionNeeded(now time.Time) (Extension, []string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.held || now.Add(m.opts.Term/2).Before(m.lastRow.Deadline) || !slices.Contains(m.lastRow.Voters, m.opts.Name) {
+	if !m.held || now.Add(m.opts.Term/2).Before(m.lastRow.Deadline) {
 		return Extension{}, nil, false
 	}
-	others := slices.DeleteFunc(slices.Clone(m.lastRow.Voters), func(name string) bool { return name == m.opts.Name })
+	var others []string
+	for _, r := range m.possibleRows() {
+		if !slices.Contains(r.Voters, m.opts.Name) {
+			return Extension{}, nil, false
+		}
+		others = append(others, r.Voters...)
+	}
+	slices.Sort(others)
+	others = slices.DeleteFunc(slices.Compact(others), func(name string) bool { return name == m.opts.Name })
 	return Extension{
 		Epoch:           m.lastRow.Epoch,
 		Until:           now.Add(m.opts.Term),
@@ -51,7 +59,8 @@
 	defer m.storeMu.Unlock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.rowKnown || m.held || m.lastRow.Epoch > e.Epoch || m.promise.Epoch > e.Epoch || m.unresolvedEpoch > e.Epoch {
+	newer := func(r row) bool { return r.Epoch > e.Epoch }
+	if !m.rowKnown || m.held || m.promise.Epoch > e.Epoch || slices.ContainsFunc(m.possibleRows(), newer) {
 		return false
 	}
 	m.promise = Extension{
--- a/core/lease/extension_test.go
+++ b/core/lease/extension_test.go
@@ -183,3 +183,46 @@
 		t.Error("the restarted process promised an extension of an earlier epoch")
 	}
 }
+
+// A holder that did not know that its row lists a new voter extended the lease without its promise.
+func TestExtensionNeedsVotersOfUnresolvedRenewal(t *testing.T) {
+	c := &fakeClock{at: time.Now()}
+	memory := store.NewMemory()
+	voters := []string{"a", "b"}
+	tables := &interceptedTables{Tables: memory}
+	a := NewManager(Options{
+		Tables: tables, Domain: "zurich-a", Name: "a", ClockSkew: testSkew, Term: testTerm,
+		Voters: func() []string { return voters }, Now: c.now,
+	})
+	if err := a.RunOnce(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	voters = []string{"a", "b", "c"}
+	c.at = c.at.Add(DefaultRenewInterval)
+	tables.read = unreadable
+	checkOthers := func(when string) {
+		t.Helper()
+		if _, others, _ := a.ExtensionNeeded(c.now()); !slices.Equal(others, []string{"b", "c"}) {
+			t.Errorf("%s a needs the promises of %v, want b and c", when, others)
+		}
+	}
+	tables.commit = func(ctx context.Context, changes ...store.Change) (int64, error) {
+		if _, err := memory.Commit(ctx, changes...); err != nil {
+			return 0, err
+		}
+		checkOthers("during the renewal")
+		return 0, store.ErrOutcomeUnknown
+	}
+	if err := a.RunOnce(t.Context()); err == nil {
+		t.Fatal("a knows the outcome of its renewal")
+	}
+	voters = []string{"a", "b"}
+	checkOthers("after the renewal")
+	tables.commit, tables.read = nil, nil
+	c.at = c.at.Add(DefaultRenewInterval)
+	if err := a.RunOnce(t.Context()); err == nil {
+		t.Fatal("the row has the version from before the unresolved renewal")
+	}
+	c.at = c.at.Add(testTerm)
+	checkOthers("after reading the row")
+}
--- a/core/lease/manager.go
+++ b/core/lease/manager.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,10 +71,10 @@
 	held    bool
 	// rowKnown is set once this process has read the row.
 	rowKnown bool
-	// unresolvedEpoch is the newest epoch of the writes of unknown outcome over rowVersion; 0
-	// if there is none. One of them may still take effect while the row has that version.
-	unresolvedEpoch int64
-	released        bool
+	// unresolved are the writes of unknown outcome over rowVersion, one for each epoch and set of
+	// voters. One of them may still take effect while the row has that version.
+	unresolved []row
+	released   bool
 	// inheritedTaskDeadline is the latest deadline that previous holders may have given to a
 	// task, as of the acquisition.
 	inheritedTaskDeadline time.Time
@@ -249,6 +250,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	forget := m.noteUnresolved(r)
 	version, err := m.opts.Tables.Commit(callCtx, store.Put{
 		Table: Table, Key: m.opts.Domain, Value: data, Expected: store.Expect(m.rowVersion),
 	})
@@ -259,12 +261,15 @@
 		m.observe(r)
 		return nil
 	case errors.Is(err, store.ErrOutcomeUnknown):
-		m.noteUnresolved(r)
 		_, readErr := m.read(ctx)
 		return errors.Join(err, readErr)
 	case errors.As(err, &conflict):
+		forget()
 		_, readErr := m.read(ctx)
 		return errors.Join(err, readErr)
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrRejected):
+		forget()
+		return err
 	default:
 		return err
 	}
@@ -279,14 +284,31 @@
 	m.rowVersion = version
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.unresolvedEpoch = 0
+	m.unresolved = nil
 }
 
-// noteUnresolved records a write of unknown outcome.
-func (m *Manager) noteUnresolved(r row) {
+// noteUnresolved records a write that is about to be sent, so that its outcome is unknown. The
+// function that it returns undoes this. The caller must hold storeMu.
+func (m *Manager) noteUnresolved(r row) (forget func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.unresolvedEpoch = max(m.unresolvedEpoch, r.Epoch)
+	before := m.unresolved
+	if !slices.ContainsFunc(before, func(known row) bool {
+		return known.Epoch == r.Epoch && slices.Equal(known.Voters, r.Voters)
+	}) {
+		m.unresolved = append(slices.Clone(before), r)
+	}
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.unresolved = before
+	}
+}
+
+// possibleRows returns the rows of which one is stored, unless another VM has written since: the
+// last known one and the writes of unknown outcome. The caller must hold m.mu.
+func (m *Manager) possibleRows() []row {
+	return append([]row{m.lastRow}, m.unresolved...)
 }
 
 // read reads the stored row and makes it the last known one.
