Keep the newest known epoch when an answer arrives late

What callers could see: tasks that a replaced scheduler keeps alive after it has told its successor that it has ended, and that start elsewhere.

Cause: a holder learns from its successor's message that its epoch is superseded. The answer of a call from before then made the earlier row the known one again, until the next read: the epoch no longer counted as superseded, which is what ends renewals.

Evidence: TestFencedHolderIgnoresEarlierRow before: after a late answer to a renewal, and after a late read, the epoch is not superseded and the grant is valid.

Why it works: the epoch of the stored row never falls, so a row with an earlier epoch than the known one is out of date.

--- a/core/lease/extension_test.go
+++ b/core/lease/extension_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"testing"
 	"time"
@@ -226,3 +227,38 @@
 	c.at = c.at.Add(testTerm)
 	checkOthers("after reading the row")
 }
+
+// A holder that was told of a newer epoch during a call renewed tasks again after its answer.
+func TestFencedHolderIgnoresEarlierRow(t *testing.T) {
+	tests := map[string]struct{ outcome error }{
+		"renewal answered late":                 {},
+		"row read late after a renewal's error": {store.ErrOutcomeUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := &fakeClock{at: time.Now()}
+			memory := store.NewMemory()
+			tables := &interceptedTables{Tables: memory}
+			a := newHolder(t, tables, "a", []string{"a", "b"}, c.now)
+			grant, _ := a.Current(c.now())
+			tables.commit = func(ctx context.Context, changes ...store.Change) (int64, error) {
+				version, err := memory.Commit(ctx, changes...)
+				a.ObserveEpoch(grant.Epoch + 1)
+				if test.outcome != nil {
+					return 0, test.outcome
+				}
+				return version, err
+			}
+			c.at = c.at.Add(DefaultRenewInterval)
+			if err := a.RunOnce(t.Context()); !errors.Is(err, test.outcome) {
+				t.Fatal(err)
+			}
+			if !a.Superseded(grant.Epoch) {
+				t.Error("a has forgotten that its epoch is superseded")
+			}
+			if grant, holds := a.Current(c.now()); holds {
+				t.Errorf("a holds the lease again: %+v", grant)
+			}
+		})
+	}
+}
--- a/core/lease/manager.go
+++ b/core/lease/manager.go
@@ -328,12 +328,17 @@
 	return current, nil
 }
 
-// observe makes r the last known row and signals if the holder changed.
+// observe makes r the last known row and signals if the holder changed. It ignores a row from
+// before an epoch that is known already.
 func (m *Manager) observe(r row) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.rowKnown = true
 	before := m.lastRow
-	m.lastRow, m.rowKnown = r, true
+	if r.Epoch < before.Epoch {
+		return
+	}
+	m.lastRow = r
 	if before.Epoch != r.Epoch {
 		m.extension = Extension{}
 	}
