Count no holder as dropped by a list that may have its VM

What callers could see: tasks that run twice, after a takeover from a holder that is cut off from the tables.

Cause: a new holder counts a previous one as dropped by the platform's list if the roster's VMs lack it. They also lack a VM whose entry has no usable peer address, and one whose entry cannot be decoded.

Evidence: TestHolderIsDroppedOnlyByCompleteList before: both cases count as ended. TestListedVMWithoutPeerAddress checks that the view names such a VM.

Why it works: the view has the names of all entry VMs on the list, and a list with unreadable entries proves no removal.

--- a/core/roster/list_test.go
+++ b/core/roster/list_test.go
@@ -86,3 +86,13 @@
 		t.Errorf("b is listed: %v by the odd list, %v by the clean one; want true and false", odd.listed["b"], clean.listed["b"])
 	}
 }
+
+// A VM whose entry has no usable peer address looked like one that the list has dropped.
+func TestListedVMWithoutPeerAddress(t *testing.T) {
+	f := newFleet(t, 1, 0, 0)
+	f.platform.add(member.Member{Name: "vm-x", Kind: member.MemberKindEntry, Domain: "d0", Address: "127.0.0.1:1"})
+	f.awaitViews("the list with vm-x is read", f.trackers, func(v *View) bool { return v.ListedVMs["vm-x"] })
+	if vm, found := f.trackers[0].View().VM("vm-x"); found {
+		t.Errorf("%+v has no usable address, but is in the view's VMs", vm)
+	}
+}
--- a/core/roster/publish.go
+++ b/core/roster/publish.go
@@ -16,6 +16,7 @@
 		Self:              t.opts.Name,
 		ListAsOf:          t.list.asOf,
 		UnreadableMembers: t.list.unreadable,
+		ListedVMs:         t.list.listed,
 		Generation:        generation,
 		SeatsPerDomain:    t.opts.SeatsPerDomain,
 		Seat:              -1,
--- a/core/roster/view.go
+++ b/core/roster/view.go
@@ -112,8 +112,12 @@
 	Self string
 	// ListAsOf is the time of the platform's list in this view; zero before the first list.
 	ListAsOf time.Time
-	// UnreadableMembers is the number of its entries that could not be decoded.
+	// UnreadableMembers is the number of its entries that could not be decoded. Each may be that
+	// of any VM, so such a list does not prove that a VM was removed.
 	UnreadableMembers int
+	// ListedVMs has the names of all entry VMs on the platform's list, including those that VMs
+	// lacks because they have no usable peer address. It must not be changed.
+	ListedVMs map[string]bool
 	// Generation is a number that increases with each change of the stored roster, from which
 	// seats and claim owners derive.
 	Generation int64
--- a/entry/sched/extend.go
+++ b/entry/sched/extend.go
@@ -203,9 +203,13 @@
 	return answer.TasksUntil, true
 }
 
-// listed reports whether the platform, or the stored roster, still has an entry VM.
+// listed reports whether the platform, or the stored roster, may still have an entry VM.
 func (s *Scheduler) listed(name string) bool {
-	for _, vm := range s.opts.Roster().VMs {
+	view := s.opts.Roster()
+	if view.UnreadableMembers > 0 || view.ListedVMs[name] {
+		return true
+	}
+	for _, vm := range view.VMs {
 		if vm.Name == name {
 			return true
 		}
--- a/entry/sched/extend_test.go
+++ b/entry/sched/extend_test.go
@@ -72,3 +72,28 @@
 		t.Errorf("entry-1 counts as ended, with task leases until %s, and renews %v", time.Until(until).Round(time.Second), request.TaskIDs)
 	}
 }
+
+// A holder counted as dropped by a list that has its VM, or that may have it.
+func TestHolderIsDroppedOnlyByCompleteList(t *testing.T) {
+	r := newRig(t, 0)
+	previous, kill := r.scheduler("entry-1")
+	kill()
+	now := time.Now()
+	tests := map[string]struct {
+		view    roster.View
+		dropped bool
+	}{
+		"complete list without the VM":       {roster.View{ListAsOf: now.Add(time.Minute)}, true},
+		"entry without usable peer address":  {roster.View{ListAsOf: now.Add(time.Minute), ListedVMs: map[string]bool{"entry-1": true}}, false},
+		"entry that may be that of the VM":   {roster.View{ListAsOf: now.Add(time.Minute), UnreadableMembers: 1}, false},
+		"stored roster or heartbeat with it": {roster.View{ListAsOf: now.Add(time.Minute), VMs: []roster.VM{{Name: "entry-1"}}}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := successor(r, previous, &test.view)
+			if _, ended := (&confirmer{h: h}).ended(t.Context(), h.grant.PreviousHolders[0]); ended != test.dropped {
+				t.Errorf("counts as ended: %v, want %v", ended, test.dropped)
+			}
+		})
+	}
+}
