Count no holder as dropped by a list from before the takeover

What callers could see: tasks that run twice, after a takeover from a holder that had been added a short time before.

Cause: the platform's list lags. A new holder counts a previous one as dropped if the list lacks it, also if the list is older than the previous one's VM.

Why it works: a VM is on the list before it starts, so a list as of after the takeover lacks the previous holder's VM only if it was removed.

--- a/entry/sched/extend.go
+++ b/entry/sched/extend.go
@@ -183,7 +183,7 @@
 	if former.Name == s.opts.Name {
 		return longest, former.Instance != s.lease.Instance()
 	}
-	if !s.listed(former.Name) {
+	if c.h.dropped(former.Name) {
 		return longest, true
 	}
 	to, ok := s.addressOf(former.Name)
@@ -203,18 +203,15 @@
 	return answer.TasksUntil, true
 }
 
-// listed reports whether the platform, or the stored roster, may still have an entry VM.
-func (s *Scheduler) listed(name string) bool {
-	view := s.opts.Roster()
-	if view.UnreadableMembers > 0 || view.ListedVMs[name] {
-		return true
+// dropped reports whether neither the platform's list nor the stored roster has an entry VM any
+// more. The list lags: one from before the takeover may lack a VM that was added last.
+func (h *holder) dropped(name string) bool {
+	view := h.s.opts.Roster()
+	if view.UnreadableMembers > 0 || view.ListedVMs[name] || !view.ListAsOf.After(h.startedAt.Add(h.skew())) {
+		return false
 	}
-	for _, vm := range view.VMs {
-		if vm.Name == name {
-			return true
-		}
-	}
-	return false
+	_, found := view.VM(name)
+	return !found
 }
 
 // confirmEnded notes the end of an earlier holder, and how long its renewals last.
--- a/entry/sched/holder.go
+++ b/entry/sched/holder.go
@@ -17,6 +17,8 @@
 type holder struct {
 	s     *Scheduler
 	grant lease.Grant
+	// startedAt is when this VM took over.
+	startedAt time.Time
 	// loops counts the running controllers.
 	loops sync.WaitGroup
 	// wake asks for a pass over the queue, write for a round of the recorder.
@@ -51,17 +53,18 @@
 
 func newHolder(s *Scheduler, grant lease.Grant) *holder {
 	return &holder{
-		s:       s,
-		grant:   grant,
-		formers: len(grant.PreviousHolders),
-		wake:    make(chan struct{}, 1),
-		write:   make(chan struct{}, 1),
-		jobs:    make(map[string]*job),
-		teams:   make(map[string]*queue.Team),
-		links:   make(map[string]*link),
-		learned: make(map[workload]correction),
-		dirty:   make(map[string]*job),
-		wrote:   make(chan struct{}),
+		s:         s,
+		grant:     grant,
+		startedAt: s.opts.Now(),
+		formers:   len(grant.PreviousHolders),
+		wake:      make(chan struct{}, 1),
+		write:     make(chan struct{}, 1),
+		jobs:      make(map[string]*job),
+		teams:     make(map[string]*queue.Team),
+		links:     make(map[string]*link),
+		learned:   make(map[workload]correction),
+		dirty:     make(map[string]*job),
+		wrote:     make(chan struct{}),
 	}
 }
 
