--- a/core/cell/term.go
+++ b/core/cell/term.go
@@ -24,7 +24,7 @@
 	// leases. It must outlast two renewals through a slow store. The next leader waits for what the
 	// term allows.
 	leadershipTerm = 2500 * time.Millisecond
-	// renewalOverdue is the age of the last proof from which the other VMs are asked, and
+	// renewalOverdue is the age of the last proof from which the electors are asked, and
 	// termInterval the time between two such rounds.
 	renewalOverdue = 900 * time.Millisecond
 	termInterval   = 300 * time.Millisecond
@@ -61,17 +61,15 @@
 	l.confirm(at)
 }
 
-// nextElectors returns the electors to list in the next version of the row. Until it is known to be
-// stored, those of the last one count as well.
+// nextElectors returns the electors to list in the next version of the row. Until it is known whether
+// that version is stored, those of the last one are asked as well.
 func (l *leader) nextElectors(now time.Time) map[string]netip.AddrPort {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	byZone := make(map[string][]string)
 	for name, vm := range l.members {
 		switch {
-		case name == l.node.opts.Name:
-			delete(l.members, name)
-		case now.Sub(vm.seenAt) > memberRetention:
+		case name == l.node.opts.Name, now.Sub(vm.seenAt) > memberRetention:
 			delete(l.members, name)
 		default:
 			byZone[vm.entry.Zone] = append(byZone[vm.entry.Zone], name)
--- a/core/engine/doc.go
+++ b/core/engine/doc.go
@@ -13,7 +13,11 @@
 //   - Each start that may have reached a worker counts as a run there and occupies capacity until
 //     its end is proved: the worker reports the result, a poll that was sent after a confirmed
 //     stop does not list the run, or the worker's lease must have expired even if its clock runs
-//     as slowly as it may.
+//     as slowly as it may, at a time when no later leader can have renewed it.
+//   - An Engine starts runs and grants leases only until the end of its term, which each proof of
+//     its leadership extends.
+//   - A run whose worker crashes counts as a suspect. After several crashes its task runs alone on
+//     a worker, and is given up if that one crashes too.
 //   - Results are acknowledged to a worker only after the progress that they caused is committed,
 //     so the next leader finds each result either at the worker or in the store.
 //   - Jobs from an earlier epoch wait until each worker that the previous leader may have used
