--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"tanagerstack.org/core/ledger"
 )
 
 // schedule makes one pass over all steps that have tasks to start.
@@ -142,7 +144,7 @@
 // dedicateWorkers keeps workers free for a gang that has waited for long: those that may run it
 // and have the most free capacity, as many as would fit the missing tasks if they were empty.
 // Otherwise small steps that come later in the order would keep a wide gang waiting forever.
-// Workers are dedicated to one gang at a time, and to none that would not fit if all were empty.
+// Workers are dedicated to one gang at a time.
 func (e *Engine) dedicateWorkers(p *pass, s *step, missing int) {
 	advised := s.job.Queue.Advice != nil
 	switch {
@@ -152,22 +154,11 @@
 		return
 	}
 	var list []candidate
-	fleetFits := 0
-	for _, w := range e.sortedWorkers {
-		permitted, asked := s.advice.verdicts[w]
-		usable := p.isOpen(w) && (!advised || permitted)
-		// Workers count that are out of contact, or that the adviser was not asked about yet.
-		if asked && !permitted || !usable && fleetFits >= missing || !w.listed || w.Leaving || !s.mayRunOn(w) {
+	for _, w := range p.open {
+		if !s.mayRunOn(w) || advised && !s.advice.verdicts[w] {
 			continue
 		}
-		fits := s.fitsIfEmpty(w, missing)
-		fleetFits += fits
-		if usable && fits > 0 {
-			list = append(list, candidate{worker: w, free: w.free(), fits: fits})
-		}
-	}
-	if fleetFits < missing {
-		return
+		list = append(list, candidate{worker: w, free: w.free(), fits: ledger.FitCount(s.demand(), w.Capacity, missing)})
 	}
 	for _, c := range mostFree(list, float64(missing), 1, len(list)) {
 		p.dedicated[c.worker] = s
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -109,16 +109,6 @@
 	return min(n, max(0, s.MaxPerWorker-present))
 }
 
-// fitsIfEmpty returns how many tasks of the step would fit on the worker without its runs, at most
-// limit.
-func (s *step) fitsIfEmpty(w *worker, limit int) int {
-	n := ledger.FitCount(s.demand(), w.Capacity, limit)
-	if s.MaxPerWorker > 0 {
-		n = min(n, s.MaxPerWorker)
-	}
-	return n
-}
-
 // place starts as many of the tasks as possible and returns how many it started.
 func (e *Engine) place(p *pass, s *step, tasks []*task) int {
 	list := e.candidates(p, s, len(tasks))
