--- a/core/lease/extension.go
+++ b/core/lease/extension.go
@@ -16,15 +16,23 @@
 }
 
 // ExtensionNeeded returns the extension to request, and the names of the other voters. It
-// returns false if this VM does not hold the lease or is not a voter itself, or if the row's
+// returns false if this VM does not hold the lease or may not be a voter itself, or if the row's
 // deadline is more than half a term away.
 func (m *Manager) ExtensionNeeded(now time.Time) (Extension, []string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.held || now.Add(m.opts.Term/2).Before(m.lastRow.Deadline) || !slices.Contains(m.lastRow.Voters, m.opts.Name) {
+	if !m.held || now.Add(m.opts.Term/2).Before(m.lastRow.Deadline) {
 		return Extension{}, nil, false
 	}
-	others := slices.DeleteFunc(slices.Clone(m.lastRow.Voters), func(name string) bool { return name == m.opts.Name })
+	var others []string
+	for _, r := range m.possibleRows() {
+		if !slices.Contains(r.Voters, m.opts.Name) {
+			return Extension{}, nil, false
+		}
+		others = append(others, r.Voters...)
+	}
+	slices.Sort(others)
+	others = slices.DeleteFunc(slices.Compact(others), func(name string) bool { return name == m.opts.Name })
 	return Extension{
 		Epoch:           m.lastRow.Epoch,
 		Until:           now.Add(m.opts.Term),
@@ -43,14 +51,16 @@
 }
 
 // Promise promises that this VM does not acquire the lease before the end of an extension.
-// It returns false and promises nothing if this VM holds the lease, or knows a newer epoch
-// than the extension's. It first waits for an acquisition in progress.
+// It returns false and promises nothing if this VM holds the lease, knows or may have acquired
+// a newer epoch than the extension's, or has not read the row since its start: its previous
+// process may have acquired the lease. It first waits for an acquisition in progress.
 func (m *Manager) Promise(e Extension) bool {
 	m.storeMu.Lock()
 	defer m.storeMu.Unlock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.held || m.lastRow.Epoch > e.Epoch || m.promise.Epoch > e.Epoch {
+	newer := func(r row) bool { return r.Epoch > e.Epoch }
+	if !m.rowKnown || m.held || m.promise.Epoch > e.Epoch || slices.ContainsFunc(m.possibleRows(), newer) {
 		return false
 	}
 	m.promise = Extension{
--- a/core/lease/manager.go
+++ b/core/lease/manager.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,9 +67,14 @@
 	mu sync.Mutex
 	// lastRow is the last row that was read or written. held is set if its holder is this
 	// process.
-	lastRow  row
-	held     bool
-	released bool
+	lastRow row
+	held    bool
+	// rowKnown is set once this process has read the row.
+	rowKnown bool
+	// unresolved are the writes of unknown outcome over rowVersion, one for each epoch and set of
+	// voters. One of them may still take effect while the row has that version.
+	unresolved []row
+	released   bool
 	// inheritedTaskDeadline is the latest deadline that previous holders may have given to a
 	// task, as of the acquisition.
 	inheritedTaskDeadline time.Time
@@ -244,25 +250,68 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	forget := m.noteUnresolved(r)
 	version, err := m.opts.Tables.Commit(callCtx, store.Put{
 		Table: Table, Key: m.opts.Domain, Value: data, Expected: store.Expect(m.rowVersion),
 	})
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
-		m.rowVersion = version
+		m.setRowVersion(version)
 		m.observe(r)
 		return nil
-	case errors.Is(err, store.ErrOutcomeUnknown), errors.As(err, &conflict):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		_, readErr := m.read(ctx)
 		return errors.Join(err, readErr)
+	case errors.As(err, &conflict):
+		forget()
+		_, readErr := m.read(ctx)
+		return errors.Join(err, readErr)
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrRejected):
+		forget()
+		return err
 	default:
 		return err
 	}
 }
 
-// read reads the stored row and makes it the last known one, which also resolves a write of
-// unknown result.
+// setRowVersion records the version of the stored row. A new version resolves all writes of
+// unknown outcome: each has taken effect or is void. The caller must hold storeMu.
+func (m *Manager) setRowVersion(version int64) {
+	if version == m.rowVersion {
+		return
+	}
+	m.rowVersion = version
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unresolved = nil
+}
+
+// noteUnresolved records a write that is about to be sent, so that its outcome is unknown. The
+// function that it returns undoes this. The caller must hold storeMu.
+func (m *Manager) noteUnresolved(r row) (forget func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.unresolved
+	if !slices.ContainsFunc(before, func(known row) bool {
+		return known.Epoch == r.Epoch && slices.Equal(known.Voters, r.Voters)
+	}) {
+		m.unresolved = append(slices.Clone(before), r)
+	}
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.unresolved = before
+	}
+}
+
+// possibleRows returns the rows of which one is stored, unless another VM has written since: the
+// last known one and the writes of unknown outcome. The caller must hold m.mu.
+func (m *Manager) possibleRows() []row {
+	return append([]row{m.lastRow}, m.unresolved...)
+}
+
+// read reads the stored row and makes it the last known one.
 func (m *Manager) read(ctx context.Context) (row, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -274,16 +323,21 @@
 	if err != nil {
 		return row{}, err
 	}
-	m.rowVersion = stored.Version
+	m.setRowVersion(stored.Version)
 	m.observe(current)
 	return current, nil
 }
 
-// observe makes r the last known row and signals if the holder changed.
+// observe makes r the last known row and signals if the holder changed. It ignores a row from
+// before an epoch that is known already.
 func (m *Manager) observe(r row) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.rowKnown = true
 	before := m.lastRow
+	if r.Epoch < before.Epoch {
+		return
+	}
 	m.lastRow = r
 	if before.Epoch != r.Epoch {
 		m.extension = Extension{}
