--- a/core/cell/elect.go
+++ b/core/cell/elect.go
@@ -24,15 +24,15 @@
 	// of 2 Mbit/s its renewals queue behind a megabyte of jobs. A leader whose process has
 	// ended is replaced at once in either case.
 	loadingExpireAfter = 6 * time.Second
+	// unlistedExpireAfter is how long the row must stay unchanged for a VM that the row does not list as an elector. It exceeds the
+	// outages of the store, in which a leader relies on the word of the electors.
+	unlistedExpireAfter = 20 * time.Second
 	// maxTakeoverJitter bounds the random delay that keeps VMs from taking over all at once.
 	maxTakeoverJitter = 300 * time.Millisecond
 	// minLeaderProcessors and minLeaderMemory (bytes) are what a VM should have to lead. A
 	// leader of 350 workers uses 0.35 processors and 260 MB.
 	minLeaderProcessors = 0.36
 	minLeaderMemory     = 270 << 20
-	// unlistedExpireAfter is the same for a VM that the row does not list as an elector. It exceeds the
-	// outages of the store, in which a leader relies on the word of the electors.
-	unlistedExpireAfter = 20 * time.Second
 	// smallVMDelay is how much longer VMs below these limits wait before they take over.
 	smallVMDelay = 600 * time.Millisecond
 	// confirmationValidFor is how long a leader's reply to a heartbeat counts as proof that it
@@ -307,9 +307,9 @@
 	case e.changedAt.Before(earliest):
 		e.changedAt = earliest
 	}
-	e.seenAt = time.Now()
+	e.seenAt = now
 	if !e.known || row.Epoch != e.row.Epoch {
-		e.epochSeenAt = e.seenAt
+		e.epochSeenAt = now
 	}
 	e.row, e.version, e.known = row, version, true
 	// An earlier process of this VM cannot lead anymore.
--- a/core/cell/followers.go
+++ b/core/cell/followers.go
@@ -35,9 +35,7 @@
 	for name := range l.followers {
 		names = append(names, name)
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(l.followers[b].entry.Processors, l.followers[a].entry.Processors), strings.Compare(a, b))
-	})
+	slices.SortFunc(names, mostProcessors(l.followers))
 	list := map[string]vmEntry{opts.Name: {Address: opts.PeerAddress, Zone: opts.Zone, Processors: opts.Processors}}
 	for _, name := range names[:min(len(names), maxRowVMs)] {
 		list[name] = l.followers[name].entry
@@ -45,6 +43,13 @@
 	return list
 }
 
+// mostProcessors orders the names of VMs by their processors, those with the most first.
+func mostProcessors(vms map[string]*followerVM) func(a, b string) int {
+	return func(a, b string) int {
+		return cmp.Or(cmp.Compare(vms[b].entry.Processors, vms[a].entry.Processors), strings.Compare(a, b))
+	}
+}
+
 // updateFollowers drops followers without a recent heartbeat, chooses the relays, and passes
 // the VMs that can send advice requests to the engine.
 func (l *leader) updateFollowers() {
--- a/core/cell/term.go
+++ b/core/cell/term.go
@@ -1,12 +1,10 @@
 package cell
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -77,9 +75,7 @@
 	}
 	zones := slices.Sorted(maps.Keys(byZone))
 	for _, zone := range zones {
-		slices.SortFunc(byZone[zone], func(a, b string) int {
-			return cmp.Or(cmp.Compare(l.members[b].entry.Processors, l.members[a].entry.Processors), strings.Compare(a, b))
-		})
+		slices.SortFunc(byZone[zone], mostProcessors(l.members))
 	}
 	next := make(map[string]netip.AddrPort)
 	for rank := 0; len(next) < min(maxElectors, len(l.members)); rank++ {
--- a/core/engine/crash.go
+++ b/core/engine/crash.go
@@ -9,10 +9,10 @@
 )
 
 // A task may crash each worker that starts it. Every run on a crashed worker counts as a suspect,
-// and the count is stored before the task starts again. Only for the first worker that is lost without
-// proof of a crash the store is not awaited: it may be away as well. A task under which several workers have
-// crashed starts only on a worker without other work. If that one crashes as well, it is not due to a
-// neighbor, and the task is given up.
+// and the count is stored before the task starts again. The exception is the first worker that is
+// lost without proof of a crash, since the store may be away as well. A task under which several
+// workers have crashed starts only on a worker without other work. If that one crashes as well, it
+// is not due to a neighbor, and the task is given up.
 
 const (
 	// crashesToIsolate is the number of crashed workers from which on a task starts only on a
--- a/core/engine/lease_test.go
+++ b/core/engine/lease_test.go
@@ -73,6 +73,14 @@
 	return e.apply(WorkerPolled{Worker: id, Sent: e.now.Add(-time.Millisecond), Fence: e.fence(e.workers[id]), Report: report})
 }
 
+// addWorker lists a worker, polls it, and records it in the roster.
+func (e *testEngine) addWorker(id string) {
+	e.apply(WorkerListed{Worker: testWorker(id)})
+	e.poll(id, Report{})
+	roster, _ := e.WantedRoster(e.now)
+	e.RosterRecorded(roster)
+}
+
 // confirm proves to the engine that there is no later leader yet.
 func (e *testEngine) confirm() []Command {
 	return e.apply(LeadershipConfirmed{At: e.now, Until: e.now.Add(simTerm)})
--- a/core/engine/run_test.go
+++ b/core/engine/run_test.go
@@ -14,10 +14,7 @@
 		t.Run(name, func(t *testing.T) {
 			e := newTestEngine(t, Options{}, testWorker("w1"))
 			first := e.startOne(t, "job")
-			e.apply(WorkerListed{Worker: testWorker("w2")})
-			e.poll("w2", Report{})
-			roster, _ := e.WantedRoster(e.now)
-			e.RosterRecorded(roster)
+			e.addWorker("w2")
 			e.cutOff(testLease + time.Second)
 			e.confirm()
 			second := e.cutOff(time.Second)
--- a/core/engine/term_test.go
+++ b/core/engine/term_test.go
@@ -25,10 +25,7 @@
 func TestReplacedLeaderStartsNothingAgain(t *testing.T) {
 	e := newTestEngine(t, Options{}, testWorker("w1"))
 	start := e.startOne(t, "job")
-	e.apply(WorkerListed{Worker: testWorker("w2")})
-	e.poll("w2", Report{})
-	roster, _ := e.WantedRoster(e.now)
-	e.RosterRecorded(roster)
+	e.addWorker("w2")
 	if starts := e.cutOff(10 * testLease); len(starts) > 0 {
 		t.Fatalf("started %+v without proof that no later leader renews the lease on %s", starts, start.Worker)
 	}
