--- a/core/jobs/config.go
+++ b/core/jobs/config.go
@@ -1,6 +1,10 @@
 package jobs
 
-import "strings"
+import (
+	"strings"
+
+	"tanagerstack.org/core/orgs"
+)
 
 // Config is one version of the operators' configuration of a cell. It is immutable.
 type Config struct {
@@ -10,6 +14,11 @@
 	MaxBodyBytes int64
 	// SkippedQueues is the number of queues that could not be decoded.
 	SkippedQueues int
+	// Organizations are those that may use the cell. It is nil if the cell has none, so that
+	// requests need no key.
+	Organizations *orgs.Directory
+	// SkippedOrganizations is the number of organizations that could not be decoded or are invalid.
+	SkippedOrganizations int
 }
 
 // Queue returns the queue with the given name and whether it exists.
--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -25,6 +25,9 @@
 	// FinalState is set in the short row that replaces a finished job; such a row keeps
 	// nothing of the job's steps or spec. It is Queued (zero) before.
 	FinalState State `cbor:"9,keyasint,omitempty"`
+	// Organization is the name of the organization whose key submitted the job. It is empty for a
+	// job of a public queue, and in a cell without organizations.
+	Organization string `cbor:"10,keyasint,omitempty"`
 }
 
 // Recurrence is the schedule of a recurring job: Count occurrences, the first due at First
@@ -95,6 +98,8 @@
 	Slack   time.Duration `cbor:"6,keyasint"`
 	// Timeout limits the time to answer a request to the queue.
 	Timeout time.Duration `cbor:"-"`
+	// Public is set if requests to the queue need no key.
+	Public bool `cbor:"-"`
 	// Advice is set if an adviser decides which workers may run the tasks of a step.
 	Advice *AdviceSettings `cbor:"7,keyasint,omitempty"`
 }
