Let the last renewal end before a test adds an elector

Cause: a renewal that was under way when the store went down still succeeded, and set the electors without the one that the test had added. The test now waits until a renewal is refused; its checks stay.

--- a/core/cell/term_test.go
+++ b/core/cell/term_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,12 +73,17 @@
 				}
 				return false
 			})
+			var refused atomic.Bool
 			memory.setFault(func(changes []store.Change) storeFault {
 				if put, ok := changes[0].(store.Put); ok && put.Table == LeaderTable {
+					refused.Store(true)
 					return storeDown
 				}
 				return noFault
 			})
+			// A renewal that succeeds sets the electors, so the last one must have ended before
+			// another elector is added.
+			eventually(t, "a renewal fails", refused.Load)
 			if !reachesAll {
 				l.mu.Lock()
 				l.electors["elsewhere"] = freeAddress(t)
