Never start what brings an organization above its cap

The engine keeps the requests of all runs of an organization that may exist on any worker: starting, unanswered, confirmed, stopping or on a lost worker. After a takeover it adds the tasks of inherited jobs that may have a run which no worker has listed yet. While runs of jobs may exist that the feed has not delivered, or the request of a run is not known, organizations with a cap start nothing. A step that waits for its cap requests no advice, has no reservation, no dedicated workers and no worker kept for it. The row of a canceled or failed job keeps its steps until its runs have ended, since the next leader needs their requests.

The simulation checks the cap from what workers have running, with caps that change. With ignoreCaps or forgetEarlierUsage the check fails (TestProtections).

--- a/core/engine/crash.go
+++ b/core/engine/crash.go
@@ -145,7 +145,7 @@
 		if t == nil {
 			continue
 		}
-		if !t.isolated() || t.step.job.final() || t.run == nil && (t.step.Gang || !w.usable(now)) || t.run != nil && t.run.worker != w {
+		if !t.isolated() || t.step.job.final() || t.run == nil && (t.step.Gang || !w.usable(now) || e.waitsForCap(t.step, 1)) || t.run != nil && t.run.worker != w {
 			w.keptFor = nil
 			continue
 		}
--- a/core/engine/doc.go
+++ b/core/engine/doc.go
@@ -20,6 +20,8 @@
 //     a worker, and is given up if that one crashes too.
 //   - Results are acknowledged to a worker only after the progress that they caused is committed,
 //     so the next leader finds each result either at the worker or in the store.
+//   - Nothing starts that would bring what an organization may have running above its cap. Each run
+//     counts that may exist on any worker, and after a takeover each task that may have one.
 //   - Jobs from an earlier epoch wait until each worker that the previous leader may have used
 //     was polled, or its leases must have expired.
 package engine
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -57,10 +57,12 @@
 // results before their commit. The others drop starts without an answer, runs on lost workers
 // before their lease expires, stored failures, stored crashes, and runs and results of unknown jobs.
 // skipConfirmation acts without proof that there is no later leader. keepCapacity ignores changes of
-// a worker's capacity.
+// a worker's capacity. ignoreCaps starts tasks beyond the cap of their organization, and
+// forgetEarlierUsage does so for what earlier leaders may have running.
 type unsafeOptions struct {
 	skipPreviousWorkers, skipOverlap, ackEarly, forgetUnanswered, forgetLost, forgetFailures, forgetOrphans bool
 	skipConfirmation, keepCapacity, forgetCrashes                                                           bool
+	ignoreCaps, forgetEarlierUsage                                                                          bool
 }
 
 // Logger writes structured log lines: a message, followed by alternating keys and values.
@@ -108,6 +110,10 @@
 	counters            Counters
 	// keptWorkers is the number of workers that are kept for isolated tasks.
 	keptWorkers int
+	// organizations holds the organizations that have jobs here. inheritedJobs holds the jobs of
+	// organizations that may have runs of earlier leaders.
+	organizations map[string]*organization
+	inheritedJobs []*job
 }
 
 // Counters holds the number of decisions so far. All counts only grow.
@@ -132,6 +138,7 @@
 		stats:           make(map[string]*queueStats),
 		roster:          opts.PreviousRoster,
 		changedJobs:     make(map[jobs.ID]*job),
+		organizations:   make(map[string]*organization),
 	}
 	for _, id := range opts.PreviousRoster.Workers {
 		e.previousWorkers[id] = opts.PreviousRoster.Lost[id]
@@ -228,6 +235,7 @@
 		return
 	}
 	e.config = ev.Config
+	e.organizationsChanged()
 }
 
 // tick handles everything that depends on time alone: expired leases and retention periods, stops
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -30,8 +30,16 @@
 	// done holds the occurrences whose tasks are all done.
 	done jobs.OccurrenceSet
 	// revision counts changes of the progress. committed is the last revision known to be stored.
-	revision  int
-	committed int
+	// finalRevision is the revision that made the job final.
+	revision      int
+	committed     int
+	finalRevision int
+	// organization is the organization that the job belongs to, or nil. runs counts the runs of the job
+	// that are charged to it.
+	// unclosed is set if the final state was recorded while there were such runs.
+	organization *organization
+	runs         int
+	unclosed     bool
 }
 
 // occurrence is one repetition of a job's steps.
@@ -155,11 +163,14 @@
 		return
 	}
 	inherited := ev.Inherited || !e.caughtUp && !e.opts.PreviousActiveUntil.IsZero() && !e.opts.unsafe.skipOverlap
-	j := &job{Job: ev.Job, loadedAt: now, inherited: inherited, started: ev.Progress.Started}
+	j := &job{Job: ev.Job, loadedAt: now, inherited: inherited, started: ev.Progress.Started, organization: e.organizationOf(ev.Job.Organization)}
 	objective := ev.Job.Queue.Objective(e.criticalPath(&ev.Job))
 	j.deadline = ev.Job.ArrivedAt.Add(objective)
 	j.worthlessAt = ev.Job.ArrivedAt.Add(worthlessFactor * objective)
 	e.jobs[ev.Job.ID] = j
+	if j.organization != nil && inherited {
+		e.inheritedJobs = append(e.inheritedJobs, j)
+	}
 	if ev.Job.FinalState.Final() {
 		j.state = ev.Job.FinalState
 		e.matchOrphanedResults(now, j)
@@ -349,6 +360,7 @@
 func (e *Engine) finalize(now time.Time, j *job, state jobs.State) {
 	j.state = state
 	e.markChanged(j)
+	j.finalRevision = j.revision
 	for _, o := range j.open {
 		for _, s := range o.steps {
 			e.stopAll(now, s)
--- a/core/engine/orphan.go
+++ b/core/engine/orphan.go
@@ -50,6 +50,7 @@
 		if demand, known := e.demandOf(r.task); known {
 			r.worker.setDemand(r, demand)
 		}
+		e.chargeRun(r)
 		if t == nil || t.done || j.final() || t.run != nil {
 			e.stop(now, r)
 			continue
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -12,6 +12,7 @@
 func (e *Engine) schedule(now time.Time) {
 	e.expireProxyRequests(now)
 	e.expireReservations(now)
+	e.updateOrganizations(now)
 	e.releaseKeptWorkers(now)
 	e.passes++
 	pass := &pass{
@@ -92,6 +93,12 @@
 	if s.Gang && len(tasks) < s.tasksLeft {
 		return // some members of the previous run have not ended yet
 	}
+	if e.waitsForCap(s, len(tasks)) {
+		s.waitingSince = time.Time{}
+		e.releaseReservation(s)
+		return
+	}
+	tasks = tasks[:e.capRoom(s, len(tasks))]
 	missing := len(tasks) - e.place(p, s, tasks)
 	if missing == 0 {
 		return
--- a/core/engine/progress.go
+++ b/core/engine/progress.go
@@ -32,7 +32,7 @@
 
 // closed returns what remains of a finalized job in the store.
 func (j *job) closed() jobs.Job {
-	return jobs.Job{ID: j.ID, Queue: jobs.Queue{Name: j.Queue.Name}, ArrivedAt: j.ArrivedAt, FinalState: j.state}
+	return jobs.Job{ID: j.ID, Queue: jobs.Queue{Name: j.Queue.Name}, ArrivedAt: j.ArrivedAt, FinalState: j.state, Organization: j.Organization}
 }
 
 // record returns the command that stores the job's progress.
@@ -49,10 +49,11 @@
 		}
 	}
 	record := Record{ID: ProgressID{Job: j.ID, Revision: j.revision}, Progress: p}
-	if j.final() {
+	if j.mayClose() {
 		closed := j.closed()
 		record.Closed = &closed
 	}
+	j.unclosed = j.final() && record.Closed == nil
 	return record
 }
 
@@ -86,7 +87,7 @@
 	switch {
 	case j == nil:
 		return Status{}
-	case j.final() && j.committed >= j.revision:
+	case j.final() && j.committed >= j.finalRevision:
 		return Status{State: j.state, Known: true}
 	case j.state == jobs.Canceled:
 		return Status{State: jobs.Canceled, Known: true}
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -72,6 +72,8 @@
 	progressAt            time.Time
 	// resumed is set if the run began from a checkpoint.
 	resumed bool
+	// charge is what the run adds to the usage of its organization.
+	charge charge
 }
 
 // confirmArrival records that the worker has or had the run.
@@ -123,6 +125,7 @@
 	demand, known := e.demandOf(active.Task)
 	r.demand, r.demandUnknown = demand, !known
 	w.add(r)
+	e.chargeRun(r)
 	if e.jobs[active.Task.Job] == nil && !e.opts.unsafe.forgetOrphans {
 		e.keepOrphanedRun(now, r)
 		return r
--- a/core/engine/run_end.go
+++ b/core/engine/run_end.go
@@ -21,6 +21,7 @@
 // endRun removes a run from its worker and applies its end.
 func (e *Engine) endRun(now time.Time, r *run, end jobs.End, checkpoint string) {
 	r.worker.remove(r)
+	e.releaseCharge(r)
 	switch end {
 	case jobs.EndDone:
 		e.counters.EndsDone++
--- a/core/engine/simulation_rapid_test.go
+++ b/core/engine/simulation_rapid_test.go
@@ -26,8 +26,18 @@
 	sim := newSimulation(seed, faults, unsafe)
 	sim.startLeader()
 	r := rand.New(rand.NewPCG(seed, 11))
+	caps := rand.New(rand.NewPCG(seed, 13))
+	if faults.capChanges > 0 {
+		sim.planCaps(caps)
+	}
 	for i := range simJobCount {
 		job := randomJob(r, i, faults.advice)
+		if faults.capChanges > 0 || faults.nameOrganizations {
+			job.Organization = simOrganizations[caps.IntN(len(simOrganizations))]
+			if faults.tightCaps {
+				job.Organization = simOrganizations[1]
+			}
+		}
 		if i < faults.deadly {
 			sim.deadly[jobs.TaskID{StepID: jobs.StepID{Job: job.ID}}] = true
 		}
@@ -92,8 +102,8 @@
 }
 
 // TestWorldHolds simulates random loads with faults of all kinds. It guards against tasks that
-// run twice, before the steps they depend on, more often than their attempts or their crashes allow, or
-// beyond a worker's capacity, and against jobs that fail without cause, or do not finish once the
+// run twice, before the steps they depend on, more often than their attempts or their crashes allow,
+// beyond a worker's capacity, or beyond the cap of their organization, and against jobs that fail without cause, or do not finish once the
 // faults are over.
 func TestWorldHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -117,6 +127,8 @@
 			slowDirectory:  rapid.Bool().Draw(t, "slow-directory"),
 			deadly:         rapid.IntRange(0, 3).Draw(t, "deadly"),
 			newIDs:         rapid.Bool().Draw(t, "new-ids"),
+			capChanges:     rapid.IntRange(0, 8).Draw(t, "cap-changes"),
+			tightCaps:      rapid.Bool().Draw(t, "tight-caps"),
 		}
 		sim := simulate(seed, faults, unsafeOptions{})
 		for _, v := range sim.violations {
@@ -165,6 +177,12 @@
 		"failures are counted across leaders": {
 			unsafeOptions{forgetFailures: true}, simFaults{failTask: 0.5, takeovers: 3},
 		},
+		"caps limit what organizations have running": {
+			unsafeOptions{ignoreCaps: true}, simFaults{capChanges: 3},
+		},
+		"what earlier leaders may have running counts against caps": {
+			unsafeOptions{forgetEarlierUsage: true}, simFaults{capChanges: 1, tightCaps: true, splits: 2, disconnects: 2},
+		},
 		"crashes are counted across leaders": {
 			unsafeOptions{forgetCrashes: true}, simFaults{deadly: 3, takeovers: 6},
 		},
--- a/core/engine/simulation_test.go
+++ b/core/engine/simulation_test.go
@@ -57,6 +57,11 @@
 	committedRevisions map[leaderJob]int
 	// lines holds the log lines of all leaders.
 	lines []string
+	// configs holds the configurations, the newest last, and configSince the time at which each was
+	// stored. closed holds the short rows of finished jobs.
+	configs     []*jobs.Config
+	configSince []time.Time
+	closed      map[jobs.ID]jobs.Job
 }
 
 type leaderJob struct {
@@ -113,6 +118,12 @@
 	// come back under other IDs.
 	deadly int
 	newIDs bool
+	// capChanges is how often the caps of the organizations change. If it is zero, there are no
+	// organizations. With tightCaps, all jobs belong to one, and its cap has room for its widest gang.
+	capChanges int
+	tightCaps  bool
+	// nameOrganizations gives jobs an organization without configuring one.
+	nameOrganizations bool
 }
 
 // simCrash is the crash of a worker under a run. It is alone if the worker ran nothing else.
@@ -207,6 +218,9 @@
 		faults:             faults,
 		unsafe:             unsafe,
 		committedRevisions: make(map[leaderJob]int),
+		configs:            []*jobs.Config{{Version: 1}},
+		configSince:        []time.Time{testStart},
+		closed:             make(map[jobs.ID]jobs.Job),
 	}
 	for i := range 4 {
 		sim.addWorker(fmt.Sprintf("w%d", i))
@@ -303,10 +317,14 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	sim.apply(l, ConfigChanged{Config: &jobs.Config{Version: 1}})
+	sim.apply(l, ConfigChanged{Config: sim.configs[len(sim.configs)-1]})
 	sim.apply(l, AdviceProxiesChanged{Names: []string{"vm1", "vm2"}})
 	for _, id := range ids {
-		sim.apply(l, JobAccepted{Job: sim.jobs[id], Progress: sim.progress[id], Inherited: sim.accepted[id] <= takeoverVersion})
+		job := sim.jobs[id]
+		if closed, found := sim.closed[id]; found {
+			job = closed
+		}
+		sim.apply(l, JobAccepted{Job: job, Progress: sim.progress[id], Inherited: sim.accepted[id] <= takeoverVersion})
 		if !sim.canceled[id].IsZero() {
 			sim.apply(l, JobCanceled{ID: id})
 		}
@@ -468,6 +486,9 @@
 	if c.ID.Revision > sim.committedRevisions[key] {
 		sim.committedRevisions[key] = c.ID.Revision
 		sim.progress[c.ID.Job] = c.Progress
+		if c.Closed != nil && len(sim.configs) > 1 {
+			sim.closed[c.ID.Job] = *c.Closed
+		}
 	}
 	sim.after(sim.delay(), func() { sim.apply(l, Recorded{IDs: []ProgressID{c.ID}}) })
 }
@@ -736,6 +757,7 @@
 	if !s.mayUse(used, decided) {
 		sim.addViolation("%s has %+v of %+v in use with %s", s.entry.ID, used, s.entry.Capacity, c.Task)
 	}
+	sim.checkCap(c, decided)
 }
 
 // stepDone reports whether all tasks of a step are done. One result covers a whole gang.
--- a/core/engine/start.go
+++ b/core/engine/start.go
@@ -22,6 +22,7 @@
 		phase: starting, fence: e.fence(w), phaseSince: now, startSentAt: now, progressAt: now,
 	}
 	w.add(r)
+	e.chargeRun(r)
 	t.run = r
 	e.counters.Starts++
 	ticket := s.advice.tickets[w].value
@@ -125,6 +126,7 @@
 		w.health.quarantinedUntil = now.Add(firstQuarantine)
 	}
 	w.remove(r)
+	e.releaseCharge(r)
 	if t == nil || t.run != r {
 		return
 	}
