Check callers' keys before the body is read, and give jobs their organization

Cells with organizations (field tenants of the configuration, or tenants in the setting contracts) answer 401 to requests without a known key, before they look at the method or the body, and close the connection. Submitted jobs name the organization of their key, also in the short row of a final job and in the leader's status reply. Other organizations get 403 for status, cancellation and for a submission with the same ID. Cells without organizations are served as before.

Faulty organizations and keys are left out, logged with the organization's name and counted; errors never quote values, since a value may be a misplaced key. A key that a faulty entry lists as well works for neither organization.

Config.Route compares queues in place: it copied each of 1,400 of them.

Checked by switching off one protection at a time; each made a test fail: any caller may use any job, status or cancellation unchecked, same ID unchecked, unreadable owner accepted, short row or leader's reply without organization, unknown key accepted, connection kept, several keys accepted, shared or empty key works, faulty entry in force, value quoted in an error, setting ignored.

--- a/core/cell/message.go
+++ b/core/cell/message.go
@@ -77,6 +77,9 @@
 	Leading bool       `cbor:"1,keyasint"`
 	Known   bool       `cbor:"2,keyasint"`
 	State   jobs.State `cbor:"3,keyasint"`
+	// Organization and Queue tell who may see and cancel the job.
+	Organization string `cbor:"4,keyasint,omitempty"`
+	Queue        string `cbor:"5,keyasint,omitempty"`
 }
 
 // adviceRequest asks a VM to send an advice request to the adviser.
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -28,6 +28,8 @@
 	// unreadable counts entries and rows of others that could not be decoded, by kind.
 	unreadable *prometheus.CounterVec
 	takeovers  prometheus.Counter
+	// keyChecks counts checks of callers' keys by outcome.
+	keyChecks *prometheus.CounterVec
 	// Latencies, in seconds.
 	submit, start, record, advice prometheus.Histogram
 }
@@ -45,6 +47,7 @@
 			Namespace: "tanager", Name: "unreadable_entries_total", Help: "Entries and rows written by others that cannot be decoded and are left out.",
 		}, []string{"kind"}),
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "tanager", Name: "takeovers_total", Help: "Times that this VM became the leader."}),
+		keyChecks: newCounters("credential_checks_total", "Checks of callers' keys."),
 		submit:    newHistogram("submission_seconds", "Time from a submission to its answer."),
 		start:     newHistogram("start_seconds", "Time from an order to start to its answer."),
 		record:    newHistogram("record_seconds", "Time of a commit of progress."),
@@ -52,7 +55,7 @@
 	}
 	m.registry.MustRegister(
 		m.submits, m.cancels, m.starts, m.stops, m.polls, m.adviceRequests, m.unreadable, m.takeovers,
-		m.submit, m.start, m.record, m.advice, nodeCollector{n},
+		m.keyChecks, m.submit, m.start, m.record, m.advice, nodeCollector{n},
 	)
 	if n.opts.Meter != nil {
 		m.registry.MustRegister(n.opts.Meter)
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -73,6 +73,7 @@
 	elector  *elector
 	peers    *peerClient
 	metrics  *metrics
+	refusals *refusalLog
 
 	mu      sync.Mutex
 	leading *leader
@@ -90,6 +91,7 @@
 	}
 	n.peers = newPeerClient(&n.opts)
 	n.metrics = newMetrics(n)
+	n.refusals = newRefusalLog()
 	n.elector = newElector(n)
 	opts.Store.SetProxy(&storeProxy{node: n}, LeaderTable, LeaderKey)
 	return n
@@ -183,6 +185,7 @@
 	}
 	n.config.Store(config)
 	n.noteUnreadable("queue", n.opts.Directory.ConfigKey, config.SkippedQueues, nil)
+	n.noteUnreadable("organization", n.opts.Directory.ConfigKey, config.SkippedOrganizations, config.OrganizationFaults)
 	n.opts.Logger.Info("config in force", "version", config.Version, "queues", len(config.Queues))
 	if l := n.leader(); l != nil {
 		l.configChanged(config)
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -14,7 +14,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/meter"
 	"tanagerstack.org/core/store"
@@ -135,10 +134,12 @@
 	}
 }
 
-func (l *leader) status(id jobs.ID) engine.Status {
+func (l *leader) statusReply(id jobs.ID) statusReply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.engine.Status(id)
+	status := l.engine.Status(id)
+	organization, queue := l.engine.Owner(id)
+	return statusReply{Leading: true, Known: status.Known, State: status.State, Organization: organization, Queue: queue}
 }
 
 // runHello sends heartbeats to the leader until ctx ends.
--- a/core/cell/serve.go
+++ b/core/cell/serve.go
@@ -108,8 +108,7 @@
 	if l == nil {
 		return statusReply{}
 	}
-	status := l.status(request.Job)
-	return statusReply{Leading: true, Known: status.Known, State: status.State}
+	return l.statusReply(request.Job)
 }
 
 func (s *peerServer) advise(ctx context.Context, request adviceRequest) adviceReply {
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -64,8 +64,9 @@
 }
 
 // Submit stores a job. It returns nil once the job is accepted, also if an earlier attempt was.
-// The error wraps ErrRefused, jobs.ErrInvalid if the job is too large to be stored, or
-// ErrOutcomeUnknown if the job may still become accepted.
+// The error wraps ErrRefused, jobs.ErrInvalid if the job is too large to be stored, ErrForbidden if
+// the ID is that of another organization's job, or ErrOutcomeUnknown if the job may still become
+// accepted.
 func (n *Node) Submit(ctx context.Context, job jobs.Job) error {
 	data, err := jobs.Encode(job)
 	if err != nil {
@@ -75,7 +76,7 @@
 		return fmt.Errorf("%w: it takes %d bytes to store, more than %d", jobs.ErrInvalid, len(data), n.opts.MaxRowBytes)
 	}
 	began := time.Now()
-	version, err := n.insert(ctx, store.Row{Table: JobsTable, Key: string(job.ID), Version: store.Absent}, data)
+	version, err := n.insert(ctx, store.Row{Table: JobsTable, Key: string(job.ID), Version: store.Absent}, data, job.Organization)
 	if err == nil && version != store.Absent {
 		n.notifyLeader(rowUpdate{Row: storedRow{Key: string(job.ID), Value: data, Version: version}})
 	}
@@ -85,7 +86,7 @@
 	}
 	observeSince(n.metrics.submit, began)
 	n.metrics.submits.WithLabelValues(submitOutcome(err)).Inc()
-	n.opts.Logger.Info("job submission answered", "job", job.ID, "queue", job.Queue.Name, "error", err, "took", time.Since(began))
+	n.opts.Logger.Info("job submission answered", "job", job.ID, "queue", job.Queue.Name, "organization", job.Organization, "error", err, "took", time.Since(began))
 	return err
 }
 
@@ -101,14 +102,16 @@
 		return "accepted"
 	case errors.Is(err, ErrRefused):
 		return "refused"
+	case errors.Is(err, ErrForbidden):
+		return "forbidden"
 	default:
 		return "unknown"
 	}
 }
 
 // insert writes a job's row if there is none, or over the marker of a refusal. It returns the
-// version of the row, or store.Absent if an earlier attempt wrote it.
-func (n *Node) insert(ctx context.Context, row store.Row, data []byte) (int64, error) {
+// version of the row, or store.Absent if an earlier attempt of the same organization wrote it.
+func (n *Node) insert(ctx context.Context, row store.Row, data []byte, organization string) (int64, error) {
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = minWriteRetry
 	waits.MaxInterval = maxWriteRetry
@@ -122,9 +125,9 @@
 		case err == nil:
 			return version, nil
 		case errors.As(err, &conflict):
-			next, accepted := resolveInsertConflict(row, conflict)
-			if accepted {
-				return store.Absent, nil
+			next, accepted, err := resolveInsertConflict(row, conflict, organization)
+			if accepted || err != nil {
+				return store.Absent, err
 			}
 			row = next
 			continue
@@ -140,39 +143,48 @@
 }
 
 // resolveInsertConflict determines from a conflict whether the job is accepted already; if not,
-// it returns the row to overwrite.
-func resolveInsertConflict(row store.Row, conflict *store.ConflictError) (next store.Row, accepted bool) {
+// it returns the row to overwrite. The error is ErrForbidden if another organization's job has the
+// ID, and ErrOutcomeUnknown if the job of an organization cannot be told from that of another one.
+func resolveInsertConflict(row store.Row, conflict *store.ConflictError, organization string) (next store.Row, accepted bool, err error) {
 	for _, present := range conflict.Rows {
 		if present.Key != row.Key {
 			continue
 		}
 		if present.Version == store.Absent {
-			return present, false
+			return present, false, nil
 		}
 		job, err := jobs.Decode[jobs.Job](present.Value)
-		if err != nil || !job.Refused {
-			return row, true
+		switch {
+		case err == nil && job.Refused:
+			return present, false, nil
+		case err != nil && organization != "":
+			return row, false, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		case err == nil && job.Organization != organization:
+			return row, false, ErrForbidden
 		}
-		return present, false
+		return row, true, nil
 	}
-	return row, false
+	return row, false, nil
 }
 
 // Cancel stores that a job is canceled. The error is ErrNotFound, or wraps ErrUnavailable.
-func (n *Node) Cancel(ctx context.Context, id jobs.ID) error {
-	err := n.cancel(ctx, id)
+func (n *Node) Cancel(ctx context.Context, id jobs.ID) error { return n.CancelFor(ctx, Caller{}, id) }
+
+// CancelFor is Cancel for a caller. The error is ErrForbidden if the caller may not cancel the job.
+func (n *Node) CancelFor(ctx context.Context, caller Caller, id jobs.ID) error {
+	err := n.cancel(ctx, caller, id)
 	n.metrics.cancels.WithLabelValues(outcomeOf(err)).Inc()
-	n.opts.Logger.Info("job cancellation answered", "job", id, "error", err)
+	n.opts.Logger.Info("job cancellation answered", "job", id, "organization", caller.Organization, "error", err)
 	return err
 }
 
-func (n *Node) cancel(ctx context.Context, id jobs.ID) error {
+func (n *Node) cancel(ctx context.Context, caller Caller, id jobs.ID) error {
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = minWriteRetry
 	waits.MaxInterval = maxWriteRetry
 	for {
-		err := n.cancelOnce(ctx, id)
-		if err == nil || errors.Is(err, ErrNotFound) {
+		err := n.cancelOnce(ctx, caller, id)
+		if err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrForbidden) {
 			return err
 		}
 		if !store.Sleep(ctx, waits.NextBackOff()) {
@@ -181,10 +193,14 @@
 	}
 }
 
-func (n *Node) cancelOnce(ctx context.Context, id jobs.ID) error {
-	if _, err := n.readJob(ctx, id); err != nil {
+func (n *Node) cancelOnce(ctx context.Context, caller Caller, id jobs.ID) error {
+	job, err := n.readJob(ctx, id)
+	if err != nil {
 		return err
 	}
+	if !caller.mayUse(ownerOf(job)) {
+		return ErrForbidden
+	}
 	key := string(id) + cancelSuffix
 	version, err := n.opts.Store.Commit(ctx, store.Put{Table: JobsTable, Key: key, Value: []byte{}})
 	if err == nil {
@@ -215,16 +231,26 @@
 // Status returns the state of a job from the leader, or from the store if the leader does not
 // know it or does not answer. The error is ErrNotFound, or wraps ErrUnavailable.
 func (n *Node) Status(ctx context.Context, id jobs.ID) (jobs.State, error) {
+	state, _, err := n.describe(ctx, id)
+	return state, err
+}
+
+// describe returns the state and the owner of a job.
+func (n *Node) describe(ctx context.Context, id jobs.ID) (jobs.State, owner, error) {
 	if reply, ok := n.queryLeader(ctx, id); ok && reply.Known {
-		return reply.State, nil
+		return reply.State, owner{reply.Organization, reply.Queue}, nil
 	}
-	return n.storedStatus(ctx, id)
+	job, err := n.readJob(ctx, id)
+	if err != nil {
+		return 0, owner{}, err
+	}
+	state, err := n.storedStatus(ctx, id, job)
+	return state, ownerOf(job), err
 }
 
 func (n *Node) queryLeader(ctx context.Context, id jobs.ID) (statusReply, bool) {
 	if l := n.leader(); l != nil {
-		status := l.status(id)
-		return statusReply{Leading: true, Known: status.Known, State: status.State}, true
+		return l.statusReply(id), true
 	}
 	row := n.elector.current()
 	if !row.Address.IsValid() || row.Released {
@@ -237,11 +263,7 @@
 }
 
 // storedStatus derives the state of a job from its stored rows.
-func (n *Node) storedStatus(ctx context.Context, id jobs.ID) (jobs.State, error) {
-	job, err := n.readJob(ctx, id)
-	if err != nil {
-		return 0, err
-	}
+func (n *Node) storedStatus(ctx context.Context, id jobs.ID, job jobs.Job) (jobs.State, error) {
 	if job.FinalState.Final() {
 		return job.FinalState, nil
 	}
--- a/core/engine/progress.go
+++ b/core/engine/progress.go
@@ -32,7 +32,7 @@
 
 // closed returns what remains of a finalized job in the store.
 func (j *job) closed() jobs.Job {
-	return jobs.Job{ID: j.ID, Queue: jobs.Queue{Name: j.Queue.Name}, ArrivedAt: j.ArrivedAt, FinalState: j.state}
+	return jobs.Job{ID: j.ID, Queue: jobs.Queue{Name: j.Queue.Name}, ArrivedAt: j.ArrivedAt, FinalState: j.state, Organization: j.Organization}
 }
 
 // record returns the command that stores the job's progress.
--- a/core/jobs/config.go
+++ b/core/jobs/config.go
@@ -19,6 +19,8 @@
 	Organizations *orgs.Directory
 	// SkippedOrganizations is the number of organizations that could not be decoded or are invalid.
 	SkippedOrganizations int
+	// OrganizationFaults names the organizations among them and their faults. It has no keys.
+	OrganizationFaults error
 }
 
 // Queue returns the queue with the given name and whether it exists.
@@ -34,13 +36,15 @@
 // Route returns the queue of the host with the longest prefix of the path, and the part of
 // the path after that prefix.
 func (c *Config) Route(host, path string) (queue Queue, rest string, found bool) {
-	for _, q := range c.Queues {
-		if q.Host != host || !strings.HasPrefix(path, q.Prefix) {
-			continue
-		}
-		if !found || len(q.Prefix) > len(queue.Prefix) {
-			queue, rest, found = q, path[len(q.Prefix):], true
+	var longest *Queue
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if (longest == nil || len(q.Prefix) > len(longest.Prefix)) && q.Host == host && strings.HasPrefix(path, q.Prefix) {
+			longest = q
 		}
 	}
-	return queue, rest, found
+	if longest == nil {
+		return Queue{}, "", false
+	}
+	return *longest, path[len(longest.Prefix):], true
 }
--- a/core/orgs/directory.go
+++ b/core/orgs/directory.go
@@ -17,8 +17,17 @@
 // Digest is the SHA-256 of a key.
 type Digest [sha256.Size]byte
 
+// maxStackKey is the length in bytes up to which the digest of a key needs no allocation.
+const maxStackKey = 128
+
 // DigestOf returns the digest of a key.
-func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
+func DigestOf(key string) Digest {
+	if len(key) > maxStackKey {
+		return sha256.Sum256([]byte(key))
+	}
+	var buffer [maxStackKey]byte
+	return sha256.Sum256(buffer[:copy(buffer[:], key)])
+}
 
 // Organization is what a configuration says about one organization.
 type Organization struct {
@@ -39,10 +48,10 @@
 	case o.Name == "":
 		return fmt.Errorf("%w: no name", ErrInvalid)
 	case !(o.Weight >= 0) || math.IsInf(o.Weight, 0):
-		return fmt.Errorf("%w: %q has weight %g, not a number of 0 or more", ErrInvalid, o.Name, o.Weight)
+		return fmt.Errorf("%w: %q has weight %g, not a number of 0 or more", ErrInvalid, shortName(o.Name), o.Weight)
 	}
 	if err := o.Cap.Validate(); err != nil {
-		return fmt.Errorf("%w: cap of %q: %w", ErrInvalid, o.Name, err)
+		return fmt.Errorf("%w: cap of %q: %w", ErrInvalid, shortName(o.Name), err)
 	}
 	return nil
 }
@@ -57,7 +66,8 @@
 
 // NewDirectory returns a directory of the sound organizations of a list, and an error that joins
 // all faults, each of which wraps ErrInvalid. A faulty organization is left out. A key that belongs
-// to two organizations works for neither.
+// to entries with different names, faulty ones included, works for none of them: a caller could
+// otherwise act as another organization.
 func NewDirectory(list []Organization) (*Directory, error) {
 	d := &Directory{byKey: make(map[Digest]int)}
 	var faults []error
@@ -65,7 +75,7 @@
 	for _, o := range list {
 		err := o.validate()
 		if err == nil && names[o.Name] {
-			err = fmt.Errorf("%w: another one is named %q as well", ErrInvalid, o.Name)
+			err = fmt.Errorf("%w: another one is named %q as well", ErrInvalid, shortName(o.Name))
 		}
 		if err != nil {
 			faults = append(faults, err)
@@ -75,33 +85,49 @@
 		d.list = append(d.list, o)
 	}
 	slices.SortFunc(d.list, compareNames)
-	faults = append(faults, d.indexKeys()...)
+	faults = append(faults, d.indexKeys(list)...)
 	return d, errors.Join(faults...)
 }
 
 func compareNames(a, b Organization) int { return cmp.Compare(a.Name, b.Name) }
 
-// indexKeys fills byKey and returns the faults of the keys.
-func (d *Directory) indexKeys() []error {
+// maxNameInError is the length at which names in errors are cut, so that log lines stay short.
+const maxNameInError = 64
+
+// shortName returns a name as it appears in errors.
+func shortName(name string) string {
+	if len(name) > maxNameInError {
+		return name[:maxNameInError] + "..."
+	}
+	return name
+}
+
+// indexKeys fills byKey and returns the faults of the keys. The list has the faulty entries as well.
+func (d *Directory) indexKeys(list []Organization) []error {
 	var faults []error
 	empty := DigestOf("")
+	owners := make(map[Digest]string)
 	shared := make(map[Digest]bool)
-	for i := range d.list {
-		for _, key := range d.list[i].Keys {
-			owner, known := d.byKey[key]
+	for i := range list {
+		for _, key := range list[i].Keys {
+			owner, known := owners[key]
 			switch {
 			case key == empty:
-				faults = append(faults, fmt.Errorf("%w: %q has an empty key", ErrInvalid, d.list[i].Name))
-			case known && owner != i:
-				faults = append(faults, fmt.Errorf("%w: %q and %q have a key in common", ErrInvalid, d.list[owner].Name, d.list[i].Name))
+				faults = append(faults, fmt.Errorf("%w: %q has an empty key", ErrInvalid, shortName(list[i].Name)))
+			case known && owner != list[i].Name:
+				faults = append(faults, fmt.Errorf("%w: %q and %q have a key in common", ErrInvalid, shortName(owner), shortName(list[i].Name)))
 				shared[key] = true
 			default:
-				d.byKey[key] = i
+				owners[key] = list[i].Name
 			}
 		}
 	}
-	for key := range shared {
-		delete(d.byKey, key)
+	for i := range d.list {
+		for _, key := range d.list[i].Keys {
+			if key != empty && !shared[key] {
+				d.byKey[key] = i
+			}
+		}
 	}
 	return faults
 }
