Order work by what organizations are owed

Jobs that an organization submits beyond its weight per second are excess (a token bucket over the arrivals at all queues), and go behind owed work that is on time or late. Among steps of one class and priority, organizations below their share go first, each up to that share. Excess stops no work for its gangs and gets no dedicated workers. Policy.NoExcess and Policy.NoShares turn the order off; without organizations in the configuration it does not apply.

By order alone the others fared as without it: gangs found no room on workers that excess kept full. While an owed gang waits, excess therefore leaves free twice what the gang requests, at most half of the processors.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -49,6 +49,10 @@
 	NoPreemption bool
 	// SingleAdviceRequest sends at most one advice request for a step at a time.
 	SingleAdviceRequest bool
+	// NoExcess takes no job as excess, however many an organization submits.
+	NoExcess bool
+	// NoShares orders work without regard to what its organization uses already.
+	NoShares bool
 }
 
 // unsafeOptions turns safety measures off, so that tests can show that they detect the
@@ -110,10 +114,15 @@
 	counters            Counters
 	// keptWorkers is the number of workers that are kept for isolated tasks.
 	keptWorkers int
-	// organizations holds the organizations that have jobs here. inheritedJobs holds the jobs of
-	// organizations that may have runs of earlier leaders.
-	organizations map[string]*organization
-	inheritedJobs []*job
+	// organizations holds the organizations that have jobs here, and sortedOrganizations the same
+	// sorted by name. inheritedJobs holds the jobs of organizations that may have runs of earlier
+	// leaders.
+	organizations       map[string]*organization
+	sortedOrganizations []*organization
+	inheritedJobs       []*job
+	// unmarkedJobs holds the jobs of organizations of which it is not known yet whether they are
+	// excess.
+	unmarkedJobs []*job
 }
 
 // Counters holds the number of decisions so far. All counts only grow.
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -40,6 +40,8 @@
 	organization *organization
 	runs         int
 	unclosed     bool
+	// excess is set if the organization submitted the job beyond its weight per second.
+	excess bool
 }
 
 // occurrence is one repetition of a job's steps.
@@ -82,6 +84,8 @@
 	waitingSince time.Time
 	// rank is the value rank of the step's occurrence as of the last pass.
 	rank valueRank
+	// class is what the order of steps goes by first, as of the last pass.
+	class int
 	// taskDurations holds the known durations of the step's tasks as of taskDurationsAt.
 	taskDurations   []taskDuration
 	taskDurationsAt time.Time
@@ -168,8 +172,11 @@
 	j.deadline = ev.Job.ArrivedAt.Add(objective)
 	j.worthlessAt = ev.Job.ArrivedAt.Add(worthlessFactor * objective)
 	e.jobs[ev.Job.ID] = j
-	if j.organization != nil && inherited {
-		e.inheritedJobs = append(e.inheritedJobs, j)
+	if j.organization != nil {
+		e.unmarkedJobs = append(e.unmarkedJobs, j)
+		if inherited {
+			e.inheritedJobs = append(e.inheritedJobs, j)
+		}
 	}
 	if ev.Job.FinalState.Final() {
 		j.state = ev.Job.FinalState
--- a/core/engine/organization.go
+++ b/core/engine/organization.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"tanagerstack.org/core/jobs"
@@ -27,6 +29,11 @@
 	// earlier is the request of the tasks that may have a run of an earlier leader which is not known
 	// here, as of the last pass.
 	earlier roster.Resources
+	bucket  excessBucket
+	// busy is set if the organization has runs or ready steps, and fairShare is its share of the
+	// workers, from 0 to 1, both as of the last pass.
+	busy      bool
+	fairShare float64
 }
 
 // charge is what a run adds to the usage of an organization.
@@ -46,6 +53,8 @@
 	if o == nil {
 		o = &organization{name: name}
 		e.organizations[name] = o
+		i, _ := slices.BinarySearchFunc(e.sortedOrganizations, name, func(o *organization, name string) int { return strings.Compare(o.name, name) })
+		e.sortedOrganizations = slices.Insert(e.sortedOrganizations, i, o)
 		o.setEntry(e.config)
 	}
 	return o
@@ -53,7 +62,7 @@
 
 // organizationsChanged applies a new configuration to the organizations.
 func (e *Engine) organizationsChanged() {
-	for _, o := range e.organizations {
+	for _, o := range e.sortedOrganizations {
 		o.setEntry(e.config)
 	}
 }
@@ -115,9 +124,10 @@
 	return j.final() && (j.runs == 0 || j.organization.entry == nil)
 }
 
-// updateOrganizations updates what may run of earlier leaders.
+// updateOrganizations marks new jobs that are excess, and updates what may run of earlier leaders.
 func (e *Engine) updateOrganizations(now time.Time) {
-	for _, o := range e.organizations {
+	e.markExcess(now)
+	for _, o := range e.sortedOrganizations {
 		o.earlier = roster.Resources{}
 	}
 	if len(e.previousWorkers) == 0 {
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerstack.org/core/ledger"
+	"tanagerstack.org/core/roster"
 )
 
 // schedule makes one pass over all steps that have tasks to start.
@@ -22,9 +23,7 @@
 	for _, w := range pass.open {
 		pass.capacity += w.Capacity.Millicores
 	}
-	for _, s := range e.readySteps(now) {
-		e.scheduleStep(pass, s)
-	}
+	e.scheduleSteps(pass, e.readySteps(now))
 	e.requestAdviceAhead(pass)
 }
 
@@ -36,6 +35,14 @@
 	open []*worker
 	// capacity is the total processor capacity of the open workers, in millicores.
 	capacity int64
+	// total is the capacity of the open workers, if shares are in use.
+	total roster.Resources
+	// owed is the processor request of the waiting members of gangs that are not excess, in millicores.
+	owed int64
+	// excessRoom is the processor capacity that excess may still take, in millicores. It is known once
+	// the first step that is excess was considered.
+	excessRoom      int64
+	excessRoomKnown bool
 	// noProxyFor holds the queues for which no proxy is available, or that have maxTicketedSteps
 	// steps with tickets.
 	noProxyFor map[string]bool
@@ -82,8 +89,10 @@
 	return p.byFree
 }
 
-func (e *Engine) scheduleStep(p *pass, s *step) {
+// scheduleStep starts at most limit tasks of a step, and requests advice if there are more.
+func (e *Engine) scheduleStep(p *pass, s *step, limit int) {
 	if p.now.Before(s.retryAt) {
+		p.addOwed(s, s.tasksLeft)
 		return
 	}
 	tasks := s.waiting()
@@ -98,14 +107,24 @@
 		e.releaseReservation(s)
 		return
 	}
-	tasks = tasks[:e.capRoom(s, len(tasks))]
-	missing := len(tasks) - e.place(p, s, tasks)
+	if !s.Gang {
+		tasks = tasks[:min(limit, e.capRoom(s, len(tasks)))]
+	}
+	if s.job.excess {
+		if tasks = tasks[:p.excessTasks(s, len(tasks))]; len(tasks) == 0 {
+			return
+		}
+	}
+	started := e.place(p, s, tasks)
+	p.useExcessRoom(s, started)
+	missing := len(tasks) - started
 	if missing == 0 {
 		return
 	}
 	if s.waitingSince.IsZero() {
 		s.waitingSince = p.now
 	}
+	p.addOwed(s, missing)
 	if s.Gang {
 		e.dedicateWorkers(p, s, missing)
 	}
@@ -157,7 +176,7 @@
 	switch {
 	case e.opts.Policy.NoDedicatedWorkers, len(p.dedicated) > 0, p.now.Sub(s.waitingSince) < dedicateAfter:
 		return
-	case s.rank == worthless, advised && len(s.advice.permittedWorkers) == 0:
+	case s.job.excess, s.rank == worthless, advised && len(s.advice.permittedWorkers) == 0:
 		return
 	}
 	var list []candidate
--- a/core/engine/preempt.go
+++ b/core/engine/preempt.go
@@ -78,7 +78,7 @@
 
 // mayEvictFor reports whether work can be stopped for a step now.
 func (e *Engine) mayEvictFor(p *pass, s *step, missing int) bool {
-	if e.opts.Policy.NoPreemption || !s.Gang || s.SameRack || s.rank != onTime || s.evictions >= maxPreemptionsPerStep ||
+	if e.opts.Policy.NoPreemption || !s.Gang || s.SameRack || s.rank != onTime || s.job.excess || s.evictions >= maxPreemptionsPerStep ||
 		s.waitingSince.IsZero() || p.now.Sub(s.waitingSince) < preemptAfter {
 		return false
 	}
--- a/core/engine/rank.go
+++ b/core/engine/rank.go
@@ -67,6 +67,7 @@
 			for _, s := range o.steps {
 				if s.ready(now) && s.hasWaiting() {
 					s.rank = e.rankOf(now, o, j)
+					s.class = j.classOf(s.rank)
 					list = append(list, s)
 				}
 			}
@@ -109,7 +110,7 @@
 
 func compareSteps(a, b *step) int {
 	return cmp.Or(
-		cmp.Compare(a.rank, b.rank),
+		cmp.Compare(a.class, b.class),
 		cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
 		compareChances(a, b),
 		cmp.Compare(a.job.ID, b.job.ID),
--- a/model/play/draw.go
+++ b/model/play/draw.go
@@ -40,7 +40,8 @@
 			list = append(list, q.draw(r, jobs.ID(fmt.Sprintf("%s-%d", q.Name, len(list))), at))
 		}
 	}
-	return list
+	s.assignOrganizations(list, seed)
+	return append(list, s.drawOrganizationBursts(seed, load)...)
 }
 
 // rateFactor returns the factor by which a burst raises a queue's rate at a time, or 1 if no burst
--- a/model/play/result.go
+++ b/model/play/result.go
@@ -8,6 +8,8 @@
 // Result holds the value that callers got from a simulation and the resources it used.
 type Result struct {
 	Queues map[string]*QueueResult
+	// Organizations holds the results by organization, if the scenario has any.
+	Organizations map[string]*OrganizationResult
 	// Earned is the value of the completed jobs, reduced for late ones. Attainable is the full value
 	// of all jobs that can succeed.
 	Earned, Attainable float64
@@ -80,6 +82,7 @@
 		q.Late++
 		earned = lateValueShare * p.value
 	}
+	t.addToOrganization(p, earned, elapsed > 0 && elapsed <= p.objective)
 	q.Earned += earned
 	q.Attainable += p.value
 	t.Earned += earned
--- a/model/play/scenario.go
+++ b/model/play/scenario.go
@@ -20,6 +20,9 @@
 	Queues  []Queue `json:"queues"`
 	// Bursts raise the arrival rate of a queue for a limited time.
 	Bursts []Burst `json:"bursts"`
+	// Organizations submit the jobs of all queues. If there are none, jobs have no organization.
+	Organizations      []Organization      `json:"organizations"`
+	OrganizationBursts []OrganizationBurst `json:"organization-bursts"`
 	// Losses remove workers without notice.
 	Losses []Loss `json:"losses"`
 }
@@ -154,5 +157,5 @@
 	for _, b := range s.Bursts {
 		require(known[b.Queue], "bursts: unknown queue %q", b.Queue)
 	}
-	return errors.Join(errs...)
+	return errors.Join(append(errs, s.validateOrganizations())...)
 }
--- a/model/play/simulation.go
+++ b/model/play/simulation.go
@@ -72,10 +72,17 @@
 		scenario: s, rand: rand.New(rand.NewPCG(seed, 1<<32)), now: startTime,
 		byID: make(map[string]*worker), jobs: make(map[jobs.ID]*simJob), tickets: make(map[ticketKey]time.Time),
 		proxyFreeAt: make(map[string]time.Time), doneAt: make(map[jobs.ID]time.Time), started: make(map[jobs.ID]bool),
-		result: &Result{Queues: make(map[string]*QueueResult)},
+		result: &Result{Queues: make(map[string]*QueueResult), Organizations: make(map[string]*OrganizationResult)},
 	}
 	c.engine = engine.New(engine.Options{Epoch: 1, LeaseTerm: leaseTerm, MaxLease: leaseTerm, StopTime: time.Duration(s.Workers.StopTime), Policy: policy})
-	config := &jobs.Config{Version: 1}
+	directory, err := s.directory()
+	if err != nil {
+		panic(err) // ParseScenario validates the organizations
+	}
+	config := &jobs.Config{Version: 1, Organizations: directory}
+	for _, o := range s.Organizations {
+		c.result.Organizations[o.Name] = &OrganizationResult{}
+	}
 	for i := range s.Queues {
 		config.Queues = append(config.Queues, s.Queues[i].settings())
 		c.result.Queues[s.Queues[i].Name] = &QueueResult{}
--- a/model/run.go
+++ b/model/run.go
@@ -28,6 +28,8 @@
 	"no-held-room":   {NoDedicatedWorkers: true},
 	"no-preemption":  {NoPreemption: true},
 	"one-question":   {SingleAdviceRequest: true},
+	"no-excess":      {NoExcess: true},
+	"no-shares":      {NoShares: true},
 	"naive":          {ArrivalOrder: true, DeadlineOrder: true, NoDedicatedWorkers: true, NoPreemption: true, SingleAdviceRequest: true},
 }
 
