Refuse keys on a VM that cannot prove that its configuration is recent

Where the settings make revocation strict (bounds.strict_revoke), a VM accepts keys only while the latest proof of its version is younger than revoke_ms less 1 s; else it answers 503 with Retry-After of 1 to 3 s, and is not ready. Proofs are answers of the store to watches and reads of the row, counted from when the call was sent, and those of the leader, which state its version and the age of its proof in heartbeat replies. A VM with an older version reads the row at once; one with a recent proof of the leader pauses its own watch. An unreadable row, or an answer that may be cut, proves nothing.

Cells without organizations make the same calls as before.

Checked by switching off one protection at a time; each made a test fail: old proofs accepted, leader's proofs not taken over, proofs counted from later than the call, unreadable rows proving, configuration loaded before the age, older version not read.

--- a/core/cell/access.go
+++ b/core/cell/access.go
@@ -34,14 +34,14 @@
 
 // Unproved reports whether requests that need a key have to be refused because the proof is too old.
 func (v ConfigView) Unproved() bool {
-	return v.MaxProofAge > 0 && v.Config != nil && v.Config.Organizations != nil && v.ProofAge >= v.MaxProofAge
+	return v.MaxProofAge > 0 && hasOrganizations(v.Config) && v.ProofAge >= v.MaxProofAge
 }
 
 // Authenticate decides who sends a request to a queue, given the key in the request. It handles each
 // request of a cell: thousands per second, among 10,000 keys. The error is ErrUnknownKey or
 // ErrConfigUnproved.
 func (v ConfigView) Authenticate(queue jobs.Queue, key string) (Caller, error) {
-	if v.Config.Organizations == nil || queue.Public {
+	if !hasOrganizations(v.Config) || queue.Public {
 		return Caller{config: v.Config}, nil
 	}
 	if v.Unproved() {
@@ -87,7 +87,7 @@
 // Authenticate is ConfigView.Authenticate, and counts and logs the outcome.
 func (n *Node) Authenticate(view ConfigView, request KeyedRequest) (Caller, error) {
 	caller, err := view.Authenticate(request.Queue, request.Key)
-	if view.Config.Organizations == nil || request.Queue.Public {
+	if !hasOrganizations(view.Config) || request.Queue.Public {
 		return caller, err
 	}
 	outcome := keyAccepted
@@ -115,9 +115,6 @@
 		"version", view.Config.Version, "proof-age", view.ProofAge, "max-proof-age", view.MaxProofAge, "suppressed", n.refusals.suppressed.Swap(0))
 }
 
-// ConfigView returns the configuration in force and the age of the proof that it is the newest.
-func (n *Node) ConfigView() ConfigView { return ConfigView{Config: n.Config()} }
-
 // Caller is who sends a request, as ConfigView.Authenticate has determined it. The zero value may see
 // all jobs.
 type Caller struct {
@@ -139,7 +136,7 @@
 // is open to all who can use its queue.
 func (c Caller) mayUse(o owner) bool {
 	switch {
-	case c.config == nil || c.config.Organizations == nil:
+	case !hasOrganizations(c.config):
 		return true
 	case o.Organization != "" || c.Organization != "":
 		return o.Organization == "" || o.Organization == c.Organization
--- a/core/cell/message.go
+++ b/core/cell/message.go
@@ -39,6 +39,8 @@
 	Pending map[string]int `cbor:"3,keyasint"`
 	// Instance identifies the process that answers.
 	Instance string `cbor:"4,keyasint"`
+	// Config tells how recent the leader's configuration is, nil in a cell without organizations.
+	Config *configReport `cbor:"5,keyasint,omitempty"`
 }
 
 // termRequest asks a VM whether it has taken over from a leader, or knows who has.
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -113,12 +113,13 @@
 	relaysDesc  = prometheus.NewDesc("tanager_open_relays", "Relays that the leader sends orders through.", nil, nil)
 	termDesc    = prometheus.NewDesc("tanager_leadership_proof_age_seconds", "Age of the leader's last proof that no other VM leads.", nil, nil)
 	crashesDesc = prometheus.NewDesc("tanager_task_crashes_total", "Crashes of workers under tasks, those of them that were withdrawn, and jobs that were given up, as the leader of this epoch has seen them.", []string{"outcome"}, nil)
+	proofDesc   = prometheus.NewDesc("tanager_config_proof_age_seconds", "Age of the latest proof that the configuration in force is the newest, in a cell with organizations.", nil, nil)
 	endsDesc    = prometheus.NewDesc("tanager_run_ends_total", "Ends of runs, as the leader of this epoch has seen them.", []string{"end"}, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (c nodeCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc} {
+	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc, proofDesc} {
 		out <- desc
 	}
 }
@@ -137,6 +138,9 @@
 	if config := c.node.Config(); config != nil {
 		out <- prometheus.MustNewConstMetric(configDesc, prometheus.GaugeValue, float64(config.Version))
 	}
+	if view := c.node.ConfigView(); hasOrganizations(view.Config) {
+		out <- prometheus.MustNewConstMetric(proofDesc, prometheus.GaugeValue, view.ProofAge.Seconds())
+	}
 	l := c.node.leader()
 	if l == nil {
 		out <- prometheus.MustNewConstMetric(leadingDesc, prometheus.GaugeValue, 0)
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -37,7 +37,7 @@
 // noticed after that time, and a change must be in force within four seconds (the brief).
 const configWatchWait = 2 * time.Second
 
-// Options configure a Node. All fields are required but Meter, Dial, Processors and MemoryBytes.
+// Options configure a Node. All fields are required but Meter, Dial, Processors, MemoryBytes and RevokeWithin.
 type Options struct {
 	// Name is the name of this VM, PeerAddress the address on which it serves other VMs.
 	Name        string
@@ -63,6 +63,9 @@
 	// leadership to others; zero counts as enough.
 	Processors  float64
 	MemoryBytes int64
+	// RevokeWithin is the time after which a key that a configuration removed no longer works on any
+	// VM, also on one that is cut off. Zero means that revocation is not strict.
+	RevokeWithin time.Duration
 }
 
 // Node is one VM of a cell. It is safe for concurrent use.
@@ -74,6 +77,14 @@
 	peers    *peerClient
 	metrics  *metrics
 	refusals *refusalLog
+	// configMu makes changes of config take turns.
+	configMu sync.Mutex
+	proof    configProof
+	// configReads triggers a read of the configuration.
+	configReads chan struct{}
+	// answerComplete is set if the last answer about the configuration had all changes. Only the
+	// watcher of the configuration uses it.
+	answerComplete bool
 
 	mu      sync.Mutex
 	leading *leader
@@ -85,7 +96,7 @@
 
 // New returns a node that is idle until Run is called.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, instance: rand.Text()}
+	n := &Node{opts: opts, instance: rand.Text(), configReads: make(chan struct{}, 1)}
 	if n.opts.Dial == nil {
 		n.opts.Dial = (&net.Dialer{}).DialContext
 	}
@@ -105,7 +116,7 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){server.run, n.runConfig, n.elector.run, n.runHello} {
+	for _, loop := range []func(context.Context){server.run, n.runConfig, n.runConfigReads, n.elector.run, n.runHello} {
 		loops.Add(1)
 		go (&task{call: loop, done: &loops}).run(ctx)
 	}
@@ -139,46 +150,62 @@
 
 // Ready reports whether the node can accept jobs.
 func (n *Node) Ready() bool {
-	return !n.stopping.Load() && n.Config() != nil && n.opts.Store.Reachable()
+	return !n.stopping.Load() && n.Config() != nil && n.opts.Store.Reachable() && !n.ConfigView().Unproved()
 }
 
 // runConfig follows the configuration until ctx ends.
 func (n *Node) runConfig(ctx context.Context) {
 	watcher := &store.Watcher{
-		Feed:       n.opts.Store,
+		Feed:       configFeed{n},
 		Table:      n.opts.Directory.ConfigTable,
 		Wait:       configWatchWait,
-		OnSnapshot: n.configRows,
+		OnSnapshot: n.configSnapshot,
 		OnChanges:  n.configChanges,
+		OnCaughtUp: n.configCaughtUp,
+		AwaitNext:  n.awaitConfigWatch,
 		OnError:    n.watchErrorLogger("config"),
 	}
 	watcher.Run(ctx)
 }
 
+// configSnapshot processes all rows of the table of the configuration.
+func (n *Node) configSnapshot(rows []store.Row) {
+	n.answerComplete = false
+	for _, row := range rows {
+		if row.Key == n.opts.Directory.ConfigKey {
+			n.configRow(row, true)
+			n.answerComplete = true
+		}
+	}
+}
+
+// configChanges processes the changes in the answer to a watch.
 func (n *Node) configChanges(changes []store.RowChange) {
+	size := 0
 	for _, change := range changes {
-		if !change.Removed {
-			n.configRows([]store.Row{change.Row})
+		size += len(change.Value)
+		if !change.Removed && change.Key == n.opts.Directory.ConfigKey {
+			n.configRow(change.Row, true)
 		}
 	}
+	n.answerComplete = size < maxProvingBytes
 }
 
-// configRows puts a newer configuration in force. Older versions are ignored.
-func (n *Node) configRows(rows []store.Row) {
-	for _, row := range rows {
-		if row.Key != n.opts.Directory.ConfigKey {
-			continue
-		}
-		config, err := n.opts.Directory.DecodeConfig(row)
-		if err != nil {
-			n.noteUnreadableRow("config", row, err)
-			continue
-		}
+// configRow puts a newer configuration in force. Older versions are ignored. A row that cannot be
+// decoded is logged if it is a new one or logAgain is set.
+func (n *Node) configRow(row store.Row, logAgain bool) {
+	config, err := n.opts.Directory.DecodeConfig(row)
+	if err == nil {
 		n.applyConfig(config)
 	}
+	if isNew := n.proof.noteRow(row.Version, err == nil); err != nil && (isNew || logAgain) {
+		n.noteUnreadableRow("config", row, err)
+	}
 }
 
 func (n *Node) applyConfig(config *jobs.Config) {
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
 	before := n.config.Load()
 	if before != nil && config.Version <= before.Version {
 		return
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -156,6 +156,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
+		sent := time.Now()
 		reply, err := exchange[hello, helloReply](callCtx, n.peers, row.Address, pathHello, hello{
 			Name: n.opts.Name, Address: n.opts.PeerAddress, Epoch: row.Epoch, Zone: n.opts.Zone, Processors: n.opts.Processors,
 		})
@@ -165,6 +166,9 @@
 			n.opts.Logger.Warn("heartbeat to leader failed", "leader", row.Holder, "epoch", row.Epoch, "error", err)
 			continue
 		}
+		if reply.Leading {
+			n.noteLeaderConfig(sent, reply.Config)
+		}
 		if reply.Leading && reply.Pending != nil {
 			n.setPending(reply.Pending)
 		}
