Tell why a job waits, and what organizations use

Where the configuration has organizations, the leader logs 'job waits' with cap, share, capacity, advice or earlier-runs once a job has waited for 300 ms, again when the reason changes, and at most once a second. Metrics by organization (100 of them): usage, cap and waiting jobs.

BenchmarkPass measured nothing: its engine had no proof of its leadership, so that Schedule returned at once. It confirms the term now, and also measures with 92 organizations.

--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -115,7 +115,7 @@
 
 // Describe implements prometheus.Collector.
 func (c nodeCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc} {
+	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc, organizationUsageDesc, organizationCapDesc, organizationWaitingDesc} {
 		out <- desc
 	}
 }
@@ -146,8 +146,9 @@
 // collect collects the counts of the leader and its engine.
 func (l *leader) collect(out chan<- prometheus.Metric) {
 	l.mu.Lock()
-	ends, pending := l.engine.Counters(), l.pendingLocked()
+	ends, pending, organizations := l.engine.Counters(), l.pendingLocked(), l.engine.OrganizationUses(maxOrganizationMetrics)
 	l.mu.Unlock()
+	collectOrganizations(out, organizations)
 	out <- prometheus.MustNewConstMetric(termDesc, prometheus.GaugeValue, l.confirmedBefore().Seconds())
 	out <- prometheus.MustNewConstMetric(relaysDesc, prometheus.GaugeValue, float64(l.dispatch.openLinks()))
 	for queue, count := range pending {
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -42,6 +42,7 @@
 	unclosed     bool
 	// excess is set if the organization submitted the job beyond its weight per second.
 	excess bool
+	wait   wait
 }
 
 // occurrence is one repetition of a job's steps.
@@ -174,9 +175,6 @@
 	e.jobs[ev.Job.ID] = j
 	if j.organization != nil {
 		e.unmarkedJobs = append(e.unmarkedJobs, j)
-		if inherited {
-			e.inheritedJobs = append(e.inheritedJobs, j)
-		}
 	}
 	if ev.Job.FinalState.Final() {
 		j.state = ev.Job.FinalState
@@ -186,6 +184,9 @@
 	}
 	j.restoreProgress(ev.Progress, e.opts.unsafe)
 	j.openDue(now)
+	if j.organization != nil && inherited && j.state != jobs.Done {
+		e.inheritedJobs = append(e.inheritedJobs, j)
+	}
 	e.log("job loaded", "job", ev.Job.ID, "queue", ev.Job.Queue.Name, "steps", len(ev.Job.Steps),
 		"age", now.Sub(ev.Job.ArrivedAt), "objective", objective, "inherited", inherited, "state", j.state)
 	if !j.final() {
--- a/core/engine/organization.go
+++ b/core/engine/organization.go
@@ -139,8 +139,16 @@
 	if e.opts.unsafe.forgetEarlierUsage {
 		return
 	}
+	// The lists of the workers are merged first: a fleet has many of both.
+	anyJob, listed := false, make(map[jobs.ID]bool)
+	for _, ids := range e.previousWorkers {
+		anyJob = anyJob || ids == nil
+		for _, id := range ids {
+			listed[id] = true
+		}
+	}
 	for _, j := range e.inheritedJobs {
-		if !e.previousRunsResolved(j) {
+		if anyJob || listed[j.ID] {
 			j.addUnknownRuns(now, &j.organization.earlier)
 		}
 	}
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -93,6 +93,7 @@
 func (e *Engine) scheduleStep(p *pass, s *step, limit int) {
 	if p.now.Before(s.retryAt) {
 		p.addOwed(s, s.tasksLeft)
+		e.noteWait(p.now, s.job, s.job.wait.reason)
 		return
 	}
 	tasks := s.waiting()
@@ -100,11 +101,13 @@
 		return
 	}
 	if s.Gang && len(tasks) < s.tasksLeft {
+		e.noteWait(p.now, s.job, waitsForEarlierRuns)
 		return // some members of the previous run have not ended yet
 	}
 	if e.waitsForCap(s, len(tasks)) {
 		s.waitingSince = time.Time{}
 		e.releaseReservation(s)
+		e.noteWait(p.now, s.job, e.capReason(s))
 		return
 	}
 	if !s.Gang {
@@ -112,6 +115,7 @@
 	}
 	if s.job.excess {
 		if tasks = tasks[:p.excessTasks(s, len(tasks))]; len(tasks) == 0 {
+			e.noteWait(p.now, s.job, waitsForShare)
 			return
 		}
 	}
@@ -124,6 +128,7 @@
 	if s.waitingSince.IsZero() {
 		s.waitingSince = p.now
 	}
+	e.noteWait(p.now, s.job, e.reasonOf(p, s))
 	p.addOwed(s, missing)
 	if s.Gang {
 		e.dedicateWorkers(p, s, missing)
--- a/core/engine/pass_bench_test.go
+++ b/core/engine/pass_bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/orgs"
 	"tanagerstack.org/core/roster"
 )
 
@@ -22,9 +23,35 @@
 	workerClock time.Duration
 }
 
+// benchOrganizations is the number of organizations with which a pass is measured.
+const benchOrganizations = 92
+
+// benchTasksPerJob is the mean number of tasks of the jobs of newPassBenchmark.
+const benchTasksPerJob = 13
+
+// benchDirectory returns organizations that have a cap, of which none is reached. All jobs of
+// newPassBenchmark arrive at once, so that a third of them are excess.
+func benchDirectory(count, jobCount int) *orgs.Directory {
+	if count == 0 {
+		return nil
+	}
+	list := make([]orgs.Organization, 0, count)
+	for i := range count {
+		list = append(list, orgs.Organization{
+			Name: fmt.Sprintf("org-%02d", i), Weight: float64(2*jobCount) / float64(3*count),
+			Cap: roster.Resources{Millicores: 500_000_000, MemoryBytes: 1 << 46},
+		})
+	}
+	directory, err := orgs.NewDirectory(list)
+	if err != nil {
+		panic(err) // the list is sound
+	}
+	return directory
+}
+
 // newPassBenchmark returns an engine with the given number of workers and at least the given
-// number of waiting tasks.
-func newPassBenchmark(workers, tasks int) *passBenchmark {
+// number of waiting tasks, of the given number of organizations.
+func newPassBenchmark(workers, tasks, organizations int) *passBenchmark {
 	c := &passBenchmark{
 		Engine: New(Options{Epoch: 1, LeaseTerm: testLease, MaxLease: testLease, StopTime: time.Second}), now: testStart,
 		rand: rand.New(rand.NewPCG(1, 2)), workerClock: time.Minute,
@@ -34,7 +61,9 @@
 		{Name: "wide", Service: "service", Priority: 1, Attempts: 3, Stretch: 3, Slack: time.Second, Advice: &jobs.AdviceSettings{RequestTime: 100 * time.Millisecond, PerWorkerTime: time.Millisecond, TicketValidity: 1500 * time.Millisecond}},
 		{Name: "gangs", Service: "service", Priority: 2, Attempts: 3, Stretch: 3, Slack: time.Second, Advice: &jobs.AdviceSettings{RequestTime: 600 * time.Millisecond, PerWorkerTime: 4 * time.Millisecond, TicketValidity: 1500 * time.Millisecond}},
 	}
-	c.Apply(c.now, ConfigChanged{Config: &jobs.Config{Version: 1, Queues: queues}})
+	// Without a term, Schedule does nothing.
+	c.Apply(c.now, LeadershipConfirmed{At: c.now, Until: c.now.AddDate(1, 0, 0)})
+	c.Apply(c.now, ConfigChanged{Config: &jobs.Config{Version: 1, Queues: queues, Organizations: benchDirectory(organizations, tasks/benchTasksPerJob)}})
 	helpers := make([]string, 0, 147)
 	for i := range 147 {
 		helpers = append(helpers, fmt.Sprintf("vm%03d", i))
@@ -64,6 +93,9 @@
 			job.Queue, step.PerTask.Millicores = queues[0], 3900
 		}
 		job.ArrivedAt = c.now
+		if organizations > 0 {
+			job.Organization = fmt.Sprintf("org-%02d", n%organizations)
+		}
 		waiting += step.Count
 		c.Apply(c.now, JobAccepted{Job: job})
 	}
@@ -90,20 +122,24 @@
 	}
 }
 
-// BenchmarkPass measures passes with 20,000 waiting tasks, by the size of the fleet.
+// BenchmarkPass measures passes with 20,000 waiting tasks, by the size of the fleet, without
+// organizations and with benchOrganizations.
 func BenchmarkPass(b *testing.B) {
 	for _, workers := range benchFleetSizes {
-		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			c := newPassBenchmark(workers, 20_000)
-			b.ReportAllocs()
-			for b.Loop() {
-				c.now = c.now.Add(20 * time.Millisecond)
-				c.pollWorkers()
-				commands := c.Schedule(c.now)
-				b.StopTimer()
-				c.answerAdvice(commands)
-				b.StartTimer()
-			}
-		})
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) { benchmarkPass(b, workers, 0) })
+		b.Run(fmt.Sprintf("workers=%d/organizations=%d", workers, benchOrganizations), func(b *testing.B) { benchmarkPass(b, workers, benchOrganizations) })
+	}
+}
+
+func benchmarkPass(b *testing.B, workers, organizations int) {
+	c := newPassBenchmark(workers, 20_000, organizations)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.now = c.now.Add(20 * time.Millisecond)
+		c.pollWorkers()
+		commands := c.Schedule(c.now)
+		b.StopTimer()
+		c.answerAdvice(commands)
+		b.StartTimer()
 	}
 }
--- a/core/engine/rank.go
+++ b/core/engine/rank.go
@@ -60,6 +60,7 @@
 	var list []*step
 	for _, j := range e.active {
 		if !e.previousRunsResolved(j) {
+			e.noteWait(now, j, waitsForEarlierRuns)
 			continue
 		}
 		j.openDue(now)
