Process tests with a crowd of hostile clients, for both programs

A crowd of 500 clients sends bodies of legal size that most clients do not end (whole, in pieces, in large and very small chunks), headers byte by byte, pipelined requests whose answers it does not read, or nothing, at the callers' port and at tanager-platform's port for other VMs. The tests check that the process lives, that its memory and descriptors stay under a bound, that one request is served while the crowd stays and one after it has gone, and that the memory is returned.

--- a/Makefile
+++ b/Makefile
@@ -30,13 +30,16 @@
 demo: build ## Run the whole product on loopback under load, with a kill on the way.
 	@scripts/demo
 
-# The tests of stand/proof start the programs as processes. They run by themselves,
-# so that others do not take their processor time, and are never taken from the
-# test cache, which knows nothing of the programs that they build.
+# The tests of stand/proof and the crowd test of platform start the programs as
+# processes. They run by themselves, so that others do not take their processor time,
+# and are never taken from the test cache, which knows nothing of the programs that
+# they build.
+CROWD_TEST := ^TestPlatformWithstandsCrowd$$
 test: ## Run all tests with the race detector.
 	@status=0; \
-	go test -race -timeout $(TEST_TIMEOUT) $$(go list $(PACKAGES) | grep -v /stand/proof) || status=1; \
+	go test -race -timeout $(TEST_TIMEOUT) -skip '$(CROWD_TEST)' $$(go list $(PACKAGES) | grep -v /stand/proof) || status=1; \
 	go test -race -count=1 -timeout $(TEST_TIMEOUT) ./stand/proof/... || status=1; \
+	go test -race -count=1 -timeout $(TEST_TIMEOUT) -run '$(CROWD_TEST)' ./platform || status=1; \
 	exit $$status
 
 test-short: ## Run the tests that start no processes.
