Limits on clients of tanager-platform: package guard

Clients that sent many bodies of legal size at once and did not end them took a process beyond the memory of its VM: nothing bounded the bytes of all connections together, the time of a body, the number of connections or the kernel's buffers. core/guard wraps the servers for callers, operators and other VMs. One byte budget, 0.3 of limits.memory_mb, is taken as bytes arrive; the connections that wait longest for their client make room first; what finds no room is answered 503 with Retry-After. Bodies and answers have a least progress. Frames of relay links grow as they arrive instead of by the announced length.

--- a/core/cell/frame.go
+++ b/core/cell/frame.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,10 @@
 const (
 	// maxFrameBytes bounds a frame: a thousand poll reports of fully used workers.
 	maxFrameBytes = 8 << 20
+	// firstFrameBytes is the first piece that is allocated for a frame, before its bytes arrive.
+	// frameCost is what a byte of a frame takes of the budget: it is read and decoded.
+	firstFrameBytes = 16 << 10
+	frameCost       = 2
 	// frameInterval is the minimum time between two frames in one direction, so that commands
 	// to many workers share a frame. It delays a start by half of that on average.
 	frameInterval = 8 * time.Millisecond
@@ -184,11 +189,21 @@
 	conn  net.Conn
 	in    *bufio.Reader
 	meter *meter.Meter
-	once  sync.Once
+	// budget has the bytes of received frames. It is nil for a link that this VM has opened.
+	budget frameBudget
+	once   sync.Once
+}
+
+// frameBudget is what bounds the bytes of received frames. *guard.Conn implements it.
+type frameBudget interface {
+	Take(n int) error
+	// Give gives back all that was taken.
+	Give()
 }
 
 func newFrameConn(conn net.Conn, in *bufio.Reader, m *meter.Meter) *frameConn {
-	return &frameConn{conn: conn, in: in, meter: m}
+	budget, _ := conn.(frameBudget)
+	return &frameConn{conn: conn, in: in, meter: m, budget: budget}
 }
 
 // writeFrame sends one frame.
@@ -222,15 +237,42 @@
 	if size > maxFrameBytes {
 		return frame, fmt.Errorf("%w: length %d exceeds the limit", errBadFrame, size)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(c.in, data); err != nil {
+	data, err := c.readBytes(int(size))
+	if err != nil {
 		return frame, err
 	}
+	if c.budget != nil {
+		defer c.budget.Give()
+	}
 	c.meter.Received(pathRelay, len(data))
-	if err := cbor.Unmarshal(data, &frame); err != nil {
+	if err := messageDecoder.Unmarshal(data, &frame); err != nil {
 		return frame, fmt.Errorf("%w: %w", errBadFrame, err)
 	}
 	return frame, nil
 }
 
+// readBytes reads a number of bytes. What it allocates grows as they arrive, and is taken from the
+// budget.
+func (c *frameConn) readBytes(size int) ([]byte, error) {
+	var data []byte
+	for len(data) < size {
+		n := min(size-len(data), max(len(data), firstFrameBytes))
+		if c.budget != nil {
+			if err := c.budget.Take(n * frameCost); err != nil {
+				c.budget.Give()
+				return nil, err
+			}
+		}
+		start := len(data)
+		data = slices.Grow(data, n)[:start+n]
+		if _, err := io.ReadFull(c.in, data[start:]); err != nil {
+			if c.budget != nil {
+				c.budget.Give()
+			}
+			return nil, err
+		}
+	}
+	return data, nil
+}
+
 func (c *frameConn) close() { c.once.Do(func() { _ = c.conn.Close() }) }
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"tanagerstack.org/core/engine"
+	"tanagerstack.org/core/guard"
 	"tanagerstack.org/core/store"
 )
 
@@ -54,6 +55,7 @@
 		m.submits, m.cancels, m.starts, m.stops, m.polls, m.adviceRequests, m.unreadable, m.takeovers,
 		m.submit, m.start, m.record, m.advice, nodeCollector{n},
 	)
+	m.registry.MustRegister(guardCollector{n.opts.Guard})
 	if n.opts.Meter != nil {
 		m.registry.MustRegister(n.opts.Meter)
 	}
@@ -93,6 +95,34 @@
 
 func observeSince(h prometheus.Histogram, began time.Time) { h.Observe(time.Since(began).Seconds()) }
 
+// guardCollector collects the figures of the limits on clients.
+type guardCollector struct{ guard *guard.Guard }
+
+var (
+	refusedDesc  = prometheus.NewDesc("tanager_refused_connections_total", "Connections and streams that were refused or closed, by reason.", []string{"reason"}, nil)
+	bufferedDesc = prometheus.NewDesc("tanager_buffered_bytes", "Bytes taken of the byte budget for clients and peers.", nil, nil)
+	budgetDesc   = prometheus.NewDesc("tanager_buffer_budget_bytes", "Byte budget for clients and peers.", nil, nil)
+	openDesc     = prometheus.NewDesc("tanager_open_connections", "Open connections of clients and peers.", nil, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c guardCollector) Describe(out chan<- *prometheus.Desc) {
+	for _, desc := range []*prometheus.Desc{refusedDesc, bufferedDesc, budgetDesc, openDesc} {
+		out <- desc
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c guardCollector) Collect(out chan<- prometheus.Metric) {
+	counts := c.guard.Counts()
+	for reason, count := range counts.Refused {
+		out <- prometheus.MustNewConstMetric(refusedDesc, prometheus.CounterValue, float64(count), reason)
+	}
+	out <- prometheus.MustNewConstMetric(bufferedDesc, prometheus.GaugeValue, float64(counts.BufferedBytes))
+	out <- prometheus.MustNewConstMetric(budgetDesc, prometheus.GaugeValue, float64(counts.BudgetBytes))
+	out <- prometheus.MustNewConstMetric(openDesc, prometheus.GaugeValue, float64(counts.OpenConnections))
+}
+
 // MetricsHandler serves the node's metrics in the Prometheus text format.
 func (n *Node) MetricsHandler() http.Handler {
 	return promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{})
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"tanagerstack.org/core/guard"
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/meter"
 	"tanagerstack.org/core/store"
@@ -51,6 +52,8 @@
 	Logger    Logger
 	// Meter counts the bytes exchanged with other VMs; it may be nil.
 	Meter *meter.Meter
+	// Guard bounds what other VMs can make this one hold; nil sets no limits.
+	Guard *guard.Guard
 	// Dial opens connections to other VMs; nil means net.Dialer.DialContext.
 	Dial meter.Dialer
 	// MaxLease is the longest lease that workers grant, StopTime the longest time they take to
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -36,8 +36,14 @@
 	peerDialTimeout        = 400 * time.Millisecond
 	peerIdleTimeout        = 20 * time.Second
 	maxIdlePeerConnections = 64
-	// maxPeerMessageBytes bounds a message.
+	// maxPeerMessageBytes bounds a message, maxListElements a list in it: a worker's name takes ten
+	// bytes and more. Messages longer than longMessageBytes are rare.
 	maxPeerMessageBytes = 1 << 20
+	maxListElements     = 1 << 15
+	longMessageBytes    = 64 << 10
+	// peerHeaderTimeout and maxPeerHeaderBytes limit the header of a message, which has a few fields.
+	peerHeaderTimeout  = 3 * time.Second
+	maxPeerHeaderBytes = 4096
 )
 
 // peerClient sends messages to other VMs.
--- a/core/cell/relay.go
+++ b/core/cell/relay.go
@@ -34,6 +34,9 @@
 	// maxRelayCommands bounds the commands that a relay executes at once for a link: a poll of
 	// each of its workers, and the starts of two fully used workers.
 	maxRelayCommands = 4096
+	// maxSessions bounds the links that are open to a relay. A leader opens one, and its predecessor's
+	// may not have ended yet.
+	maxSessions = 16
 )
 
 // errCommandTooOld means that a relay has held a command for longer than maxCommandAge.
@@ -94,11 +97,11 @@
 }
 
 // register adds a session and closes those of earlier epochs. It returns false if the session's
-// epoch is superseded or the server is closed.
+// epoch is superseded, there are maxSessions already, or the server is closed.
 func (s *peerServer) register(session *relaySession) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.closed || len(s.sessions) >= maxSessions {
 		return false
 	}
 	for other := range s.sessions {
--- a/core/cell/serve.go
+++ b/core/cell/serve.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"tanagerstack.org/core/guard"
 )
 
 // peerServer serves the messages of other VMs.
@@ -16,6 +19,9 @@
 	listener net.Listener
 	server   *http.Server
 
+	// decoding is held while a long message is decoded.
+	decoding sync.Mutex
+
 	mu sync.Mutex
 	// sessions are the links that leaders have opened to this VM.
 	sessions map[*relaySession]bool
@@ -23,7 +29,8 @@
 }
 
 func newPeerServer(n *Node) (*peerServer, error) {
-	listener, err := net.Listen("tcp", n.opts.PeerAddress.String())
+	port := n.opts.Guard.Port(guard.Peers, guard.Refusal{})
+	listener, err := port.Listen(n.opts.PeerAddress.String())
 	if err != nil {
 		return nil, err
 	}
@@ -36,7 +43,9 @@
 	handle(s, mux, pathStore, s.proxyStore)
 	handle(s, mux, pathTerm, s.confirmTerm)
 	mux.HandleFunc("POST "+pathRelay, s.openRelay)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: peerIdleTimeout}
+	s.server = port.Wrap(&http.Server{
+		Handler: mux, ReadHeaderTimeout: peerHeaderTimeout, IdleTimeout: 2 * peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
+	})
 	return s, nil
 }
 
@@ -65,10 +74,13 @@
 	meter := s.node.opts.Meter
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var message Q
-		data, err := io.ReadAll(io.LimitReader(r.Body, maxPeerMessageBytes))
+		data, err := io.ReadAll(io.LimitReader(r.Body, maxPeerMessageBytes+1))
 		meter.Received(path, len(data))
+		if err == nil && len(data) > maxPeerMessageBytes {
+			err = errMessageTooLong
+		}
 		if err == nil {
-			err = cbor.Unmarshal(data, &message)
+			err = s.decode(data, &message)
 		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -84,6 +96,29 @@
 	})
 }
 
+// errMessageTooLong means that a message exceeds maxPeerMessageBytes.
+var errMessageTooLong = errors.New("message too long")
+
+// messageDecoder bounds the lists of a message, since an empty element takes one byte on the wire
+// and up to a hundred when decoded.
+var messageDecoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxListElements, MaxMapPairs: maxListElements}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// decode decodes a message. Long ones are decoded one at a time, so that what they grow to is
+// bounded.
+func (s *peerServer) decode(data []byte, message any) error {
+	if len(data) > longMessageBytes {
+		s.decoding.Lock()
+		defer s.decoding.Unlock()
+	}
+	return messageDecoder.Unmarshal(data, message)
+}
+
 func (s *peerServer) hello(_ context.Context, h hello) helloReply {
 	l := s.node.leader()
 	if l == nil {
