Limits on clients of tanager-entry and on its links between VMs

tanager-entry had no bound on the bytes of all callers together, on job bodies, on connections or on the reading of answers, and kept the memory after the callers had gone.

core/peer takes messages of the same budget as they arrive, closes streams without progress to make room (the sender learns that its message was not handled), bounds receive windows and answers that are not read, accepts no unidirectional streams, and verifies addresses where handshakes come too fast.

--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -18,6 +18,8 @@
 	DefaultDrain     = 30 * time.Second
 	maxDrain         = 10 * time.Minute
 	maxVerbosity     = 9
+	maxMemoryMB      = 1 << 24
+	maxMaxFDs        = 1 << 24
 )
 
 // Settings are the startup settings of an entry VM.
@@ -60,6 +62,10 @@
 	SeatsPerDomain int
 	// DrainTimeout is how long a graceful shutdown waits for requests in flight.
 	DrainTimeout time.Duration
+	// MemoryMB is the memory that the process may use, in units of 1,000,000 bytes, and MaxFDs the
+	// number of its file descriptors. Zero means what the machine gives it.
+	MemoryMB int
+	MaxFDs   int
 	// Verbosity is the log level, from 0 to 9; higher levels log more.
 	Verbosity int
 }
@@ -141,6 +147,10 @@
 			func(s *Settings) *int { return &s.SeatsPerDomain }),
 		durationField("drain", DefaultDrain, time.Second, maxDrain, "how long a graceful shutdown waits for requests in flight",
 			func(s *Settings) *time.Duration { return &s.DrainTimeout }),
+		countField("memory-mb", 0, 0, maxMemoryMB, "memory that the process may use, in units of 1,000,000 bytes; 0 means the memory of the machine",
+			func(s *Settings) *int { return &s.MemoryMB }),
+		countField("max-fds", 0, 0, maxMaxFDs, "number of file descriptors that the process may open; 0 means the limit of the process",
+			func(s *Settings) *int { return &s.MaxFDs }),
 		countField("verbosity", 0, 0, maxVerbosity, "log level; higher levels log more",
 			func(s *Settings) *int { return &s.Verbosity }),
 	}
--- a/core/peer/connection.go
+++ b/core/peer/connection.go
@@ -18,6 +18,8 @@
 	peer Identity
 	// transport owns the socket if this node opened the connection, and is nil otherwise.
 	transport *quic.Transport
+	// cost is what the connection has taken of the byte budget.
+	cost int
 	// lastActive is when the last message or answer of the peer arrived, in Unix nanoseconds; 0
 	// forces a ping before the next message.
 	lastActive atomic.Int64
@@ -112,6 +114,7 @@
 func (c *connection) cleanup() {
 	c.close("end")
 	c.node.untrack(c)
+	c.node.opts.Port.Give(c.cost)
 	if c.transport != nil {
 		_ = c.transport.Close()
 		_ = c.transport.Conn.Close()
--- a/core/peer/node.go
+++ b/core/peer/node.go
@@ -15,7 +15,9 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"golang.org/x/time/rate"
 
+	"tanagerstack.org/core/guard"
 	"tanagerstack.org/core/keys"
 )
 
@@ -39,6 +41,21 @@
 	handshakeTimeout = 2 * time.Second
 	maxStreams       = 4096
 	protocolName     = "tanager-peer-1"
+
+	// maxStreamWindow and maxConnectionWindow bound what a peer may send before this node has read
+	// it, in bytes. Between regions, 24 ms there and back, they allow 40 MB per second and more.
+	maxStreamWindow     = 1 << 20
+	maxConnectionWindow = 2 << 20
+	// connectionCost and exchangeCost are what an accepted connection and a message that is being
+	// handled take of the byte budget, besides the message; messageCost is what a byte of the message
+	// takes: it is read, copied and decoded.
+	connectionCost = 64 << 10
+	exchangeCost   = 16 << 10
+	messageCost    = 3
+	// handshakesPerSecond and handshakeBurst are the handshakes that a node begins with an address
+	// that is not verified. Beyond that, an address has to answer a token first.
+	handshakesPerSecond = 64
+	handshakeBurst      = 256
 )
 
 // Address is the name of an entry VM and the UDP address of its peer listener.
@@ -57,6 +74,8 @@
 	Keys *keys.Source
 	// Mux has the handlers; nil means only pings are answered. Handlers may be added later.
 	Mux *Mux
+	// Port bounds what peers can make this node hold; nil sets no limit.
+	Port *guard.Port
 }
 
 // Stats counts the events of a Node. All counts only increase.
@@ -108,7 +127,7 @@
 	n := &Node{
 		opts:        opts,
 		codec:       c,
-		transport:   &quic.Transport{Conn: socket},
+		transport:   &quic.Transport{Conn: socket, VerifySourceAddress: newHandshakeLimit().isExceeded},
 		local:       localAddress(socket),
 		links:       make(map[Address]*link),
 		connections: make(map[*connection]struct{}),
@@ -231,9 +250,23 @@
 		MaxIdleTimeout:       IdleTimeout,
 		KeepAlivePeriod:      keepAlivePeriod,
 		MaxIncomingStreams:   maxStreams,
+		// Messages use bidirectional streams only.
+		MaxIncomingUniStreams:      -1,
+		MaxStreamReceiveWindow:     maxStreamWindow,
+		MaxConnectionReceiveWindow: maxConnectionWindow,
 	}
 }
 
+// handshakeLimit bounds the handshakes with addresses that are not verified.
+type handshakeLimit struct{ limiter *rate.Limiter }
+
+func newHandshakeLimit() handshakeLimit {
+	return handshakeLimit{rate.NewLimiter(handshakesPerSecond, handshakeBurst)}
+}
+
+// isExceeded reports whether an address has to be verified before the handshake.
+func (h handshakeLimit) isExceeded(net.Addr) bool { return !h.limiter.Allow() }
+
 // checkName returns an error unless the certificate is valid for the VM's own name. Otherwise
 // every peer would reject this VM's connections, each with an error of its own.
 func checkName(source *keys.Source, name string) error {
--- a/core/peer/node_test.go
+++ b/core/peer/node_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"tanagerstack.org/core/guard"
 	"tanagerstack.org/core/keys"
 )
 
@@ -54,12 +55,17 @@
 }
 
 func (f *fleet) node(name string, mux *Mux) (*Node, Address) {
+	f.t.Helper()
+	return f.limitedNode(name, mux, nil)
+}
+
+func (f *fleet) limitedNode(name string, mux *Mux, port *guard.Port) (*Node, Address) {
 	f.t.Helper()
 	source, err := keys.NewSource(f.files(name))
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	n, err := NewNode(Options{Name: name, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Keys: source, Mux: mux})
+	n, err := NewNode(Options{Name: name, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Keys: source, Mux: mux, Port: port})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/core/peer/serve.go
+++ b/core/peer/serve.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
 	"github.com/quic-go/quic-go"
 	"k8s.io/klog/v2"
+
+	"tanagerstack.org/core/guard"
 )
 
 // acceptor accepts connections from peers.
@@ -18,12 +21,18 @@
 		if err != nil {
 			return
 		}
+		if err := a.node.opts.Port.Take(connectionCost, guard.Connections); err != nil {
+			_ = conn.CloseWithError(1, "too many connections")
+			continue
+		}
 		c, err := newConnection(a.node, conn, nil)
 		if err != nil {
+			a.node.opts.Port.Give(connectionCost)
 			klog.ErrorS(err, "peer connection rejected", "address", conn.RemoteAddr())
 			_ = conn.CloseWithError(1, "no name in the certificate")
 			continue
 		}
+		c.cost = connectionCost
 		go c.run(ctx)
 	}
 }
@@ -45,11 +54,23 @@
 	node   *Node
 	from   Identity
 	stream *quic.Stream
+	// room is what the exchange has taken of the byte budget.
+	room *guard.Stream
 }
 
 func (x *incomingExchange) run(ctx context.Context) {
 	defer x.node.serving.Done()
+	var err error
+	if x.room, err = x.node.opts.Port.OpenStream(exchangeCost, x); err != nil {
+		_ = x.Close()
+		return
+	}
+	defer x.room.Close()
 	answer, err := x.answer(ctx)
+	if errors.Is(err, guard.ErrRefused) {
+		_ = x.Close()
+		return
+	}
 	if err != nil {
 		x.stream.CancelRead(0)
 		x.stream.CancelWrite(0)
@@ -59,6 +80,10 @@
 	if err != nil {
 		data, _ = x.node.codec.encode(errorReply(err))
 	}
+	if err := x.stream.SetWriteDeadline(time.Now().Add(CallTimeout)); err != nil {
+		x.stream.CancelWrite(0)
+		return
+	}
 	if _, err := x.stream.Write(data); err != nil {
 		x.stream.CancelWrite(0)
 		return
@@ -66,16 +91,37 @@
 	_ = x.stream.Close()
 }
 
+// Close tells the peer that its message is not handled.
+func (x *incomingExchange) Close() error {
+	x.stream.CancelRead(streamNotHandled)
+	x.stream.CancelWrite(streamNotHandled)
+	return nil
+}
+
+// Read reads bytes of the message and takes them of the byte budget.
+func (x *incomingExchange) Read(p []byte) (int, error) {
+	n, err := x.stream.Read(p)
+	if n > 0 {
+		if refused := x.room.Received(n, n*messageCost); refused != nil {
+			return 0, refused
+		}
+	}
+	return n, err
+}
+
 // answer reads and handles the message. It returns an error only if the message cannot be read
-// completely; a message that was cut off gets no answer.
+// completely, because it was cut off or there is no room for it; such a message gets no answer.
 func (x *incomingExchange) answer(ctx context.Context) (reply, error) {
 	if err := x.stream.SetReadDeadline(time.Now().Add(CallTimeout)); err != nil {
 		return reply{}, err
 	}
-	data, err := readAll(x.stream)
+	data, err := readAll(x)
 	if err != nil {
 		return reply{}, err
 	}
+	if err := x.room.Complete(); err != nil {
+		return reply{}, err
+	}
 	message, err := decode[envelope](x.node.codec, data)
 	if err != nil {
 		return reply{Code: CodeMalformed, Detail: err.Error()}, nil
--- a/entry/front/problem.go
+++ b/entry/front/problem.go
@@ -12,6 +12,7 @@
 	"github.com/ogen-go/ogen/validate"
 
 	"tanagerstack.org/core/api/caller"
+	"tanagerstack.org/core/guard"
 )
 
 // acceptedValues describes the valid values of a header or path parameter, for errors
@@ -51,6 +52,16 @@
 	}
 }
 
+// OverloadRefusal returns the answer of a VM that has no room for a request. The request has not
+// run.
+func OverloadRefusal() guard.Refusal {
+	p := problem(http.StatusServiceUnavailable, "overloaded", "this entry VM has no memory for the request, which has not run")
+	p.Response.Outcome.SetTo(caller.ProblemOutcomeRefused)
+	encoder := jx.Encoder{}
+	p.Response.Encode(&encoder)
+	return guard.Refusal{ContentType: "application/problem+json", Body: encoder.String()}
+}
+
 func problem(status int, reason, detail string) *caller.ProblemStatusCode {
 	return &caller.ProblemStatusCode{StatusCode: status, Response: caller.Problem{
 		Title:  http.StatusText(status),
--- a/entry/node/listen.go
+++ b/entry/node/listen.go
@@ -8,6 +8,9 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"tanagerstack.org/core/guard"
+	"tanagerstack.org/entry/front"
 )
 
 const (
@@ -33,38 +36,39 @@
 	debug.HandleFunc("GET /debug/vars", n.serveVars)
 	endpoints := []struct {
 		name    string
+		port    *guard.Port
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{"callers", n.settings.CallersAddress, n.front.Handler()},
-		{"operators", n.settings.OperatorsAddress, n.oper.Handler()},
-		{"debug", n.settings.DebugAddress, debug},
+		{"callers", n.guard.Port(guard.Callers, front.OverloadRefusal()), n.settings.CallersAddress, n.front.Handler()},
+		{"operators", n.guard.Port(guard.Operators, guard.Refusal{}), n.settings.OperatorsAddress, n.oper.Handler()},
+		{"debug", n.guard.Port(guard.Operators, guard.Refusal{}), n.settings.DebugAddress, debug},
 	}
 	servers := make([]*server, 0, len(endpoints))
 	for _, e := range endpoints {
-		listener, err := net.Listen("tcp", e.address.String())
+		listener, err := e.port.Listen(e.address.String())
 		if err != nil {
 			for _, s := range servers {
 				_ = s.listener.Close()
 			}
 			return nil, fmt.Errorf("listener for %s: %w", e.name, err)
 		}
-		servers = append(servers, newServer(e.name, listener, e.handler))
+		servers = append(servers, newServer(e.name, e.port, listener, e.handler))
 	}
 	return servers, nil
 }
 
-func newServer(name string, listener net.Listener, handler http.Handler) *server {
+func newServer(name string, port *guard.Port, listener net.Listener, handler http.Handler) *server {
 	return &server{
 		name:     name,
 		listener: listener,
-		http: &http.Server{
+		http: port.Wrap(&http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: headerTimeout,
 			ReadTimeout:       readTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
-		},
+		}),
 	}
 }
 
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 	"tanagerstack.org/core/api/member"
 	"tanagerstack.org/core/burn"
 	"tanagerstack.org/core/conf"
+	"tanagerstack.org/core/guard"
 	"tanagerstack.org/core/keys"
 	"tanagerstack.org/core/peer"
 	"tanagerstack.org/core/policy"
@@ -47,6 +50,9 @@
 	sched    *sched.Scheduler
 	oper     *oper.Service
 	health   *health
+	guard    *guard.Guard
+	// stopGuard ends the loop of guard.
+	stopGuard context.CancelFunc
 
 	stop     chan struct{}
 	stopOnce sync.Once
@@ -61,8 +67,10 @@
 		burn:     burn.NewRecorder(burn.Options{}),
 		stop:     make(chan struct{}),
 	}
+	n.startGuard()
 	mux := peer.NewMux()
 	if err := n.connect(mux); err != nil {
+		n.stopGuard()
 		return nil, err
 	}
 	if err := n.buildServices(mux); err != nil {
@@ -72,6 +80,18 @@
 	return n, nil
 }
 
+// startGuard sets the limits on clients, and the memory limit of the Go runtime unless the
+// environment sets one.
+func (n *Node) startGuard() {
+	limits := guard.Limits{MemoryBytes: int64(n.settings.MemoryMB) * 1e6, Descriptors: n.settings.MaxFDs}.WithDefaults()
+	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(int64(guard.GoMemoryShare * float64(limits.MemoryBytes)))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stopGuard = cancel
+	n.guard = guard.New(ctx, guard.Options{Limits: limits, Log: klog.InfoS})
+}
+
 // connect creates the table service client and the peer node, which opens the peer socket.
 func (n *Node) connect(mux *peer.Mux) error {
 	s := n.settings
@@ -83,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	n.peers, err = peer.NewNode(peer.Options{Name: s.Name, Listen: s.PeersAddress, Keys: source, Mux: mux})
+	n.peers, err = peer.NewNode(peer.Options{Name: s.Name, Listen: s.PeersAddress, Keys: source, Mux: mux, Port: n.guard.Port(guard.Peers, guard.Refusal{})})
 	if err != nil {
 		n.tables.Close()
 		return err
@@ -304,6 +324,7 @@
 }
 
 func (n *Node) close(ctx context.Context) error {
+	n.stopGuard()
 	n.tables.Close()
 	return n.peers.Close(ctx)
 }
--- a/entry/node/vars.go
+++ b/entry/node/vars.go
@@ -22,6 +22,7 @@
 	vars.Set("store", n.storeVars())
 	vars.Set("peer", n.peerVars())
 	vars.Set("roster", rosterVars(n.roster.View()))
+	vars.Set("clients", n.clientVars())
 	vars.Set("process", processVars())
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	_, _ = w.Write([]byte(vars.String()))
@@ -55,6 +56,21 @@
 	return vars
 }
 
+// clientVars returns the figures of the limits on clients and peers.
+func (n *Node) clientVars() *expvar.Map {
+	counts := n.guard.Counts()
+	refused := new(expvar.Map).Init()
+	for reason, count := range counts.Refused {
+		refused.Set(reason, number(count))
+	}
+	vars := new(expvar.Map).Init()
+	vars.Set("tanager_refused_connections_total", refused)
+	vars.Set("tanager_buffered_bytes", number(counts.BufferedBytes))
+	vars.Set("tanager_buffer_budget_bytes", number(counts.BudgetBytes))
+	vars.Set("tanager_open_connections", number(int64(counts.OpenConnections)))
+	return vars
+}
+
 func rosterVars(view *roster.View) *expvar.Map {
 	vars := new(expvar.Map).Init()
 	vars.Set("seat", number(int64(view.Seat)))
--- a/stand/proof/clients_test.go
+++ b/stand/proof/clients_test.go
@@ -23,7 +23,7 @@
 )
 
 // crowdFlags lower the limits of the entry VM.
-var crowdFlags []string
+var crowdFlags = []string{"--memory-mb", fmt.Sprint(crowdMemoryMB), "--max-fds", fmt.Sprint(crowdDescriptors)}
 
 // TestEntryWithstandsCrowd guards against an entry VM that runs out of memory or descriptors, or hangs,
 // because of clients with a valid token that send many large bodies and do not end them, send their
