--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -135,6 +135,9 @@
 	maxBody        int64
 	maxConnections int
 	conns          map[*Conn]struct{}
+	// noneStalledUntil is the time before which no connection counts as stalled, as far as the last
+	// search has found.
+	noneStalledUntil time.Time
 }
 
 // New returns a guard. It checks for least progress until ctx ends.
@@ -222,12 +225,24 @@
 // evict removes stalled connections, the longest without progress first, until enough reports true.
 // g.mu must be held.
 func (g *Guard) evict(s *share, now time.Time, enough func() bool) []*Conn {
+	if now.Before(s.noneStalledUntil) {
+		return nil
+	}
 	var stalled []*Conn
+	s.noneStalledUntil = now.Add(evictableAfter)
 	for c := range s.conns {
-		if c.waitsForClient() && now.Sub(c.progressAt) >= evictableAfter {
+		stalledAt := c.progressAt.Add(evictableAfter)
+		switch {
+		case !c.waitsForClient():
+		case now.Before(stalledAt):
+			s.noneStalledUntil = earlier(s.noneStalledUntil, stalledAt)
+		default:
 			stalled = append(stalled, c)
 		}
 	}
+	if len(stalled) > 0 {
+		s.noneStalledUntil = now
+	}
 	slices.SortFunc(stalled, func(a, b *Conn) int { return cmp.Compare(a.progressAt.UnixNano(), b.progressAt.UnixNano()) })
 	for i, c := range stalled {
 		if enough() {
@@ -238,6 +253,13 @@
 	return stalled
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // noteUse records that use exceeds returnAfter. g.mu must be held.
 func (g *Guard) noteUse() {
 	if used, total := g.use(); float64(used) > returnAfter*float64(total) {
--- a/core/guard/port.go
+++ b/core/guard/port.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -16,8 +17,12 @@
 	// and back, callerReceiveBuffer lets a body of 262,144 bytes arrive in 0.4 s. Links between VMs
 	// carry up to 250 kB per second.
 	callerReceiveBuffer = 16 << 10
-	otherReceiveBuffer  = 64 << 10
+	otherReceiveBuffer  = 32 << 10
 	sendBuffer          = 64 << 10
+	// callerBacklog and otherBacklog are the connections that wait to be accepted. The kernel receives
+	// for them as well, at most 22 MB for callers. A caller that finds the backlog full connects a second later.
+	callerBacklog = 1024
+	otherBacklog  = 128
 
 	// A refused client is to come back after minRetryAfter to maxRetryAfter, at random so that a
 	// crowd does not return together.
@@ -68,13 +73,42 @@
 		}
 		return failed
 	}}
+	// A socket of multipath TCP has buffers of its own besides those of its paths.
+	config.SetMultipathTCP(false)
 	inner, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	if err := p.boundBacklog(inner); err != nil {
+		return nil, errors.Join(err, inner.Close())
+	}
 	return &listener{Listener: inner, port: p}, nil
 }
 
+// boundBacklog replaces the backlog of a listener, which is the system's largest.
+func (p *Port) boundBacklog(l net.Listener) error {
+	socket, ok := l.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("set backlog: %w", err)
+	}
+	backlog := otherBacklog
+	if p.class == Callers {
+		backlog = callerBacklog
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = syscall.Listen(int(fd), backlog) }); err != nil {
+		return fmt.Errorf("set backlog: %w", err)
+	}
+	if failed != nil {
+		return fmt.Errorf("set backlog: %w", failed)
+	}
+	return nil
+}
+
 // boundBuffers sets the buffers of a listening socket, which its connections inherit.
 func (p *Port) boundBuffers(fd int) error {
 	receive := otherReceiveBuffer
