--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -37,12 +37,8 @@
 	capacity int64
 	// total is the capacity of the open workers, if shares are in use.
 	total roster.Resources
-	// owed is the processor request of the waiting members of gangs that are not excess, in millicores.
-	owed int64
-	// excessRoom is the processor capacity that excess may still take, in millicores. It is known once
-	// the first step that is excess was considered.
-	excessRoom      int64
-	excessRoomKnown bool
+	// excessRooms holds, for each service with waiting gangs that are not excess, what excess may take.
+	excessRooms map[string]*excessRoom
 	// noProxyFor holds the queues for which no proxy is available, or that have maxTicketedSteps
 	// steps with tickets.
 	noProxyFor map[string]bool
--- a/core/engine/share.go
+++ b/core/engine/share.go
@@ -215,29 +215,50 @@
 	return int(count)
 }
 
-// addOwed counts the waiting tasks of a gang that is not excess. Excess comes later in the order.
+// excessRoom is what excess may take of a service's workers while gangs wait that are not excess, in
+// millicores. Owed is the request of the waiting members. Left is known once the first step that is
+// excess was considered, since all others come before it in the order.
+type excessRoom struct {
+	owed, left int64
+	known      bool
+}
+
+// addOwed counts the waiting tasks of a gang that is not excess.
 func (p *pass) addOwed(s *step, missing int) {
-	if s.Gang && !s.job.excess && s.rank != worthless {
-		p.owed += int64(missing) * s.demand().Millicores
+	if !s.Gang || s.job.excess || s.rank == worthless {
+		return
+	}
+	if p.excessRooms == nil {
+		p.excessRooms = make(map[string]*excessRoom)
 	}
+	service := s.job.Queue.Service
+	if p.excessRooms[service] == nil {
+		p.excessRooms[service] = &excessRoom{}
+	}
+	p.excessRooms[service].owed += int64(missing) * s.demand().Millicores
 }
 
 // excessTasks returns how many tasks of an excess step may start, at most limit, beside what is left
 // free for gangs that are not excess. If none waits, nothing is left free.
 func (p *pass) excessTasks(s *step, limit int) int {
-	if p.owed == 0 {
+	room := p.excessRooms[s.job.Queue.Service]
+	if room == nil {
 		return limit
 	}
-	if !p.excessRoomKnown {
-		p.excessRoomKnown = true
-		p.excessRoom = -int64(min(owedMargin*float64(p.owed), maxOwedShare*float64(p.capacity)))
+	if !room.known {
+		var capacity, free int64
 		for _, w := range p.open {
-			p.excessRoom += max(0, w.free().Millicores)
+			if w.Service == s.job.Queue.Service {
+				capacity += w.Capacity.Millicores
+				free += max(0, w.free().Millicores)
+			}
 		}
+		room.known = true
+		room.left = free - int64(min(owedMargin*float64(room.owed), maxOwedShare*float64(capacity)))
 	}
 	count := limit
 	if demand := s.demand().Millicores; demand > 0 {
-		count = int(min(int64(limit), max(0, p.excessRoom)/demand))
+		count = int(min(int64(limit), max(0, room.left)/demand))
 	}
 	if s.Gang && count < limit {
 		return 0
@@ -247,5 +268,7 @@
 
 // useExcessRoom subtracts the started tasks of a step from what excess may take.
 func (p *pass) useExcessRoom(s *step, started int) {
-	p.excessRoom -= int64(started) * s.demand().Millicores
+	if room := p.excessRooms[s.job.Queue.Service]; room != nil {
+		room.left -= int64(started) * s.demand().Millicores
+	}
 }
