Timeouts of headers and idle connections from the configuration

limits.header_timeout_ms and limits.idle_timeout_ms of the configuration had no effect: the HTTP server reads its timeouts without a lock, so they can't change while it runs. The guard now enforces both, with the server's values where the configuration has none.

Run with the race detector: core/guard twice, core/jobs, the crowd tests of both programs once, platform's tests of front, configuration and settings; not the soak.

--- a/core/doc.go
+++ b/core/doc.go
@@ -1,7 +1,7 @@
 // Package core has no code of its own. It documents the packages that the
 // programs of tanagerstack share.
 //
-// The packages fall into four groups:
+// The packages fall into five groups:
 //
 //   - api/NAME: clients and servers generated from the OpenAPI document
 //     api/NAME.yaml. They are the only shapes that cross to callers, operators
@@ -9,6 +9,8 @@
 //   - adapters to what lies outside: store (the platform's tables), roster
 //     (membership), peer (QUIC between entry VMs), lease (who schedules a
 //     failure domain), conf (settings), keys (certificates).
+//   - guard bounds what clients and other VMs can make a process hold. crowd plays
+//     hostile clients for its tests.
 //   - records of what happened, for operators: trace (decisions), burn (service
 //     levels). Nothing depends on them for correctness.
 //   - decisions: admit, route, claim, ledger, place, queue, policy. A decision
--- a/core/guard/conn.go
+++ b/core/guard/conn.go
@@ -71,10 +71,19 @@
 // waitsForClient reports whether the connection may be closed to make room. The mutex must be held.
 func (c *Conn) waitsForClient() bool { return c.phase != working && !c.hijacked }
 
-// isTooSlow reports whether a body or the reading of an answer makes less than the least progress.
-// The mutex must be held.
+// isTooSlow reports whether the connection has reached a timeout of its phase, or a body or the reading
+// of an answer makes less than the least progress. The mutex must be held.
 func (c *Conn) isTooSlow(now time.Time) bool {
-	if c.phase != body && c.phase != writing || c.hijacked {
+	switch c.phase {
+	case fresh, header:
+		return c.port.headerTimeout > 0 && now.Sub(c.since) > c.port.headerTimeout
+	case idle:
+		return c.port.idleTimeout > 0 && now.Sub(c.since) > c.port.idleTimeout
+	case working:
+		return false
+	case body, writing:
+	}
+	if c.hijacked {
 		return false
 	}
 	allowed := progressGrace + time.Duration(c.progress)*time.Second/leastRate
@@ -208,19 +217,11 @@
 	return nil
 }
 
-// Close closes the connection. A header that has not ended, or a connection without any request,
-// counts as refused if the server closes it after its header timeout.
+// Close closes the connection.
 func (c *Conn) Close() error {
-	g := c.port.guard
-	g.mu.Lock()
-	timedOut := c.port.headerTimeout > 0 && time.Since(c.since) >= c.port.headerTimeout
-	switch {
-	case c.detached || !timedOut:
-	case c.phase == header || c.phase == fresh:
-		g.refused[c.stallReason()]++
-	}
+	c.port.guard.mu.Lock()
 	c.detach()
-	g.mu.Unlock()
+	c.port.guard.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -196,6 +196,11 @@
 		}
 	}
 	for _, c := range closing {
+		if c.phase == idle {
+			// The usual end of a connection that is kept.
+			c.detach()
+			continue
+		}
 		g.drop(c, c.stallReason())
 	}
 	return closing
--- a/core/guard/guard_test.go
+++ b/core/guard/guard_test.go
@@ -190,6 +190,11 @@
 		"at twice the least rate": {phase: body, bytes: 2 * leastRate, time: time.Minute},
 		"far below the rate":      {phase: body, bytes: leastRate / 8, time: 10 * time.Second, wantClosed: true},
 		"request that is served":  {phase: working, silent: time.Hour},
+		"header within its time":  {phase: header, bytes: 1, time: 3 * time.Second},
+		"header beyond its time":  {phase: header, bytes: 1, time: 4 * time.Second, wantClosed: true},
+		"no request at all":       {phase: fresh, silent: 4 * time.Second, wantClosed: true},
+		"kept for 15 s":           {phase: idle, silent: 15 * time.Second},
+		"kept for 16 s":           {phase: idle, silent: 16 * time.Second, wantClosed: true},
 		"suspended process":       {phase: body, bytes: leastRate, time: time.Second, suspended: time.Minute},
 	}
 	for name, c := range cases {
@@ -197,7 +202,7 @@
 			s := &share{conns: make(map[*Conn]struct{})}
 			g := &Guard{sweptAt: start}
 			g.ports = [classCount]*share{s, {}, {}}
-			conn := &Conn{port: &Port{guard: g, share: s}}
+			conn := &Conn{port: &Port{guard: g, share: s, headerTimeout: 3 * time.Second, idleTimeout: 15 * time.Second}}
 			s.conns[conn] = struct{}{}
 			conn.enter(c.phase, start)
 			now, closed := start, false
@@ -220,6 +225,27 @@
 	}
 }
 
+// TestTimeoutsOfConfiguration guards against timeouts of the configuration that are not applied to the
+// running server, or that stay when a later version has none.
+func TestTimeoutsOfConfiguration(t *testing.T) {
+	g := New(t.Context(), Options{Limits: testLimits})
+	port := g.Port(Callers, Refusal{})
+	server := port.Wrap(&http.Server{ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
+	if server.ReadHeaderTimeout > 0 || server.IdleTimeout > 0 {
+		t.Error("the server ends connections before a longer timeout of the configuration")
+	}
+	for name, c := range map[string]struct{ header, idle, wantHeader, wantIdle time.Duration }{
+		"both": {5 * time.Second, 20 * time.Second, 5 * time.Second, 20 * time.Second},
+		"none": {0, 0, 3 * time.Second, 15 * time.Second},
+		"one":  {-time.Second, time.Second, 3 * time.Second, time.Second},
+	} {
+		port.SetTimeouts(c.header, c.idle)
+		if port.headerTimeout != c.wantHeader || port.idleTimeout != c.wantIdle {
+			t.Errorf("%s: timeouts %s and %s", name, port.headerTimeout, port.idleTimeout)
+		}
+	}
+}
+
 // TestBudgetIsGivenBack guards against bytes that stay taken after connections have ended, in each of
 // the ways in which they end.
 func TestBudgetIsGivenBack(t *testing.T) {
--- a/core/guard/port.go
+++ b/core/guard/port.go
@@ -42,11 +42,15 @@
 
 // Port is the part of a guard for the listener of one class of clients.
 type Port struct {
-	guard         *Guard
-	class         Class
-	share         *share
-	refusal       Refusal
-	headerTimeout time.Duration
+	guard   *Guard
+	class   Class
+	share   *share
+	refusal Refusal
+
+	// The mutex of the guard protects the timeouts: those of the server, and those in force. Zero is
+	// none.
+	serverHeader, serverIdle   time.Duration
+	headerTimeout, idleTimeout time.Duration
 }
 
 // Port returns the port of a class. Several listeners may use one class; they then have one share.
@@ -186,12 +190,17 @@
 }
 
 // Wrap adds the limits of the port to a server and returns it. The server must serve listeners of
-// the port.
+// the port. The port takes over its timeouts of headers and idle connections.
 func (p *Port) Wrap(s *http.Server) *http.Server {
 	if p == nil {
 		return s
 	}
-	p.headerTimeout = s.ReadHeaderTimeout
+	p.guard.mu.Lock()
+	p.serverHeader, p.serverIdle = s.ReadHeaderTimeout, s.IdleTimeout
+	p.headerTimeout, p.idleTimeout = p.serverHeader, p.serverIdle
+	p.guard.mu.Unlock()
+	// Without a value of its own, the server would take ReadTimeout for both.
+	s.ReadHeaderTimeout, s.IdleTimeout = -1, -1
 	s.Handler = &handler{next: s.Handler, port: p}
 	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
@@ -241,5 +250,22 @@
 	p.share.used -= int64(n)
 }
 
+// SetTimeouts replaces the timeouts of headers and of idle connections. Zero means that of the
+// server.
+func (p *Port) SetTimeouts(header, idle time.Duration) {
+	if p == nil {
+		return
+	}
+	p.guard.mu.Lock()
+	defer p.guard.mu.Unlock()
+	p.headerTimeout, p.idleTimeout = p.serverHeader, p.serverIdle
+	if header > 0 {
+		p.headerTimeout = header
+	}
+	if idle > 0 {
+		p.idleTimeout = idle
+	}
+}
+
 // connKey is the context key of a request's connection.
 type connKey struct{}
--- a/core/jobs/config.go
+++ b/core/jobs/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"tanagerstack.org/core/orgs"
 )
@@ -12,6 +13,9 @@
 	Queues  []Queue
 	// MaxBodyBytes limits the body of a caller's request; zero means that no limit is configured.
 	MaxBodyBytes int64
+	// HeaderTimeout limits the time of a request's header, IdleTimeout that between two requests of a
+	// connection; zero means that none is configured.
+	HeaderTimeout, IdleTimeout time.Duration
 	// SkippedQueues is the number of queues that could not be decoded.
 	SkippedQueues int
 	// Organizations are those that may use the cell. It is nil if the cell has none, so that
