--- a/core/engine/share.go
+++ b/core/engine/share.go
@@ -24,8 +24,8 @@
 // While a gang that is not excess waits, excess therefore leaves capacity free.
 const (
 	// owedMargin is how much excess leaves free, as a multiple of what the waiting gangs request: the
-	// adviser permits only some of the workers. With 1 the organizations beside a flood earned 0.926
-	// of their value in the model, with 2 and with 1000 they earned 0.941 (docs/design/caps.md).
+	// adviser permits only some of the workers. In the model the organizations beside a flood earned
+	// 0.926 of their value with 1, and 0.941 with 2 (6 seeds); docs/design/caps.md has more.
 	owedMargin = 2
 	// maxOwedShare is the largest share of the processors that excess leaves free, so that a gang
 	// that cannot fit does not keep excess waiting on workers that are idle for the most part.
