Let workers recorded as lost hold back no other jobs of capped organizations

What callers saw: after a takeover no job of a capped organization started until the feed had passed the previous leader's term, about 3 s, if one worker was recorded as lost. Cause: any unresolved worker counted as one on which an undelivered job may run. The previous leader starts nothing on a worker after it has recorded it as lost, so only the recorded jobs may run there, and these count already. The test now has both cases: a worker without a record of its jobs still holds back all.

--- a/core/engine/organization.go
+++ b/core/engine/organization.go
@@ -213,12 +213,21 @@
 
 // unknownJobsMayRun reports whether runs of jobs that are not known here may exist. An earlier leader
 // may have started jobs that the feed has not delivered yet, on workers that were not polled yet, or
-// the workers have listed runs of such jobs.
+// the workers have listed runs of such jobs. It has started nothing on a worker that it had recorded
+// as lost, so none runs there but the recorded ones.
 func (e *Engine) unknownJobsMayRun() bool {
 	if e.caughtUp || e.opts.PreviousActiveUntil.IsZero() || e.opts.unsafe.forgetEarlierUsage {
 		return false
 	}
-	return len(e.previousWorkers) > 0 || len(e.orphanedRuns) > 0
+	if len(e.orphanedRuns) > 0 {
+		return true
+	}
+	for _, recorded := range e.previousWorkers {
+		if recorded == nil {
+			return true
+		}
+	}
+	return false
 }
 
 // capRoom returns how many more tasks of a step fit under the cap of its organization, at most limit.
