--- a/core/cell/access_test.go
+++ b/core/cell/access_test.go
@@ -74,6 +74,22 @@
 	}
 }
 
+// TestUnprovedNeedsOrganizations guards against a cell without organizations that reports not ready.
+func TestUnprovedNeedsOrganizations(t *testing.T) {
+	for name, c := range map[string]struct {
+		config *jobs.Config
+		want   bool
+	}{
+		"none yet": {nil, false}, "without organizations": {&jobs.Config{}, false}, "with organizations": {keyedTestConfig(1), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := (ConfigView{c.config, time.Hour, time.Second}).Unproved(); got != c.want {
+				t.Errorf("unproved: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // TestWhoMayUseJob checks who may see and cancel a job.
 func TestWhoMayUseJob(t *testing.T) {
 	a, b, anonymous := callerOf(t, "ka"), callerOf(t, "kb"), callerOf(t, "")
--- a/core/cell/proof_test.go
+++ b/core/cell/proof_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"testing"
 	"time"
+	"unsafe"
 
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/orgs"
@@ -54,9 +55,51 @@
 			if got := p.age(now); got != c.want {
 				t.Errorf("age %s, want %s", got, c.want)
 			}
-			// A suspended VM finds that time has passed, at least by its wall clock.
-			if later := p.age(now.Round(0).Add(time.Minute)); c.want != neverProved && later != c.want+time.Minute {
-				t.Errorf("age %s a minute later, want %s", later, c.want+time.Minute)
+			if later := p.age(afterSuspension(now, time.Minute)); c.want != neverProved && later != c.want+time.Minute {
+				t.Errorf("age %s after a minute in which the VM was suspended, want %s", later, c.want+time.Minute)
+			}
+		})
+	}
+}
+
+// afterSuspension returns an instant whose wall clock has advanced and whose monotonic clock has not. It
+// subtracts from the monotonic reading, the second word of a time.Time that has one.
+func afterSuspension(now time.Time, length time.Duration) time.Time {
+	after := now.Add(length)
+	*(*int64)(unsafe.Add(unsafe.Pointer(&after), unsafe.Sizeof(uint64(0)))) -= int64(length)
+	return after
+}
+
+// TestWhichProofsAreTakenOver guards against taking over a proof of a version that the VM does not have.
+func TestWhichProofsAreTakenOver(t *testing.T) {
+	cases := map[string]struct {
+		version int64
+		report  *configReport
+		adopted bool
+		reads   int
+	}{
+		"same version":          {5, &configReport{5, time.Second}, true, 0},
+		"leader's is older":     {5, &configReport{4, time.Second}, true, 0},
+		"leader's is newer":     {5, &configReport{6, time.Second}, false, 1},
+		"no configuration":      {0, &configReport{6, time.Second}, false, 1},
+		"leader without proof":  {5, &configReport{5, neverProved}, false, 0},
+		"negative age":          {5, &configReport{5, -time.Second}, false, 0},
+		"no report":             {5, nil, false, 0},
+		"no report, no version": {0, nil, false, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			node := idleElector(t).node
+			if c.version > 0 {
+				node.config.Store(keyedTestConfig(c.version))
+			}
+			sent := time.Now().Add(-time.Minute)
+			node.noteLeaderConfig(sent, c.report)
+			if age := node.proof.age(sent); c.adopted && age != c.report.ProofAge || !c.adopted && age != neverProved {
+				t.Errorf("proof of age %s when the heartbeat was sent, want one: %v", age, c.adopted)
+			}
+			if len(node.configReads) != c.reads {
+				t.Errorf("%d reads triggered, want %d", len(node.configReads), c.reads)
 			}
 		})
 	}
@@ -283,7 +326,7 @@
 				}
 				return began.Sub(removed) > 2*bound && errors.Is(last, c.want)
 			})
-			if c.want != ErrConfigUnproved {
+			if !errors.Is(c.want, ErrConfigUnproved) {
 				return
 			}
 			if err := vm.check("other"); !errors.Is(err, ErrConfigUnproved) {
@@ -384,8 +427,8 @@
 	}
 	for _, vm := range vms {
 		eventually(t, "the key is refused", func() bool { return errors.Is(vm.check("key"), ErrConfigUnproved) })
-		if version := vm.Config().Version; version != 1 {
-			t.Errorf("version %d in force, want the last good one", version)
+		if version := vm.Config().Version; version != 1 || vm.Ready() {
+			t.Errorf("version %d in force, ready: %v; want the last good one and a VM that is not ready", version, vm.Ready())
 		}
 	}
 	for _, vm := range vms {
