--- a/model/play/draw.go
+++ b/model/play/draw.go
@@ -22,6 +22,13 @@
 	value  float64
 	// objective is the longest time from arrival to completion that counts as on time.
 	objective time.Duration
+	// canceledAfter is the time from arrival to the caller's cancellation; zero if there is none.
+	canceledAfter time.Duration
+	// submissions counts the requests that submitted the job, refused is the last refusal of one.
+	submissions int
+	refused     string
+	// coreSeconds is the core time of its ended runs.
+	coreSeconds float64
 }
 
 // draw returns the jobs of all queues, queue by queue, each in order of arrival.
@@ -40,6 +47,7 @@
 			list = append(list, q.draw(r, jobs.ID(fmt.Sprintf("%s-%d", q.Name, len(list))), at))
 		}
 	}
+	s.drawExtras(seed, list)
 	return list
 }
 
@@ -47,11 +55,11 @@
 // is active. Of overlapping bursts the first in the list applies.
 func (s *Scenario) rateFactor(queue string, at time.Duration) float64 {
 	for _, b := range s.Bursts {
-		if b.Queue == queue && at >= time.Duration(b.At) && at < time.Duration(b.At+b.For) {
-			return b.Factor
+		if (b.Queue == queue || b.Queue == "") && at >= time.Duration(b.At) && at < time.Duration(b.At+b.For) {
+			return b.Factor * s.Organizations.surgeFactor(at)
 		}
 	}
-	return 1
+	return s.Organizations.surgeFactor(at)
 }
 
 // The value of a job is Queue.MeanValue times a size factor. sizeValueShare is the part of the
@@ -102,6 +110,9 @@
 // All tasks of a gang take the same time.
 func (q *Queue) drawStep(r *rand.Rand) (jobs.Step, []time.Duration) {
 	work := q.Work.draw(r)
+	if q.LongShare > 0 && r.Float64() < q.LongShare {
+		work = min(q.LongFactor*work, q.LongMost)
+	}
 	step := jobs.Step{
 		Count: q.Width.drawCount(r), Gang: r.Float64() < q.GangShare, DisruptionBudget: -1,
 		PerTask: roster.Resources{Millicores: int64(q.Millicores.draw(r)), MemoryBytes: int64(q.MemoryBytes.draw(r))},
--- a/model/play/result.go
+++ b/model/play/result.go
@@ -24,12 +24,27 @@
 	AdviserTime time.Duration
 	// LongestPass is the longest scheduling pass of the engine, in real time.
 	LongestPass time.Duration
+	// Organizations holds the value by organization, Seconds that by the second of the first
+	// submission.
+	Organizations map[string]*Part
+	Seconds       map[int]*Part
+	// WastedByCause holds the core-seconds of runs that did not succeed, by cause.
+	WastedByCause map[string]float64
+	// LostCoreSeconds is what runs of jobs used that ended worthless or did not end.
+	LostCoreSeconds float64
+	// Refusals counts refused submissions by reason.
+	Refusals map[string]int
 }
 
 // QueueResult holds the result for the jobs of one queue. Doomed jobs count only in startWaits.
 type QueueResult struct {
 	Jobs, OnTime, Late, Lost int
 	Earned, Attainable       float64
+	// Refused counts the jobs, of those lost, whose every submission was refused. The others waited
+	// in vain.
+	Refused int
+	// LostValue is the full value of the lost jobs, LateValue that of the late ones.
+	LostValue, LateValue float64
 	// startWaits are the times from arrival to the first start, of all jobs that started.
 	startWaits []time.Duration
 }
@@ -65,7 +80,7 @@
 // completed. Doomed jobs are not counted.
 func (t *Result) addJob(p *simJob, elapsed time.Duration) {
 	q := t.Queues[p.queue.Name]
-	if p.doomed {
+	if p.doomed || p.canceledAfter > 0 {
 		return
 	}
 	q.Jobs++
@@ -73,15 +88,22 @@
 	switch {
 	case elapsed <= 0 || elapsed > maxLateFactor*p.objective:
 		q.Lost++
+		q.LostValue += p.value
+		if p.refused != "" {
+			q.Refused++
+		}
 	case elapsed <= p.objective:
 		q.OnTime++
 		earned = p.value
 	default:
 		q.Late++
+		q.LateValue += p.value
 		earned = lateValueShare * p.value
 	}
 	q.Earned += earned
 	q.Attainable += p.value
 	t.Earned += earned
 	t.Attainable += p.value
+	addPart(t.Organizations, p.Organization, earned, p.value)
+	addPart(t.Seconds, int(p.arrivalOffset/time.Second), earned, p.value)
 }
--- a/model/play/scenario.go
+++ b/model/play/scenario.go
@@ -22,6 +22,10 @@
 	Bursts []Burst `json:"bursts"`
 	// Losses remove workers without notice.
 	Losses []Loss `json:"losses"`
+	// Organizations submit the jobs; nil if the cell has none.
+	Organizations *Organizations `json:"organizations"`
+	// Patience is how long after its first submission a caller still submits a refused job again.
+	Patience Duration `json:"patience"`
 }
 
 // Fleet describes the workers of a scenario.
@@ -38,6 +42,10 @@
 	Latencies []Duration `json:"distances"`
 	// StopTime is the longest time that a worker may take to stop a run.
 	StopTime Duration `json:"stop-time"`
+	// CheckpointInterval is the time between two checkpoints of a run that saves them, ResumeTime
+	// how much longer a run takes that begins from one.
+	CheckpointInterval Duration `json:"checkpoint-interval"`
+	ResumeTime         Duration `json:"resume-time"`
 }
 
 // Queue describes the jobs of one queue.
@@ -73,6 +81,14 @@
 	DoomedShare float64         `json:"hopeless-share"`
 	FailShare   float64         `json:"fail-share"`
 	Advice      *AdviceSettings `json:"advice"`
+	// CheckpointShare is the share of jobs whose tasks save checkpoints, CancelShare the share of
+	// jobs that their callers cancel, at a time that is uniform over the objective.
+	CheckpointShare float64 `json:"checkpoint-share"`
+	CancelShare     float64 `json:"cancel-share"`
+	// LongShare is the share of steps that take LongFactor times as long, at most LongMost seconds.
+	LongShare  float64 `json:"long-share"`
+	LongFactor float64 `json:"long-factor"`
+	LongMost   float64 `json:"long-most"`
 }
 
 // AdviceSettings describes the adviser's answers to requests about a queue. An answer takes
@@ -94,7 +110,8 @@
 	Max   float64 `json:"most"`
 }
 
-// Burst multiplies the arrival rate of a queue by Factor, from At for the duration For.
+// Burst multiplies the arrival rate of a queue, or of all queues if it names none, by Factor, from At
+// for the duration For.
 type Burst struct {
 	Queue  string   `json:"queue"`
 	At     Duration `json:"at"`
@@ -152,7 +169,10 @@
 		require(q.PerSecond > 0 && q.Work.Mean > 0 && q.Width.Mean > 0 && q.Attempts > 0, "queue %q: per-second, work, width and attempts must be positive", q.Name)
 	}
 	for _, b := range s.Bursts {
-		require(known[b.Queue], "bursts: unknown queue %q", b.Queue)
+		require(b.Queue == "" || known[b.Queue], "bursts: unknown queue %q", b.Queue)
+	}
+	if s.Organizations != nil {
+		errs = append(errs, s.Organizations.validate())
 	}
 	return errors.Join(errs...)
 }
--- a/model/play/simulation.go
+++ b/model/play/simulation.go
@@ -36,6 +36,9 @@
 	for _, p := range s.draw(seed, load) {
 		c.jobs[p.ID] = p
 		c.after(p.arrivalOffset, func() { c.submit(p) })
+		if p.canceledAfter > 0 {
+			c.after(p.arrivalOffset+p.canceledAfter+storeLatency, func() { c.apply(engine.JobCanceled{ID: p.ID}) })
+		}
 	}
 	for _, loss := range s.Losses {
 		c.after(time.Duration(loss.At), func() { c.removeWorkers(loss.Share) })
@@ -72,10 +75,10 @@
 		scenario: s, rand: rand.New(rand.NewPCG(seed, 1<<32)), now: startTime,
 		byID: make(map[string]*worker), jobs: make(map[jobs.ID]*simJob), tickets: make(map[ticketKey]time.Time),
 		proxyFreeAt: make(map[string]time.Time), doneAt: make(map[jobs.ID]time.Time), started: make(map[jobs.ID]bool),
-		result: &Result{Queues: make(map[string]*QueueResult)},
+		result: newResult(),
 	}
 	c.engine = engine.New(engine.Options{Epoch: 1, LeaseTerm: leaseTerm, MaxLease: leaseTerm, StopTime: time.Duration(s.Workers.StopTime), Policy: policy})
-	config := &jobs.Config{Version: 1}
+	config := &jobs.Config{Version: 1, Organizations: s.Organizations.directory(s)}
 	for i := range s.Queues {
 		config.Queues = append(config.Queues, s.Queues[i].settings())
 		c.result.Queues[s.Queues[i].Name] = &QueueResult{}
@@ -273,10 +276,11 @@
 		p := c.jobs[id]
 		var elapsed time.Duration
 		if at := c.doneAt[id]; !at.IsZero() {
-			elapsed = at.Sub(p.ArrivedAt)
+			elapsed = at.Sub(startTime.Add(p.arrivalOffset))
 		}
 		c.result.addJob(p, elapsed)
 	}
+	c.result.LostCoreSeconds = c.lostCoreSeconds()
 	c.result.CapacityCoreSeconds = float64(c.scenario.Workers.Count) * float64(c.scenario.Workers.Millicores) / 1000 * time.Duration(c.scenario.ArrivalPeriod).Seconds()
 	return c.result
 }
--- a/model/play/worker.go
+++ b/model/play/worker.go
@@ -33,6 +33,8 @@
 	duration  time.Duration
 	active    bool
 	worker    *worker
+	// begunAt is the share of the work that was done when the run began.
+	begunAt float64
 }
 
 // heldPoll is a poll that a worker has not answered yet.
@@ -54,6 +56,7 @@
 	}
 	r := &run{task: c.Task, number: c.Run, job: p, startedAt: w.sim.now, worker: w}
 	r.duration = time.Duration(float64(p.work[c.Task.Step][c.Task.Index]) * w.slowdown)
+	r.resume(c.Checkpoint)
 	w.running[c.Task] = r
 	if !p.Steps[c.Task.Step].Gang {
 		r.begin()
@@ -106,8 +109,9 @@
 	if end != jobs.EndDone {
 		w.sim.result.WastedCoreSeconds += coreSeconds
 	}
+	w.sim.result.noteRun(r, end, coreSeconds)
 	w.lastSequence++
-	w.results = append(w.results, engine.RunResult{Sequence: w.lastSequence, Task: r.task, Run: r.number, End: end})
+	w.results = append(w.results, engine.RunResult{Sequence: w.lastSequence, Task: r.task, Run: r.number, End: end, Checkpoint: r.checkpoint(w.sim.now)})
 	w.answerPoll()
 }
 
@@ -151,9 +155,9 @@
 	for _, r := range w.sortedRuns() {
 		percent := 0.0
 		if r.active {
-			percent = math.Min(100, 100*float64(w.sim.now.Sub(r.startedAt))/float64(r.duration))
+			percent = math.Min(100, 100*r.progress(w.sim.now))
 		}
-		report.Running = append(report.Running, engine.ActiveRun{Task: r.task, Run: r.number, Percent: int(percent)})
+		report.Running = append(report.Running, engine.ActiveRun{Task: r.task, Run: r.number, Percent: int(percent), Checkpoint: r.checkpoint(w.sim.now)})
 	}
 	w.sim.after(w.latency, func() {
 		w.sim.apply(engine.WorkerPolled{Worker: w.info.ID, Sent: poll.sent, Fence: poll.request.Fence, Report: report})
--- a/model/run.go
+++ b/model/run.go
@@ -38,6 +38,7 @@
 	loads     []float64
 	policies  []string
 	gain      float64
+	detail    bool
 }
 
 func runCommand() *cobra.Command {
@@ -62,6 +63,7 @@
 	cmd.Flags().Float64SliceVar(&o.loads, "load", []float64{1}, "factors on the arrival rates of the scenario, each simulated on its own")
 	cmd.Flags().StringSliceVar(&o.policies, "policy", []string{"product", "naive"}, "policies to compare, of "+strings.Join(names, ", "))
 	cmd.Flags().Float64Var(&o.gain, "gain", 0, "fail unless the first policy earns at least this many times as much as the last one; 0 disables the check")
+	cmd.Flags().BoolVar(&o.detail, "detail", false, "print where value is lost: by queue, by organization and by second")
 	return cmd
 }
 
@@ -94,10 +96,12 @@
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "policy\tvalue share\tstd dev\tshare by queue\tstart wait p50/p95 (s)\tutilization\twasted\tstarts\tadvice requests\tlongest pass")
 	means := make([]float64, 0, len(o.policies))
+	byPolicy := make([][]*play.Result, 0, len(o.policies))
 	for _, name := range o.policies {
 		results := o.runTrials(scenario, policies[name], load)
 		mean, stdDev := meanAndStdDev(results)
 		means = append(means, mean)
+		byPolicy = append(byPolicy, results)
 		last := results[len(results)-1]
 		_, _ = fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%s\t%s\t%.2f\t%.3f\t%d\t%d\t%s\n", name, mean, stdDev, shareByQueue(scenario, results), startWaits(scenario, last),
 			last.Utilization(), last.WastedCoreSeconds/last.BusyCoreSeconds, last.Starts, last.AdviceRequests, last.LongestPass.Round(100*time.Microsecond))
@@ -105,6 +109,11 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	if o.detail {
+		if err := printDetails(w, scenario, o.policies, byPolicy); err != nil {
+			return err
+		}
+	}
 	if first, last := means[0], means[len(means)-1]; o.gain > 0 && first < o.gain*last {
 		return fmt.Errorf("%s at load %.2f: %s earns a share of %.3f, less than %.2f times the %.3f of %s", scenario.Name, load, o.policies[0], first, o.gain, last, o.policies[len(o.policies)-1])
 	}
