Admission under load, and wasted work by cause

Callers were never told that a job has no chance: all that could be stored was accepted.

A refusal is given only after the store has answered that it has no such job, and never for a job that a write of this VM without an answer may have stored; such a submission goes on to the store.

TANAGER_ADMISSION=auto refuses gangs that are wider than their organization's cap, where the configuration holds organizations. A cell without organizations sends and decides what it did before.

tanager_wasted_core_seconds_total counts what runs used that were of no use, by cause.

--- a/core/cell/followers.go
+++ b/core/cell/followers.go
@@ -17,7 +17,7 @@
 	defer l.mu.Unlock()
 	vm := &followerVM{entry: vmEntry{Address: h.Address, Zone: h.Zone, Processors: h.Processors}, seenAt: time.Now()}
 	l.followers[h.Name], l.members[h.Name] = vm, vm
-	return helloReply{Leading: true, Epoch: l.epoch, Pending: l.pendingLocked(), Instance: l.node.instance}
+	return helloReply{Leading: true, Epoch: l.epoch, Pending: l.pendingLocked(), Instance: l.node.instance, Load: l.loadSnapshotLocked(time.Now())}
 }
 
 // maxRowVMs bounds the number of followers that the leader row names. The row changes twice a
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tanagerstack.org/core/engine"
+	"tanagerstack.org/core/intake"
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/store"
 )
@@ -62,6 +63,9 @@
 	// dispatch selects the path of each command to its worker.
 	dispatch *dispatcher
 
+	// lastSnapshot is the last snapshot of the load for the VMs.
+	lastSnapshot *intake.Snapshot
+
 	// paused is true while nothing may be started.
 	paused bool
 
--- a/core/cell/message.go
+++ b/core/cell/message.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"tanagerstack.org/core/intake"
 	"tanagerstack.org/core/jobs"
 )
 
@@ -39,6 +40,8 @@
 	Pending map[string]int `cbor:"3,keyasint"`
 	// Instance identifies the process that answers.
 	Instance string `cbor:"4,keyasint"`
+	// Load is the leader's load, nil while it loads the stored jobs or if no VM refuses jobs.
+	Load *intake.Snapshot `cbor:"8,keyasint,omitempty"`
 }
 
 // termRequest asks a VM whether it has taken over from a leader, or knows who has.
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -28,6 +28,9 @@
 	// unreadable counts entries and rows of others that could not be decoded, by kind.
 	unreadable *prometheus.CounterVec
 	takeovers  prometheus.Counter
+	// refusals counts jobs refused for the load by reason, and those that were not refused because
+	// an earlier attempt may have stored them.
+	refusals *prometheus.CounterVec
 	// Latencies, in seconds.
 	submit, start, record, advice prometheus.Histogram
 }
@@ -45,13 +48,16 @@
 			Namespace: "tanager", Name: "unreadable_entries_total", Help: "Entries and rows written by others that cannot be decoded and are left out.",
 		}, []string{"kind"}),
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "tanager", Name: "takeovers_total", Help: "Times that this VM became the leader."}),
-		submit:    newHistogram("submission_seconds", "Time from a submission to its answer."),
-		start:     newHistogram("start_seconds", "Time from an order to start to its answer."),
-		record:    newHistogram("record_seconds", "Time of a commit of progress."),
-		advice:    newHistogram("advice_seconds", "Time from a question to the adviser to its answer."),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "tanager", Name: "refused_jobs_total", Help: "Jobs refused for the load, by reason.",
+		}, []string{"reason"}),
+		submit: newHistogram("submission_seconds", "Time from a submission to its answer."),
+		start:  newHistogram("start_seconds", "Time from an order to start to its answer."),
+		record: newHistogram("record_seconds", "Time of a commit of progress."),
+		advice: newHistogram("advice_seconds", "Time from a question to the adviser to its answer."),
 	}
 	m.registry.MustRegister(
-		m.submits, m.cancels, m.starts, m.stops, m.polls, m.adviceRequests, m.unreadable, m.takeovers,
+		m.submits, m.cancels, m.starts, m.stops, m.polls, m.adviceRequests, m.unreadable, m.takeovers, m.refusals,
 		m.submit, m.start, m.record, m.advice, nodeCollector{n},
 	)
 	if n.opts.Meter != nil {
@@ -110,12 +116,13 @@
 	relaysDesc  = prometheus.NewDesc("tanager_open_relays", "Relays that the leader sends orders through.", nil, nil)
 	termDesc    = prometheus.NewDesc("tanager_leadership_proof_age_seconds", "Age of the leader's last proof that no other VM leads.", nil, nil)
 	crashesDesc = prometheus.NewDesc("tanager_task_crashes_total", "Crashes of workers under tasks, those of them that were withdrawn, and jobs that were given up, as the leader of this epoch has seen them.", []string{"outcome"}, nil)
+	wasteDesc   = prometheus.NewDesc("tanager_wasted_core_seconds_total", "Core-seconds of runs that were of no use, as the leader of this epoch has seen them.", []string{"cause"}, nil)
 	endsDesc    = prometheus.NewDesc("tanager_run_ends_total", "Ends of runs, as the leader of this epoch has seen them.", []string{"end"}, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (c nodeCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc} {
+	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc, wasteDesc} {
 		out <- desc
 	}
 }
@@ -146,7 +153,7 @@
 // collect collects the counts of the leader and its engine.
 func (l *leader) collect(out chan<- prometheus.Metric) {
 	l.mu.Lock()
-	ends, pending := l.engine.Counters(), l.pendingLocked()
+	ends, pending, wasted := l.engine.Counters(), l.pendingLocked(), l.engine.WastedCoreSeconds()
 	l.mu.Unlock()
 	out <- prometheus.MustNewConstMetric(termDesc, prometheus.GaugeValue, l.confirmedBefore().Seconds())
 	out <- prometheus.MustNewConstMetric(relaysDesc, prometheus.GaugeValue, float64(l.dispatch.openLinks()))
@@ -156,6 +163,9 @@
 	for end, count := range endCounts(ends) {
 		out <- prometheus.MustNewConstMetric(endsDesc, prometheus.CounterValue, float64(count), end)
 	}
+	for cause, amount := range wasted {
+		out <- prometheus.MustNewConstMetric(wasteDesc, prometheus.CounterValue, amount, cause.String())
+	}
 	for outcome, count := range map[string]int64{"counted": ends.Crashes, "withdrawn": ends.CrashesWithdrawn, "given-up": ends.GivenUp} {
 		out <- prometheus.MustNewConstMetric(crashesDesc, prometheus.CounterValue, float64(count), outcome)
 	}
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -63,6 +63,8 @@
 	// leadership to others; zero counts as enough.
 	Processors  float64
 	MemoryBytes int64
+	// Admission selects whether jobs are refused for the load.
+	Admission Admission
 }
 
 // Node is one VM of a cell. It is safe for concurrent use.
@@ -79,6 +81,7 @@
 	// pending is the number of pending jobs by queue as last reported by the leader.
 	pending   map[string]int
 	pendingAt time.Time
+	admission admission
 	stopping  atomic.Bool
 }
 
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -152,9 +152,11 @@
 			if counts := l.pending(); counts != nil {
 				n.setPending(counts)
 			}
+			n.admission.received(l.loadSnapshot(), time.Now())
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
+		sent := time.Now()
 		reply, err := exchange[hello, helloReply](callCtx, n.peers, row.Address, pathHello, hello{
 			Name: n.opts.Name, Address: n.opts.PeerAddress, Epoch: row.Epoch, Zone: n.opts.Zone, Processors: n.opts.Processors,
 		})
@@ -167,6 +169,9 @@
 		if reply.Leading && reply.Pending != nil {
 			n.setPending(reply.Pending)
 		}
+		if reply.Leading {
+			n.admission.received(reply.Load, sent)
+		}
 	}
 }
 
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -29,6 +29,8 @@
 type RefusedError struct {
 	Reason     string
 	RetryAfter time.Duration
+	// CallerLimit is set if the reason is a limit of the caller's organization and not the load of the cell.
+	CallerLimit bool
 }
 
 // Error implements error.
@@ -75,6 +77,11 @@
 		return fmt.Errorf("%w: it takes %d bytes to store, more than %d", jobs.ErrInvalid, len(data), n.opts.MaxRowBytes)
 	}
 	began := time.Now()
+	if refused := n.admit(ctx, &job); refused != nil {
+		observeSince(n.metrics.submit, began)
+		n.metrics.submits.WithLabelValues(submitOutcome(refused)).Inc()
+		return refused
+	}
 	version, err := n.insert(ctx, store.Row{Table: JobsTable, Key: string(job.ID), Version: store.Absent}, data)
 	if err == nil && version != store.Absent {
 		n.notifyLeader(rowUpdate{Row: storedRow{Key: string(job.ID), Value: data, Version: version}})
@@ -83,6 +90,9 @@
 	if errors.As(err, &refused) {
 		refused.RetryAfter = retryAfter(job)
 	}
+	if errors.Is(err, ErrOutcomeUnknown) && n.opts.Admission.active(n.Config()) {
+		n.admission.noteUncertain(time.Now(), job.ID)
+	}
 	observeSince(n.metrics.submit, began)
 	n.metrics.submits.WithLabelValues(submitOutcome(err)).Inc()
 	n.opts.Logger.Info("job submission answered", "job", job.ID, "queue", job.Queue.Name, "error", err, "took", time.Since(began))
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -108,6 +108,10 @@
 	counters            Counters
 	// keptWorkers is the number of workers that are kept for isolated tasks.
 	keptWorkers int
+	// submissions holds what organizations may still submit before their jobs are excess.
+	submissions map[string]*tokenBucket
+	// wasted holds the core-seconds of runs that were of no use.
+	wasted [wasteCauses]float64
 }
 
 // Counters holds the number of decisions so far. All counts only grow.
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -173,6 +173,9 @@
 	if !j.final() {
 		e.active = append(e.active, j)
 	}
+	if !ev.Inherited {
+		e.noteSubmission(now, ev.Job.Organization)
+	}
 	e.matchOrphanedResults(now, j)
 	e.matchOrphanedRuns(now, j)
 }
@@ -349,9 +352,16 @@
 func (e *Engine) finalize(now time.Time, j *job, state jobs.State) {
 	j.state = state
 	e.markChanged(j)
+	cause := WasteDuplicate
+	switch state {
+	case jobs.Canceled:
+		cause = WasteCanceled
+	case jobs.Failed:
+		cause = WasteFailed
+	}
 	for _, o := range j.open {
 		for _, s := range o.steps {
-			e.stopAll(now, s)
+			e.stopAll(now, s, cause)
 		}
 	}
 	j.open, j.openTasks = nil, 0
@@ -361,11 +371,11 @@
 	}
 }
 
-// stopAll stops the runs of a step's tasks.
-func (e *Engine) stopAll(now time.Time, s *step) {
+// stopAll stops the runs of a step's tasks for a cause.
+func (e *Engine) stopAll(now time.Time, s *step, cause WasteCause) {
 	for _, t := range s.tasks {
 		if t.run != nil && t.run.phase != stopping {
-			e.stop(now, t.run)
+			e.stopFor(now, t.run, cause)
 		}
 	}
 }
--- /dev/null
+++ b/core/engine/load.go
@@ -0,0 +1,202 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tanagerstack.org/core/intake"
+	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/orgs"
+)
+
+const (
+	// loadBin is the resolution of the prediction of the load, and loadBins the number of bins: they
+	// cover the last of intake.Horizons.
+	loadBin  = 100 * time.Millisecond
+	loadBins = 321
+)
+
+// LoadSnapshot returns the load as VMs need it to decide about jobs. It returns nil while there is no
+// configuration or no worker. Work that waits starts in the order of priority wherever there is capacity,
+// and occupies it for its predicted duration; steps that wait for others, and work that is at risk of being
+// late, are left out, so that the prediction is optimistic.
+func (e *Engine) LoadSnapshot(now time.Time) *intake.Snapshot {
+	if e.config == nil || len(e.sortedWorkers) == 0 {
+		return nil
+	}
+	profile := e.loadProfile(now)
+	steps := e.stepsAhead(now)
+	s := &intake.Snapshot{Organizations: e.organizationTokens(now)}
+	queues := slices.Clone(e.config.Queues)
+	slices.SortStableFunc(queues, func(a, b jobs.Queue) int { return cmp.Compare(a.Priority, b.Priority) })
+	for i := range queues {
+		q := &queues[i]
+		for len(steps) > 0 && steps[0].job.Queue.Priority <= q.Priority {
+			profile.add(e, steps[0])
+			steps = steps[1:]
+		}
+		stats := e.statsOf(q.Name)
+		entry := intake.Queue{
+			Name: q.Name, Priority: q.Priority, Free: profile.at(),
+			Short: stats.durations.predict(intake.ShortEstimate), Long: stats.durations.predict(intake.LongEstimate),
+		}
+		if q.Advice != nil {
+			entry.PermittedShare = max(stats.permittedShare, minPermittedShare)
+		}
+		s.Queues = append(s.Queues, entry)
+	}
+	return s
+}
+
+// stepsAhead returns the steps that wait and are likely to end on time, the most urgent queues first.
+func (e *Engine) stepsAhead(now time.Time) []*step {
+	var list []*step
+	for _, j := range e.active {
+		for _, o := range j.open {
+			first := len(list)
+			for _, s := range o.steps {
+				if s.ready(now) && s.hasWaiting() {
+					list = append(list, s)
+				}
+			}
+			if len(list) > first && !e.likelyOnTime(now, *o, j) {
+				list = list[:first]
+			}
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *step) int { return cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority) })
+	return list
+}
+
+// likelyOnTime reports whether an occurrence is likely to end on time. It works on a copy: a snapshot must
+// not change when ranks are computed anew, and with it the order of steps.
+func (e *Engine) likelyOnTime(now time.Time, o occurrence, j *job) bool {
+	return e.rankOf(now, &o, j) == onTime && !o.atRisk
+}
+
+// loadProfile is the processor capacity, in millicores, that becomes free in each bin. Work is put into
+// the first bins that have capacity for it.
+type loadProfile struct {
+	released [loadBins]int64
+	// bin is the first bin that may have capacity left.
+	bin int
+}
+
+// loadProfile returns what the runs release at their predicted ends, and what is free now.
+func (e *Engine) loadProfile(now time.Time) *loadProfile {
+	p := new(loadProfile)
+	for _, w := range e.sortedWorkers {
+		if !w.usable(now) || w.health.quarantined(now) {
+			continue
+		}
+		p.released[0] += max(0, w.free().Millicores)
+		for _, r := range w.runs {
+			remaining := time.Duration(0)
+			if r.owner != nil && r.phase != stopping {
+				remaining = r.remaining(now, e.predict(r.owner.step))
+			}
+			p.release(int(remaining/loadBin), r.demand.Millicores)
+		}
+	}
+	return p
+}
+
+// release adds capacity that becomes free in a bin; what does after the last one is left out.
+func (p *loadProfile) release(bin int, millicores int64) {
+	if bin < loadBins {
+		p.released[max(bin, p.bin)] += millicores
+	}
+}
+
+// add starts the waiting tasks of a step.
+func (p *loadProfile) add(e *Engine, s *step) {
+	waiting := int64(0)
+	for _, t := range s.tasks {
+		if !t.done && t.run == nil {
+			waiting++
+		}
+	}
+	missing := waiting * s.demand().Millicores
+	duration := max(1, int(e.predict(s)/loadBin))
+	for missing > 0 && p.bin < loadBins {
+		part := min(missing, p.released[p.bin])
+		p.released[p.bin] -= part
+		missing -= part
+		p.release(p.bin+duration, part)
+		if missing > 0 {
+			p.bin++
+		}
+	}
+}
+
+// at returns the capacity that is free at each of intake.Horizons.
+func (p *loadProfile) at() (free [len(intake.Horizons)]int64) {
+	sum, k := int64(0), 0
+	for bin := range loadBins {
+		sum += p.released[bin]
+		for k < len(free) && time.Duration(bin+1)*loadBin > intake.Horizons[k] {
+			free[k] = sum
+			k++
+		}
+	}
+	return free
+}
+
+// tokenBucket counts what an organization may still submit: jobs as of a time.
+type tokenBucket struct {
+	jobs float64
+	at   time.Time
+}
+
+// noteSubmission takes a job off its organization's bucket. Jobs of earlier leaders are not counted, so
+// a takeover forgets at most one second of submissions.
+func (e *Engine) noteSubmission(now time.Time, name string) {
+	o, found := e.organization(name)
+	if !found {
+		return
+	}
+	if e.submissions == nil {
+		e.submissions = make(map[string]*tokenBucket)
+	}
+	b := e.submissions[name]
+	if b == nil {
+		b = &tokenBucket{jobs: intake.Depth(o.Weight), at: now}
+		e.submissions[name] = b
+	}
+	b.refill(now, o.Weight)
+	if b.jobs >= 1 {
+		b.jobs--
+	}
+}
+
+func (b *tokenBucket) refill(now time.Time, weight float64) {
+	b.jobs = min(b.jobs+weight*now.Sub(b.at).Seconds(), intake.Depth(weight))
+	b.at = now
+}
+
+func (e *Engine) organization(name string) (*orgs.Organization, bool) {
+	if name == "" || e.config == nil || e.config.Organizations == nil {
+		return nil, false
+	}
+	return e.config.Organizations.ByName(name)
+}
+
+// organizationTokens returns the organizations that have used up half of what they may submit in a second.
+func (e *Engine) organizationTokens(now time.Time) []intake.Organization {
+	if e.config.Organizations == nil {
+		return nil
+	}
+	var list []intake.Organization
+	for _, o := range e.config.Organizations.All() {
+		b := e.submissions[o.Name]
+		if b == nil {
+			b = &tokenBucket{jobs: intake.Depth(o.Weight), at: now}
+		}
+		b.refill(now, o.Weight)
+		if b.jobs < 1 || b.jobs <= intake.Depth(o.Weight)/2 {
+			list = append(list, intake.Organization{Name: o.Name, Jobs: b.jobs, PerSecond: o.Weight})
+		}
+	}
+	return list
+}
--- a/core/engine/preempt.go
+++ b/core/engine/preempt.go
@@ -197,7 +197,7 @@
 		for _, r := range o.runs {
 			r.owner.evictions++
 			e.log("run preempted", "task", r.task, "run", r.number, "worker", r.worker.ID, "percent", r.percent, "for", s.id)
-			e.stop(now, r)
+			e.stopFor(now, r, WastePreempted)
 			count++
 		}
 	}
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -72,6 +72,8 @@
 	progressAt            time.Time
 	// resumed is set if the run began from a checkpoint.
 	resumed bool
+	// waste is why the run was stopped.
+	waste WasteCause
 }
 
 // confirmArrival records that the worker has or had the run.
@@ -129,7 +131,7 @@
 	}
 	if t == nil || t.done || t.step.job.final() || t.run != nil {
 		e.log("stopping unwanted run", "task", active.Task, "run", active.Run, "worker", w.ID, "known", t != nil)
-		e.stop(now, r)
+		e.stopFor(now, r, WasteDuplicate)
 		return r
 	}
 	e.assignRun(r, t)
--- a/core/engine/run_end.go
+++ b/core/engine/run_end.go
@@ -21,6 +21,7 @@
 // endRun removes a run from its worker and applies its end.
 func (e *Engine) endRun(now time.Time, r *run, end jobs.End, checkpoint string) {
 	r.worker.remove(r)
+	e.noteWaste(now, r, end)
 	switch end {
 	case jobs.EndDone:
 		e.counters.EndsDone++
@@ -67,7 +68,7 @@
 		e.taskFailed(now, t, number)
 	}
 	if s.Gang && !t.done && !j.final() {
-		e.stopAll(now, s)
+		e.stopAll(now, s, WasteGang)
 	}
 }
 
@@ -76,7 +77,7 @@
 	s.markDone(t)
 	e.markChanged(j)
 	if !s.Gang && t.run != nil {
-		e.stop(now, t.run)
+		e.stopFor(now, t.run, WasteDuplicate)
 	}
 	if s.tasksLeft == 0 {
 		e.stepDone(now, s)
--- a/core/engine/start.go
+++ b/core/engine/start.go
@@ -131,7 +131,7 @@
 	t.run = nil
 	t.step.lastRun = max(t.step.lastRun, r.number)
 	if t.step.Gang {
-		e.stopAll(now, t.step)
+		e.stopAll(now, t.step, WasteGang)
 	}
 }
 
--- a/core/engine/straggler.go
+++ b/core/engine/straggler.go
@@ -177,8 +177,8 @@
 	t.moves++
 	t.avoid = append(t.avoid, r.worker.ID)
 	r.worker.health.quarantine(now)
-	e.stop(now, r)
+	e.stopFor(now, r, WasteMoved)
 	if t.step.Gang {
-		e.stopAll(now, t.step)
+		e.stopAll(now, t.step, WasteGang)
 	}
 }
--- a/model/play/simulation.go
+++ b/model/play/simulation.go
@@ -32,7 +32,11 @@
 // Simulate runs the jobs drawn from a seed under a policy. Load multiplies the arrival rates of the
 // scenario. The result is deterministic, except for LongestPass.
 func Simulate(s *Scenario, policy engine.Policy, seed uint64, load float64) *Result {
-	c := newSimulation(s, policy, seed)
+	return newSimulation(s, policy, seed).simulate(seed, load)
+}
+
+func (c *simulation) simulate(seed uint64, load float64) *Result {
+	s := c.scenario
 	for _, p := range s.draw(seed, load) {
 		c.jobs[p.ID] = p
 		c.after(p.arrivalOffset, func() { c.submit(p) })
@@ -68,6 +72,8 @@
 	result      *Result
 	nextPassAt  time.Time
 	passPending bool
+	// door decides about submissions; nil accepts all.
+	door *door
 }
 
 func newSimulation(s *Scenario, policy engine.Policy, seed uint64) *simulation {
@@ -143,8 +149,11 @@
 	c.now = end
 }
 
-// submit records the job's arrival and gives it to the engine once it is stored.
+// submit records the job's arrival and, unless it is refused, gives it to the engine once it is stored.
 func (c *simulation) submit(p *simJob) {
+	if !c.admit(p) {
+		return
+	}
 	p.ArrivedAt = c.now
 	c.after(storeLatency, func() { c.apply(engine.JobAccepted{Job: p.Job}) })
 }
--- a/model/run.go
+++ b/model/run.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"tanagerstack.org/core/engine"
+	"tanagerstack.org/core/intake"
 	"tanagerstack.org/model/play"
 )
 
@@ -31,6 +32,36 @@
 	"naive":          {ArrivalOrder: true, DeadlineOrder: true, NoDedicatedWorkers: true, NoPreemption: true, SingleAdviceRequest: true},
 }
 
+// refusals are the rules for refusing jobs that can be compared, by name.
+var refusals = map[string]intake.Rules{
+	"none":     {},
+	"too-late": {TooLate: true},
+	"excess":   {Excess: true},
+	"all":      {TooLate: true, Excess: true},
+}
+
+// variant is a scheduling policy with rules for refusing jobs.
+type variant struct {
+	name   string
+	policy engine.Policy
+	rules  intake.Rules
+}
+
+// variants returns each policy with each of the rules.
+func (o *runOptions) variants() []variant {
+	var list []variant
+	for _, policy := range o.policies {
+		for _, refuse := range o.refuse {
+			name := policy
+			if refuse != "none" {
+				name += "+" + refuse
+			}
+			list = append(list, variant{name, policies[policy], refusals[refuse]})
+		}
+	}
+	return list
+}
+
 // runOptions are the flags of the run command.
 type runOptions struct {
 	seeds     int
@@ -39,6 +70,7 @@
 	policies  []string
 	gain      float64
 	detail    bool
+	refuse    []string
 }
 
 func runCommand() *cobra.Command {
@@ -63,6 +95,7 @@
 	cmd.Flags().Float64SliceVar(&o.loads, "load", []float64{1}, "factors on the arrival rates of the scenario, each simulated on its own")
 	cmd.Flags().StringSliceVar(&o.policies, "policy", []string{"product", "naive"}, "policies to compare, of "+strings.Join(names, ", "))
 	cmd.Flags().Float64Var(&o.gain, "gain", 0, "fail unless the first policy earns at least this many times as much as the last one; 0 disables the check")
+	cmd.Flags().StringSliceVar(&o.refuse, "refuse", []string{"none"}, "refusals to compare with each policy, of "+strings.Join(slices.Sorted(maps.Keys(refusals)), ", "))
 	cmd.Flags().BoolVar(&o.detail, "detail", false, "print where value is lost: by queue, by organization and by second")
 	return cmd
 }
@@ -81,6 +114,11 @@
 			return fmt.Errorf("--policy: unknown policy %q", name)
 		}
 	}
+	for _, name := range o.refuse {
+		if _, known := refusals[name]; !known {
+			return fmt.Errorf("--refuse: unknown refusals %q", name)
+		}
+	}
 	var errs []error
 	for _, load := range o.loads {
 		errs = append(errs, o.compare(w, scenario, load))
@@ -95,10 +133,14 @@
 	_, _ = fmt.Fprintf(w, "%s at %.2f times its load, %d seeds\n", scenario.Name, load, o.seeds)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "policy\tvalue share\tstd dev\tshare by queue\tstart wait p50/p95 (s)\tutilization\twasted\tstarts\tadvice requests\tlongest pass")
-	means := make([]float64, 0, len(o.policies))
-	byPolicy := make([][]*play.Result, 0, len(o.policies))
-	for _, name := range o.policies {
-		results := o.runTrials(scenario, policies[name], load)
+	variants := o.variants()
+	means := make([]float64, 0, len(variants))
+	byPolicy := make([][]*play.Result, 0, len(variants))
+	names := make([]string, 0, len(variants))
+	for _, v := range variants {
+		name := v.name
+		names = append(names, name)
+		results := o.runTrials(scenario, v, load)
 		mean, stdDev := meanAndStdDev(results)
 		means = append(means, mean)
 		byPolicy = append(byPolicy, results)
@@ -110,12 +152,12 @@
 		return err
 	}
 	if o.detail {
-		if err := printDetails(w, scenario, o.policies, byPolicy); err != nil {
+		if err := printDetails(w, scenario, names, byPolicy); err != nil {
 			return err
 		}
 	}
 	if first, last := means[0], means[len(means)-1]; o.gain > 0 && first < o.gain*last {
-		return fmt.Errorf("%s at load %.2f: %s earns a share of %.3f, less than %.2f times the %.3f of %s", scenario.Name, load, o.policies[0], first, o.gain, last, o.policies[len(o.policies)-1])
+		return fmt.Errorf("%s at load %.2f: %s earns a share of %.3f, less than %.2f times the %.3f of %s", scenario.Name, load, names[0], first, o.gain, last, names[len(names)-1])
 	}
 	return nil
 }
@@ -123,7 +165,7 @@
 // trial is the simulation of one seed.
 type trial struct {
 	scenario *play.Scenario
-	policy   engine.Policy
+	variant  variant
 	seed     uint64
 	load     float64
 	result   *play.Result
@@ -132,15 +174,15 @@
 
 func (p *trial) run() {
 	defer p.group.Done()
-	p.result = play.Simulate(p.scenario, p.policy, p.seed, p.load)
+	p.result = play.SimulateAdmission(p.scenario, p.variant.policy, p.variant.rules, p.seed, p.load)
 }
 
 // runTrials simulates all seeds concurrently and returns the results in seed order.
-func (o *runOptions) runTrials(scenario *play.Scenario, policy engine.Policy, load float64) []*play.Result {
+func (o *runOptions) runTrials(scenario *play.Scenario, v variant, load float64) []*play.Result {
 	var group sync.WaitGroup
 	trials := make([]trial, o.seeds)
 	for i := range trials {
-		trials[i] = trial{scenario: scenario, policy: policy, seed: o.firstSeed + uint64(i), load: load, group: &group}
+		trials[i] = trial{scenario: scenario, variant: v, seed: o.firstSeed + uint64(i), load: load, group: &group}
 		group.Add(1)
 		go trials[i].run()
 	}
