--- a/core/cell/admission.go
+++ b/core/cell/admission.go
@@ -23,6 +23,7 @@
 	AdmissionAuto Admission = iota
 	// AdmissionOn refuses in any cell, by all rules.
 	AdmissionOn
+	// AdmissionOff refuses nothing, gangs that are wider than a cap included.
 	AdmissionOff
 )
 
--- a/model/run.go
+++ b/model/run.go
@@ -49,7 +49,7 @@
 
 // variants returns each policy with each of the rules.
 func (o *runOptions) variants() []variant {
-	var list []variant
+	list := make([]variant, 0, len(o.policies)*len(o.refuse))
 	for _, policy := range o.policies {
 		for _, refuse := range o.refuse {
 			name := policy
