--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 model: build ## Play the loads of both services against the scheduler in simulated time, beside a naive baseline.
 	bin/tanager-model run model/scenes/*.yaml --seeds 2 --load 1,2.5 --policy product,naive
+	bin/tanager-model run model/scenes/counter.yaml model/scenes/campsite.yaml --seeds 2 --load 1.6 --policy product --refuse none,too-late,excess --detail
 
 demo: build ## Run the whole product on loopback under load, with a kill on the way.
 	@scripts/demo
--- a/model/play/play_test.go
+++ b/model/play/play_test.go
@@ -13,20 +13,29 @@
 // loadScenario reads model/scenes/NAME.yaml and scales down its fleet and load.
 func loadScenario(t *testing.T, name string, scale float64) *Scenario {
 	t.Helper()
-	data, err := os.ReadFile(filepath.Join("..", "scenes", name+".yaml"))
+	s, err := readScenario(name, scale)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return s
+}
+
+// readScenario is loadScenario outside a test.
+func readScenario(name string, scale float64) (*Scenario, error) {
+	data, err := os.ReadFile(filepath.Join("..", "scenes", name+".yaml"))
+	if err != nil {
+		return nil, err
+	}
 	s, err := ParseScenario(data)
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	s.VMs = int(scale * float64(s.VMs))
 	s.Workers.Count = int(scale * float64(s.Workers.Count))
 	for i := range s.Queues {
 		s.Queues[i].PerSecond *= scale
 	}
-	return s
+	return s, nil
 }
 
 // earnedByQueue returns the value earned in a queue, summed over simulations with seeds 1 to seeds.
