--- a/core/cell/message.go
+++ b/core/cell/message.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"tanagerstack.org/core/intake"
 	"tanagerstack.org/core/jobs"
 )
 
@@ -41,6 +42,8 @@
 	Instance string `cbor:"4,keyasint"`
 	// Config tells how recent the leader's configuration is, nil in a cell without organizations.
 	Config *configReport `cbor:"5,keyasint,omitempty"`
+	// Load is the leader's load, nil while it loads the stored jobs or if no VM refuses jobs.
+	Load *intake.Snapshot `cbor:"8,keyasint,omitempty"`
 }
 
 // termRequest asks a VM whether it has taken over from a leader, or knows who has.
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -69,6 +69,8 @@
 	// RevokeWithin is the time after which a key that a configuration removed no longer works on any
 	// VM, also on one that is cut off. Zero means that revocation is not strict.
 	RevokeWithin time.Duration
+	// Admission selects whether jobs are refused for the load.
+	Admission Admission
 }
 
 // Node is one VM of a cell. It is safe for concurrent use.
@@ -94,6 +96,7 @@
 	// pending is the number of pending jobs by queue as last reported by the leader.
 	pending   map[string]int
 	pendingAt time.Time
+	admission admission
 	stopping  atomic.Bool
 }
 
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -123,6 +123,8 @@
 	// unmarkedJobs holds the jobs of organizations of which it is not known yet whether they are
 	// excess.
 	unmarkedJobs []*job
+	// wasted holds the core-seconds of runs that were of no use.
+	wasted [wasteCauses]float64
 }
 
 // Counters holds the number of decisions so far. All counts only grow.
--- a/core/engine/orphan.go
+++ b/core/engine/orphan.go
@@ -52,7 +52,7 @@
 		}
 		e.chargeRun(r)
 		if t == nil || t.done || j.final() || t.run != nil {
-			e.stop(now, r)
+			e.stopFor(now, r, WasteDuplicate)
 			continue
 		}
 		e.assignRun(r, t)
@@ -69,7 +69,7 @@
 			}
 			if o.run.worker.runs[o.run.runKey] == o.run {
 				e.log("stopping unwanted run", "task", o.run.task, "run", o.run.number, "worker", o.run.worker.ID, "known", false)
-				e.stop(now, o.run)
+				e.stopFor(now, o.run, WasteDuplicate)
 			}
 			return true
 		})
--- a/core/engine/share.go
+++ b/core/engine/share.go
@@ -6,7 +6,9 @@
 	"slices"
 	"time"
 
+	"tanagerstack.org/core/intake"
 	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/orgs"
 	"tanagerstack.org/core/roster"
 )
 
@@ -16,10 +18,6 @@
 // organization that uses less than its share of the capacity goes first. Nothing is kept free: an
 // idle share is lent to whoever has work, and comes back as runs end.
 
-// minExcessDepth is the least depth of the bucket that tells excess jobs, in jobs: an organization of
-// a low weight may submit one job at a time.
-const minExcessDepth = 1
-
 // Gangs need their capacity at once, and small tasks that take it piece by piece keep a gang waiting.
 // While a gang that is not excess waits, excess therefore leaves capacity free.
 const (
@@ -46,14 +44,7 @@
 	if weight <= 0 {
 		return true
 	}
-	depth := max(weight, minExcessDepth)
-	switch {
-	case b.at.IsZero():
-		b.tokens, b.at = depth, arrived
-	case arrived.After(b.at):
-		b.tokens, b.at = b.tokens+weight*arrived.Sub(b.at).Seconds(), arrived
-	}
-	b.tokens = min(b.tokens, depth)
+	b.refill(arrived, weight)
 	if b.tokens < 1 {
 		return true
 	}
@@ -61,6 +52,34 @@
 	return false
 }
 
+// refill adds what has come in up to a time.
+func (b *excessBucket) refill(now time.Time, weight float64) {
+	depth := intake.Depth(weight)
+	switch {
+	case b.at.IsZero():
+		b.tokens, b.at = depth, now
+	case now.After(b.at):
+		b.tokens, b.at = b.tokens+weight*now.Sub(b.at).Seconds(), now
+	}
+	b.tokens = min(b.tokens, depth)
+}
+
+// submissionsLeft returns how many jobs an organization may still submit before they are excess. It
+// includes the jobs that are not marked yet, and does not change the bucket.
+func (e *Engine) submissionsLeft(now time.Time, entry *orgs.Organization) float64 {
+	var b excessBucket
+	if o := e.organizations[entry.Name]; o != nil {
+		b = o.bucket
+	}
+	for _, j := range e.unmarkedJobs {
+		if j.Organization == entry.Name {
+			b.take(j.arrivedBy(now), entry.Weight)
+		}
+	}
+	b.refill(now, entry.Weight)
+	return b.tokens
+}
+
 // markExcess marks the new jobs of all organizations in the order of their arrival. After a takeover
 // that includes those of earlier leaders, finished or not, so that each leader marks about the same.
 // Jobs of an organization without entry are not marked, since the rate that it had is not known.
@@ -78,15 +97,19 @@
 	})
 	for _, j := range list {
 		if o := j.organization; o.entry != nil {
-			arrived := j.ArrivedAt
-			if arrived.After(now) {
-				arrived = now // by the clock of a VM that is ahead
-			}
-			j.excess = o.bucket.take(arrived, o.entry.Weight)
+			j.excess = o.bucket.take(j.arrivedBy(now), o.entry.Weight)
 		}
 	}
 }
 
+// arrivedBy returns the arrival of a job, or now if that is by the clock of a VM that is ahead.
+func (j *job) arrivedBy(now time.Time) time.Time {
+	if j.ArrivedAt.After(now) {
+		return now
+	}
+	return j.ArrivedAt
+}
+
 // A class is what the order of steps goes by first. Lower classes go first.
 const (
 	excessClass    = int(worthless)
--- a/model/play/organization_test.go
+++ b/model/play/organization_test.go
@@ -32,13 +32,14 @@
 		perSecond += q.PerSecond
 	}
 	const others = 7
+	s.Organizations = &Organizations{}
 	for i := range 1 + others {
 		share := 1.0
 		if i == 0 {
 			share = 2
 		}
 		weight := 2 * perSecond * share / (2 + others)
-		s.Organizations = append(s.Organizations, Organization{Name: fmt.Sprintf("org-%d", i), Weight: weight, LoadShare: share})
+		s.Organizations.List = append(s.Organizations.List, Organization{Name: fmt.Sprintf("org-%d", i), Weight: weight, LoadShare: share})
 	}
 	return s
 }
@@ -78,7 +79,7 @@
 	s := ordersScenario(t)
 	s.Bursts = []Burst{{Queue: "urgent", At: Duration(9 * time.Second), For: Duration(4 * time.Second), Factor: 1.7}}
 	calm := earnedByOrganization(s, engine.Policy{}, "org-0", seeds)
-	s.OrganizationBursts = []OrganizationBurst{{Organization: "org-0", At: Duration(8 * time.Second), For: Duration(6500 * time.Millisecond), Factor: 7}}
+	s.Organizations.Surges = []Surge{{At: Duration(8 * time.Second), For: Duration(6500 * time.Millisecond), Factor: 7}}
 	product := earnedByOrganization(s, engine.Policy{}, "org-0", seeds)
 	without := earnedByOrganization(s, engine.Policy{NoExcess: true, NoShares: true}, "org-0", seeds)
 	for name, e := range map[string]earnings{"calm": calm, "product": product, "without excess and shares": without} {
@@ -93,13 +94,13 @@
 // organization that is alone earns as much with seven times its usual load as without excess and shares.
 func TestIdleSharesAreLent(t *testing.T) {
 	s := ordersScenario(t)
-	for i := range s.Organizations[1:] {
-		s.Organizations[i+1].LoadShare = 0
+	for i := range s.Organizations.List[1:] {
+		s.Organizations.List[i+1].LoadShare = 0
 	}
 	for i := range s.Queues {
 		s.Queues[i].PerSecond /= 6
 	}
-	s.OrganizationBursts = []OrganizationBurst{{Organization: "org-0", At: Duration(8 * time.Second), For: Duration(6500 * time.Millisecond), Factor: 7}}
+	s.Organizations.Surges = []Surge{{At: Duration(8 * time.Second), For: Duration(6500 * time.Millisecond), Factor: 7}}
 	product := earnedByOrganization(s, engine.Policy{}, "org-0", 4)
 	without := earnedByOrganization(s, engine.Policy{NoExcess: true, NoShares: true}, "org-0", 4)
 	t.Logf("earned %.1f, and %.1f without excess and shares", product.one, without.one)
@@ -107,3 +108,53 @@
 		t.Errorf("earned %.1f alone, want at least 0.95 of the %.1f without excess and shares", product.one, without.one)
 	}
 }
+
+// TestSurgeRaisesOneOrganization checks that a surge multiplies the jobs of its organization and leaves
+// the number of jobs of the others unchanged: otherwise the model would show the isolation of the
+// others under another load than the one without the surge.
+func TestSurgeRaisesOneOrganization(t *testing.T) {
+	scenario := loadScenario(t, "counter", 1)
+	scenario.Bursts = nil
+	surge := scenario.Organizations.Surges[0]
+	counts := func() (surging, others float64) {
+		for _, p := range scenario.draw(3, 1) {
+			if p.arrivalOffset < time.Duration(surge.At) || p.arrivalOffset >= time.Duration(surge.At+surge.For) {
+				continue
+			}
+			if p.Organization == organizationName(surge.Organization) {
+				surging++
+			} else {
+				others++
+			}
+		}
+		return surging, others
+	}
+	surging, others := counts()
+	scenario.Organizations.Surges = nil
+	usual, usualOthers := counts()
+	if ratio := surging / usual; ratio < 0.8*surge.Factor || ratio > 1.25*surge.Factor {
+		t.Errorf("the organization sent %.0f jobs instead of %.0f, want about %g times as many", surging, usual, surge.Factor)
+	}
+	if ratio := others / usualOthers; ratio < 0.85 || ratio > 1.15 {
+		t.Errorf("the others sent %.0f jobs instead of %.0f, want about as many", others, usualOthers)
+	}
+}
+
+// TestCheckpointShortensNextRun checks that a run that begins from a checkpoint takes the rest of the
+// work and the time to resume. A model without that would hide what preemption costs and saves.
+func TestCheckpointShortensNextRun(t *testing.T) {
+	scenario := loadScenario(t, "counter", 0.1)
+	w := &worker{sim: &simulation{scenario: scenario, now: startTime}}
+	job := &simJob{}
+	job.Steps = append(job.Steps, scenario.draw(1, 1)[0].Steps[0])
+	job.Steps[0].SavesCheckpoints = true
+	first := &run{job: job, worker: w, active: true, startedAt: startTime, duration: 4 * time.Second}
+	if got := first.checkpoint(startTime.Add(900 * time.Millisecond)); got != "" {
+		t.Errorf("got checkpoint %q before the first interval", got)
+	}
+	second := &run{job: job, worker: w, duration: 4 * time.Second}
+	second.resume(first.checkpoint(startTime.Add(3500 * time.Millisecond)))
+	if want := time.Second + time.Duration(scenario.Workers.ResumeTime); second.duration.Round(time.Millisecond) != want {
+		t.Errorf("the resumed run takes %s, want %s", second.duration, want)
+	}
+}
