Engine: predictions from learned durations or noise, selected by Options.Durations

With learned, order, stragglers and objectives use quantiles by queue, organization, step and kind of worker. Runs that were stopped or take long count as lower bounds. TestWorldHolds now also draws the source of predictions, and knowledge that is far off; it checks no less than before.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/learn"
 )
 
 // Options configures an Engine. Epoch, LeaseTerm and MaxLease are required.
@@ -29,6 +30,8 @@
 	PreviousLeasesUntil time.Time
 	// Policy disables parts of the scheduling policy, to measure what each of them contributes.
 	Policy Policy
+	// Durations selects what predictions of durations rest on.
+	Durations Durations
 	// Logger receives a line for each decision. It may be nil.
 	Logger Logger
 
@@ -102,6 +105,9 @@
 	unconfirmed bool
 	commands    []Command
 	superseded  bool
+	// durations is the source of predicted durations in force, and learned what was learned.
+	durations Durations
+	learned   learn.Model
 	// passes counts the scheduling passes.
 	passes              int64
 	stragglersCheckedAt time.Time
@@ -133,6 +139,7 @@
 		roster:          opts.PreviousRoster,
 		changedJobs:     make(map[jobs.ID]*job),
 	}
+	e.selectDurations()
 	for _, id := range opts.PreviousRoster.Workers {
 		e.previousWorkers[id] = opts.PreviousRoster.Lost[id]
 	}
@@ -228,6 +235,7 @@
 		return
 	}
 	e.config = ev.Config
+	e.selectDurations()
 }
 
 // tick handles everything that depends on time alone: expired leases and retention periods, stops
@@ -242,6 +250,7 @@
 	e.expireOrphanedRuns(now)
 	if !e.superseded && e.mayLead(now) && now.Sub(e.stragglersCheckedAt) >= stragglerCheckInterval {
 		e.stragglersCheckedAt = now
+		e.learnRunning(now)
 		e.moveStragglers(now)
 	}
 	if proved := e.provedUntil(now); proved.After(e.opts.PreviousLeasesUntil) {
--- a/core/engine/predict.go
+++ b/core/engine/predict.go
@@ -31,6 +31,7 @@
 	// permittedShare is the share of workers that the adviser permits.
 	permittedShare float64
 	durations      durationModel
+	errors         predictionError
 }
 
 // durationModel is a linear regression of the logarithm of task durations on the logarithm of the
@@ -78,12 +79,11 @@
 
 // predict returns the predicted duration of a task of the step on a healthy worker.
 func (e *Engine) predict(s *step) time.Duration {
-	return e.statsOf(s.job.Queue.Name).durations.predict(s.Estimate)
+	return e.predictStep(&s.job.Job, s.id.Step, nil)
 }
 
 // criticalPath returns the predicted length of the longest chain of dependent steps of a job.
 func (e *Engine) criticalPath(j *jobs.Job) time.Duration {
-	stats := e.statsOf(j.Queue.Name)
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i, s := range j.Steps {
@@ -91,7 +91,7 @@
 		for _, predecessor := range s.After {
 			begin = max(begin, ends[predecessor])
 		}
-		ends[i] = begin + stats.durations.predict(s.Estimate)
+		ends[i] = begin + e.predictStep(j, i, nil)
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -180,10 +180,15 @@
 		return
 	}
 	duration := now.Sub(r.startSentAt)
-	predicted := e.predict(s)
+	predicted := e.predictStep(&s.job.Job, s.id.Step, r.worker)
+	stats := e.statsOf(s.job.Queue.Name)
+	stats.errors.observe(duration, predicted)
 	r.worker.slowdown.observe(r.task.Job, duration, predicted)
 	r.owner.duration, r.owner.completedOn = duration, r.worker
 	if !r.worker.slowdown.excessive() {
-		e.statsOf(s.job.Queue.Name).durations.observe(s.Estimate, duration)
+		stats.durations.observe(s.Estimate, duration)
 	}
+	// What was learned tolerates a share of slow workers. Leaving out those that are slow by a
+	// prediction would keep it from learning that the prediction is wrong.
+	e.learnDuration(now, r, duration, true)
 }
--- a/core/engine/rank.go
+++ b/core/engine/rank.go
@@ -37,7 +37,8 @@
 func (e *Engine) computeRank(now time.Time, o *occurrence, j *job) valueRank {
 	remaining := e.remainingTime(now, o)
 	o.endsAt = now.Add(remaining)
-	done := now.Add(remaining - time.Duration(predictionTolerance*float64(remaining)))
+	tolerance, margin := e.chanceMargins(o)
+	done := now.Add(remaining - time.Duration(tolerance*float64(remaining)))
 	deadline, worthlessAt := j.deadline, j.worthlessAt
 	if !o.due.IsZero() {
 		deadline = o.due.Add(j.deadline.Sub(j.ArrivedAt))
@@ -50,7 +51,7 @@
 	case done.Before(worthlessAt):
 		rank = late
 	}
-	withMargin := o.endsAt.Add(time.Duration(riskMargin * float64(remaining)))
+	withMargin := o.endsAt.Add(time.Duration(margin * float64(remaining)))
 	o.atRisk = !e.opts.Policy.DeadlineOrder && !withMargin.Before(limit)
 	return rank
 }
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -72,6 +72,10 @@
 	progressAt            time.Time
 	// resumed is set if the run began from a checkpoint.
 	resumed bool
+	// lowerBound is the age at which the run was observed last, or zero, and boundDueAt the time at
+	// which it is observed next unless it ends.
+	lowerBound time.Duration
+	boundDueAt time.Time
 }
 
 // confirmArrival records that the worker has or had the run.
--- a/core/engine/run_end.go
+++ b/core/engine/run_end.go
@@ -44,6 +44,7 @@
 	if end == jobs.EndDone {
 		e.recordDuration(now, r)
 	}
+	e.learnStopped(now, r, end)
 	if end == jobs.EndFailed {
 		t.avoid = append(t.avoid, r.worker.ID)
 	}
--- a/core/engine/simulation_rapid_test.go
+++ b/core/engine/simulation_rapid_test.go
@@ -58,7 +58,7 @@
 		sim.after(randomBelow(r, simLoadTime), func() { sim.resize(s, time.Second+randomBelow(r, 9*time.Second)) })
 	}
 	sim.run(simLoadTime)
-	sim.faults = simFaults{keepOldLeaders: faults.keepOldLeaders, advice: faults.advice, slowStore: faults.slowStore, slowPolls: faults.slowPolls, newIDs: faults.newIDs}
+	sim.faults = simFaults{keepOldLeaders: faults.keepOldLeaders, advice: faults.advice, slowStore: faults.slowStore, slowPolls: faults.slowPolls, newIDs: faults.newIDs, durations: faults.durations, misled: faults.misled}
 	sim.run(simLoadTime + simSettleTime + time.Duration(faults.deadly)*simDeadlyTime)
 	sim.checkFailedJobs()
 	return sim
@@ -117,6 +117,8 @@
 			slowDirectory:  rapid.Bool().Draw(t, "slow-directory"),
 			deadly:         rapid.IntRange(0, 3).Draw(t, "deadly"),
 			newIDs:         rapid.Bool().Draw(t, "new-ids"),
+			durations:      rapid.SampledFrom([]Durations{DurationsEstimates, DurationsLearned, DurationsNoise}).Draw(t, "durations"),
+			misled:         rapid.Bool().Draw(t, "misled"),
 		}
 		sim := simulate(seed, faults, unsafeOptions{})
 		for _, v := range sim.violations {
--- a/core/engine/simulation_test.go
+++ b/core/engine/simulation_test.go
@@ -107,6 +107,10 @@
 	splits int
 	// resizes is how often a worker's capacity shrinks for a time.
 	resizes int
+	// durations is what the leaders' predictions rest on, and misled is set if what they have learned
+	// is far off.
+	durations Durations
+	misled    bool
 	// slowDirectory makes the directory reach the leaders after up to a second.
 	slowDirectory bool
 	// deadly is the number of jobs with a task that crashes its workers. With newIDs, these workers
@@ -295,8 +299,11 @@
 	l.Engine = New(Options{
 		Epoch: sim.epoch, LeaseTerm: testLease - 2*time.Second, MaxLease: testLease, StopTime: 300 * time.Millisecond,
 		PreviousActiveUntil: sim.now.Add(2 * time.Second), PreviousRoster: sim.recordedRoster, PreviousLeasesUntil: sim.now.Add(testLease*102/100 + 3*time.Second), unsafe: sim.unsafe,
-		Logger: simLogger{sim, sim.epoch},
+		Logger: simLogger{sim, sim.epoch}, Durations: sim.faults.durations,
 	})
+	if sim.faults.misled {
+		sim.mislead(l.Engine)
+	}
 	sim.leaders = append(sim.leaders, l)
 	ids := make([]jobs.ID, 0, len(sim.jobs))
 	for id := range sim.jobs {
--- a/core/engine/straggler.go
+++ b/core/engine/straggler.go
@@ -102,7 +102,7 @@
 	if median, found := r.owner.step.medianElsewhere(now, r.worker); found {
 		return float64(duration) > slowdownLimit*float64(median)
 	}
-	return float64(duration) > slowdownLimit*float64(predicted) && e.workerSlow(r.worker)
+	return float64(duration) > e.stragglerLimit(r, predicted) && e.workerSlow(r.worker)
 }
 
 // medianElsewhere returns the median duration of the step's tasks on other workers, and whether
@@ -162,7 +162,7 @@
 			continue
 		}
 		if duration, known := r.projectedDuration(); known {
-			current.observe(r.task.Job, duration, e.predict(r.owner.step))
+			current.observe(r.task.Job, duration, e.predictStep(&r.owner.step.job.Job, r.owner.step.id.Step, w))
 		}
 	}
 	return current.excessive()
