Cell: learned durations are stored and read after a takeover

Unreadable rows are left out, logged and counted. A cell that does not use learned durations makes no call.

--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -99,6 +99,7 @@
 		PreviousActiveUntil: previous.activeUntil,
 		PreviousRoster:      engine.Roster{Workers: row.Workers, Lost: row.Lost},
 		PreviousLeasesUntil: previous.leasesUntil,
+		Durations:           n.opts.Durations,
 		Logger:              n.opts.Logger,
 	})
 	// The followers of the previous leader can relay until it is known which of them are alive.
@@ -121,7 +122,7 @@
 	if !l.load(ctx) {
 		return
 	}
-	loops := []func(context.Context){l.runWorkers, l.runJobs, l.records.run, l.records.runCompact, l.runTicks, l.runTerm}
+	loops := []func(context.Context){l.runWorkers, l.runJobs, l.records.run, l.records.runCompact, l.runTicks, l.runTerm, newLearnedStore(l).run}
 	for _, loop := range loops {
 		l.loops.Add(1)
 		go (&task{call: loop, done: &l.loops}).run(ctx)
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -27,7 +27,9 @@
 	stops, polls, adviceRequests *prometheus.CounterVec
 	// unreadable counts entries and rows of others that could not be decoded, by kind.
 	unreadable *prometheus.CounterVec
-	takeovers  prometheus.Counter
+	// learnedRows counts the rows of learned durations by what became of them.
+	learnedRows *prometheus.CounterVec
+	takeovers   prometheus.Counter
 	// Latencies, in seconds.
 	submit, start, record, advice prometheus.Histogram
 }
@@ -44,14 +46,15 @@
 		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "tanager", Name: "unreadable_entries_total", Help: "Entries and rows written by others that cannot be decoded and are left out.",
 		}, []string{"kind"}),
-		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "tanager", Name: "takeovers_total", Help: "Times that this VM became the leader."}),
-		submit:    newHistogram("submission_seconds", "Time from a submission to its answer."),
-		start:     newHistogram("start_seconds", "Time from an order to start to its answer."),
-		record:    newHistogram("record_seconds", "Time of a commit of progress."),
-		advice:    newHistogram("advice_seconds", "Time from a question to the adviser to its answer."),
+		learnedRows: newCounters("learned_rows_total", "Rows of learned durations that were read or written."),
+		takeovers:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: "tanager", Name: "takeovers_total", Help: "Times that this VM became the leader."}),
+		submit:      newHistogram("submission_seconds", "Time from a submission to its answer."),
+		start:       newHistogram("start_seconds", "Time from an order to start to its answer."),
+		record:      newHistogram("record_seconds", "Time of a commit of progress."),
+		advice:      newHistogram("advice_seconds", "Time from a question to the adviser to its answer."),
 	}
 	m.registry.MustRegister(
-		m.submits, m.cancels, m.starts, m.stops, m.polls, m.adviceRequests, m.unreadable, m.takeovers,
+		m.submits, m.cancels, m.starts, m.stops, m.polls, m.adviceRequests, m.unreadable, m.takeovers, m.learnedRows,
 		m.submit, m.start, m.record, m.advice, nodeCollector{n},
 	)
 	if n.opts.Meter != nil {
@@ -115,7 +118,7 @@
 
 // Describe implements prometheus.Collector.
 func (c nodeCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc} {
+	for _, desc := range []*prometheus.Desc{leadingDesc, epochDesc, configDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc, predictionErrorDesc, predictionBiasDesc, observationsDesc} {
 		out <- desc
 	}
 }
@@ -147,6 +150,7 @@
 func (l *leader) collect(out chan<- prometheus.Metric) {
 	l.mu.Lock()
 	ends, pending := l.engine.Counters(), l.pendingLocked()
+	l.collectDurations(out)
 	l.mu.Unlock()
 	out <- prometheus.MustNewConstMetric(termDesc, prometheus.GaugeValue, l.confirmedBefore().Seconds())
 	out <- prometheus.MustNewConstMetric(relaysDesc, prometheus.GaugeValue, float64(l.dispatch.openLinks()))
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/meter"
 	"tanagerstack.org/core/store"
@@ -63,6 +64,9 @@
 	// leadership to others; zero counts as enough.
 	Processors  float64
 	MemoryBytes int64
+	// Durations selects what predictions of durations rest on; the zero value means the callers'
+	// estimates.
+	Durations engine.Durations
 }
 
 // Node is one VM of a cell. It is safe for concurrent use.
