--- a/core/learn/codec.go
+++ b/core/learn/codec.go
@@ -211,8 +211,8 @@
 	return o, nil
 }
 
-// maxLog bounds logarithms of durations, which are below 15 up to maxDuration and above -21.
-const maxLog = 32
+// maxLog bounds logarithms of durations and their ratios, which are below 36.
+const maxLog = 64
 
 func within(value, limit float64) bool { return math.Abs(value) <= limit }
 
@@ -251,7 +251,7 @@
 	if other.line.weight > frame.line.weight {
 		frame, other = other, frame
 	}
-	frame.histogram.merge(&other.histogram, other.line.at(other.meanX, true)-frame.line.at(other.meanX, true))
+	frame.histogram.merge(&other.histogram, other.meanX-frame.line.at(other.meanX, true), 1)
 	for i := range frame.kinds {
 		frame.kinds[i] = stronger(frame.kinds[i], other.kinds[i])
 	}
--- a/core/learn/histogram.go
+++ b/core/learn/histogram.go
@@ -130,14 +130,15 @@
 	return list
 }
 
-// merge adds the residuals of another histogram, each moved by an offset.
-func (h *histogram) merge(other *histogram, offset float64) {
+// merge adds the residuals of another histogram, each moved by an offset and with a factor on its
+// weight.
+func (h *histogram) merge(other *histogram, offset, factor float64) {
 	if h.increment == 0 {
 		h.increment = 1
 	}
 	for i, w := range other.weights {
 		if w > 0 {
-			h.spread(lowestBin+binWidth*(float64(i)+0.5)+offset, float64(w)*h.increment/other.increment)
+			h.spread(lowestBin+binWidth*(float64(i)+0.5)+offset, factor*float64(w)*h.increment/other.increment)
 		}
 	}
 }
--- a/core/learn/model.go
+++ b/core/learn/model.go
@@ -34,11 +34,6 @@
 )
 
 const (
-	// minVoters is the number of organizations from which their median is used: with three, one
-	// alone cannot move it beyond the values of the two others. minVoteWeight is the weight that
-	// an organization needs to have a vote.
-	minVoters     = 3
-	minVoteWeight = 15
 	// ownPriorWeight is the weight of an organization's own observations at which the coarser
 	// level counts as much. Tasks of a step are alike, so that it is that of several jobs.
 	ownPriorWeight = 20
@@ -52,9 +47,6 @@
 	// estimateSpread is the standard deviation of the logarithm of durations around estimates of
 	// which nothing else is known.
 	estimateSpread = 0.4
-	// sharedMaxAge is the number of observations in a queue for which the median over its
-	// organizations is kept.
-	sharedMaxAge = 16
 )
 
 // Key is what is known of a task before it runs. An empty WorkerKind means that the worker is not
@@ -96,15 +88,6 @@
 	sharedAt int64
 }
 
-// shared is the median over the organizations with a vote.
-type shared struct {
-	voters       int
-	meanX, slope float64
-	residuals    curve
-	kinds        [maxKinds]float64
-	steps        [maxSteps]float64
-}
-
 // organization is what was learned about an organization in a queue.
 type organization struct {
 	line
@@ -353,7 +336,14 @@
 	if !p.known {
 		share, p.known = 1, p.Weight > 0
 	}
-	offset := o.line.at(x, known) + o.effects(s, kind, step)
+	offset := o.meanX + o.effects(s, kind, step)
+	if known {
+		slope := o.slope()
+		if o.line.weight < minLineWeight && s.voters >= minVoters {
+			slope = s.slope
+		}
+		offset += slope * (x - o.meanX)
+	}
 	residuals := o.quantiles()
 	for i := range p.logs {
 		p.logs[i] += share * (offset + residuals[i] - p.logs[i])
@@ -398,60 +388,3 @@
 	share := float64(e.weight / (e.weight + effectPriorWeight))
 	return float64(e.mean) + (1-share)*shared
 }
-
-// sharedLevel returns the median over the organizations.
-func (q *queue) sharedLevel(elapsed time.Duration) *shared {
-	if q.sharedAt > 0 && q.revision-q.sharedAt < sharedMaxAge {
-		return &q.shared
-	}
-	q.sharedAt = max(q.revision, 1)
-	q.shared = shared{}
-	if len(q.organizations) < minVoters {
-		return &q.shared
-	}
-	voters := make([]*organization, 0, len(q.organizations))
-	for _, o := range q.organizations {
-		if o.weight(elapsed) >= minVoteWeight {
-			voters = append(voters, o)
-		}
-	}
-	s := &q.shared
-	s.voters = len(voters)
-	if s.voters < minVoters {
-		return s
-	}
-	s.meanX = medianOf(voters, func(o *organization) (float64, bool) { return o.meanX, true })
-	s.slope = medianOf(voters, func(o *organization) (float64, bool) { return o.slope(), true })
-	for i := range s.residuals {
-		s.residuals[i] = medianOf(voters, func(o *organization) (float64, bool) {
-			return o.line.at(s.meanX, true) + o.quantiles()[i] - s.meanX, true
-		})
-	}
-	for i := range s.kinds {
-		s.kinds[i] = medianOf(voters, func(o *organization) (float64, bool) { return o.kinds[i].vote() })
-	}
-	for i := range s.steps {
-		s.steps[i] = medianOf(voters, func(o *organization) (float64, bool) { return o.steps[i].vote() })
-	}
-	return s
-}
-
-// vote returns the effect for the median over organizations, and whether enough is known.
-func (e effect) vote() (float64, bool) { return float64(e.mean), e.weight >= effectPriorWeight }
-
-// medianOf returns the median of a value over the organizations that have one, or 0 if fewer than
-// minVoters have.
-func medianOf(list []*organization, value func(*organization) (float64, bool)) float64 {
-	values := make([]float64, 0, len(list))
-	for _, o := range list {
-		if v, ok := value(o); ok {
-			values = append(values, v)
-		}
-	}
-	if len(values) < minVoters {
-		return 0
-	}
-	slices.Sort(values)
-	n := len(values)
-	return (values[(n-1)/2] + values[n/2]) / 2
-}
