--- a/core/engine/durations.go
+++ b/core/engine/durations.go
@@ -51,6 +51,9 @@
 	// stragglerQuantile is the quantile of the duration within which a run is no straggler
 	// without the evidence of others: some queues have a few jobs that take many times as long.
 	stragglerQuantile = 0.98
+	// kindStep is the difference in the logarithm of the predicted duration from which one kind of
+	// worker ranks behind another: about a tenth. Smaller ones may be noise.
+	kindStep = 0.1
 	// observedTasksPerStep bounds the observed tasks of a step, which are alike.
 	observedTasksPerStep = 4
 )
@@ -136,6 +139,32 @@
 	return predictionTolerance, riskMargin
 }
 
+// rankKinds sets the slowness of candidates for a step, if durations are learned.
+func (e *Engine) rankKinds(s *step, list []candidate) {
+	if e.durations != DurationsLearned || len(list) < 2 {
+		return
+	}
+	logs := make(map[string]float64)
+	quickest := math.Inf(1)
+	for i := range list {
+		k := learnKey(&s.job.Job, s.id.Step, list[i].worker)
+		if _, known := logs[k.WorkerKind]; known {
+			continue
+		}
+		p := e.learned.Predict(k, s.Estimate)
+		log := 0.0
+		if median := p.Median(); median > 0 {
+			log = math.Log(median.Seconds())
+		}
+		logs[k.WorkerKind] = log
+		quickest = min(quickest, log)
+	}
+	for i := range list {
+		kind := learnKey(&s.job.Job, s.id.Step, list[i].worker).WorkerKind
+		list[i].slowness = int(math.Round((logs[kind] - quickest) / kindStep))
+	}
+}
+
 // stragglerLimit returns the duration above which a run on a worker is slow, if other tasks of its
 // step say nothing.
 func (e *Engine) stragglerLimit(r *run, predicted time.Duration) float64 {
--- a/core/engine/durations_test.go
+++ b/core/engine/durations_test.go
@@ -111,3 +111,36 @@
 		t.Errorf("chance to exceed 5 s: %.2f, and %.2f while all tasks run for 10 s", before.Exceeds(5*time.Second), after.Exceeds(5*time.Second))
 	}
 }
+
+// TestQuickKindIsPreferred guards against placing work on slow workers while quick ones are free, and
+// against an order by kind where nothing is learned.
+func TestQuickKindIsPreferred(t *testing.T) {
+	cases := map[string]struct {
+		durations Durations
+		observed  map[string]time.Duration
+		want      string
+	}{
+		"learned":          {DurationsLearned, map[string]time.Duration{"slow": 3 * time.Second, "quick": 2 * time.Second}, "w2"},
+		"small difference": {DurationsLearned, map[string]time.Duration{"slow": 2010 * time.Millisecond, "quick": 2 * time.Second}, "w1"},
+		"nothing known":    {DurationsLearned, nil, "w1"},
+		"estimates":        {DurationsEstimates, map[string]time.Duration{"slow": 3 * time.Second, "quick": 2 * time.Second}, "w1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			slow, quick := testWorker("w1"), testWorker("w2")
+			slow.Labels, quick.Labels = []string{"slow", "r1"}, []string{"quick", "r1"}
+			e := newTestEngine(t, Options{Durations: c.durations}, slow, quick)
+			job := testJob("job", 1)
+			for range 400 {
+				for kind, duration := range c.observed {
+					e.learned.Observe(e.now, learn.Key{Queue: job.Queue.Name, WorkerKind: kind}, time.Second, duration, true)
+				}
+			}
+			e.apply(JobAccepted{Job: job})
+			starts := commandsOfType[Start](e.runPass(0))
+			if len(starts) != 1 || starts[0].Worker != c.want {
+				t.Errorf("starts %+v, want one on %s", starts, c.want)
+			}
+		})
+	}
+}
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -14,6 +14,9 @@
 	free       roster.Resources
 	fits       int
 	onDataRack bool
+	// slowness ranks the worker's kind by the predicted duration; 0 is the quickest, or nothing is
+	// known.
+	slowness int
 }
 
 // candidates returns the workers that can get tasks of the step now, the best first.
@@ -42,16 +45,19 @@
 			consider(w)
 		}
 	}
+	e.rankKinds(s, list)
 	slices.SortFunc(list, compareCandidates)
 	return list
 }
 
-// compareCandidates prefers workers that are not slow, then the rack of the data, then the worker
-// with the least free capacity, to keep capacity together for wide gangs.
+// compareCandidates prefers workers that are not slow, then the rack of the data, then the kind of
+// worker that is quickest, then the worker with the least free capacity, to keep capacity together
+// for wide gangs.
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		compareFirst(!a.worker.slowdown.excessive(), !b.worker.slowdown.excessive()),
 		compareFirst(a.onDataRack, b.onDataRack),
+		cmp.Compare(a.slowness, b.slowness),
 		cmp.Compare(a.free.Millicores, b.free.Millicores),
 		cmp.Compare(a.worker.ID, b.worker.ID),
 	)
