--- a/core/engine/durations.go
+++ b/core/engine/durations.go
@@ -203,9 +203,9 @@
 }
 
 // learnStopped learns from a run that was stopped or lost: its task takes at least as long. A run that
-// failed says nothing about that.
+// failed says nothing about that, and one that was never reported may not have begun.
 func (e *Engine) learnStopped(now time.Time, r *run, end jobs.End) {
-	if end == jobs.EndDone || end == jobs.EndFailed {
+	if end == jobs.EndDone || end == jobs.EndFailed || !r.reported {
 		return
 	}
 	until := now
--- a/core/engine/durations_test.go
+++ b/core/engine/durations_test.go
@@ -144,3 +144,33 @@
 		})
 	}
 }
+
+// TestStoppedRunsAreLowerBounds guards against taking a run that was stopped for a short task, and
+// against learning from a run that never began.
+func TestStoppedRunsAreLowerBounds(t *testing.T) {
+	cases := map[string]struct {
+		reported bool
+		end      jobs.End
+		want     learn.Counts
+	}{
+		"stopped":        {true, jobs.EndStopped, learn.Counts{Censored: 1}},
+		"failed":         {true, jobs.EndFailed, learn.Counts{}},
+		"never reported": {false, jobs.EndStopped, learn.Counts{}},
+		"done":           {true, jobs.EndDone, learn.Counts{Ended: 1}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngine(t, Options{Durations: DurationsLearned}, testWorker("w1"))
+			e.apply(JobAccepted{Job: testJob("job", 1)})
+			s := commandsOfType[Start](e.runPass(0))[0]
+			if c.reported {
+				e.poll("w1", Report{Running: []ActiveRun{{Task: s.Task, Run: s.Run, Percent: 10}}})
+			}
+			e.now = e.now.Add(time.Second)
+			e.poll("w1", Report{Results: []RunResult{{Sequence: 1, Task: s.Task, Run: s.Run, End: c.end}}})
+			if got := e.learned.Counts(); got != c.want {
+				t.Errorf("counts %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
--- a/core/learn/codec.go
+++ b/core/learn/codec.go
@@ -105,7 +105,7 @@
 func (o *organization) encode(name string, elapsed time.Duration) encodedOrganization {
 	e := encodedOrganization{
 		Name: name, Center: float32(o.center), Kinds: encodeEffects(o.kinds[:]), Steps: encodeEffects(o.steps[:]),
-		Line: [5]float32{float32(o.line.weight), float32(o.meanX), float32(o.meanY), float32(o.varX), float32(o.covXY)},
+		Line: [5]float32{float32(o.line.weight), float32(o.line.meanX), float32(o.line.meanY), float32(o.line.varX), float32(o.line.covXY)},
 	}
 	scale := 0.0
 	if o.histogram.total > 0 {
@@ -197,8 +197,8 @@
 	}
 	o := &organization{center: float64(e.Center), stale: true}
 	o.line = line{float64(e.Line[0]), float64(e.Line[1]), float64(e.Line[2]), float64(e.Line[3]), float64(e.Line[4])}
-	valid := within(o.center, maxLog) && within(o.meanX, maxLog) && within(o.meanY, maxLog) && within(o.covXY, maxLog*maxLog) &&
-		o.varX >= 0 && within(o.varX, maxLog*maxLog) && o.line.weight >= 0 && within(o.line.weight, maxWeight)
+	valid := within(o.center, maxLog) && within(o.line.meanX, maxLog) && within(o.line.meanY, maxLog) && within(o.line.covXY, maxLog*maxLog) &&
+		o.line.varX >= 0 && within(o.line.varX, maxLog*maxLog) && o.line.weight >= 0 && within(o.line.weight, maxWeight)
 	o.histogram.increment = 1
 	for i, w := range e.Weights {
 		valid = valid && w >= 0 && within(float64(w), 2*maxWeight)
@@ -251,7 +251,7 @@
 	if other.line.weight > frame.line.weight {
 		frame, other = other, frame
 	}
-	frame.histogram.merge(&other.histogram, other.meanX-frame.line.at(other.meanX, true), 1)
+	frame.histogram.merge(&other.histogram, other.line.meanX-frame.line.at(other.line.meanX, true), 1)
 	for i := range frame.kinds {
 		frame.kinds[i] = stronger(frame.kinds[i], other.kinds[i])
 	}
--- a/core/learn/model.go
+++ b/core/learn/model.go
@@ -90,7 +90,7 @@
 
 // organization is what was learned about an organization in a queue.
 type organization struct {
-	line
+	line      line
 	histogram histogram
 	// center is the mean residual, from which effects are measured.
 	center float64
@@ -336,13 +336,13 @@
 	if !p.known {
 		share, p.known = 1, p.Weight > 0
 	}
-	offset := o.meanX + o.effects(s, kind, step)
+	offset := o.line.meanX + o.effects(s, kind, step)
 	if known {
-		slope := o.slope()
+		slope := o.line.slope()
 		if o.line.weight < minLineWeight && s.voters >= minVoters {
 			slope = s.slope
 		}
-		offset += slope * (x - o.meanX)
+		offset += slope * (x - o.line.meanX)
 	}
 	residuals := o.quantiles()
 	for i := range p.logs {
--- a/core/learn/shared.go
+++ b/core/learn/shared.go
@@ -63,22 +63,22 @@
 	for _, o := range voters {
 		w := min(o.line.weight, maxVoteWeight)
 		common.weight += w
-		common.meanX += w * o.meanX
-		common.meanY += w * o.meanY
+		common.meanX += w * o.line.meanX
+		common.meanY += w * o.line.meanY
 	}
 	if common.weight > 0 {
 		common.meanX /= common.weight
 		common.meanY /= common.weight
 		for _, o := range voters {
 			share := min(o.line.weight, maxVoteWeight) / common.weight
-			common.varX += share * (o.varX + (o.meanX-common.meanX)*(o.meanX-common.meanX))
-			common.covXY += share * (o.covXY + (o.meanX-common.meanX)*(o.meanY-common.meanY))
+			common.varX += share * (o.line.varX + (o.line.meanX-common.meanX)*(o.line.meanX-common.meanX))
+			common.covXY += share * (o.line.covXY + (o.line.meanX-common.meanX)*(o.line.meanY-common.meanY))
 		}
 	}
 	var h histogram
 	for _, o := range voters {
 		w := o.weight(elapsed)
-		h.merge(&o.histogram, o.meanX-common.at(o.meanX, true), min(w, maxVoteWeight)/o.histogram.weight())
+		h.merge(&o.histogram, o.line.meanX-common.at(o.line.meanX, true), min(w, maxVoteWeight)/o.histogram.weight())
 	}
 	if h.weight() < minLineWeight {
 		return shared{}
