--- a/model/play/scenario.go
+++ b/model/play/scenario.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"sigs.k8s.io/yaml"
+
+	"tanagerstack.org/core/engine"
 )
 
 // Scenario describes a fleet and the load on it.
@@ -22,6 +24,8 @@
 	Bursts []Burst `json:"bursts"`
 	// Losses remove workers without notice.
 	Losses []Loss `json:"losses"`
+	// Durations selects what the engine's predictions of durations rest on.
+	Durations engine.Durations `json:"durations"`
 }
 
 // Fleet describes the workers of a scenario.
@@ -145,6 +149,7 @@
 	require(s.VMs > 0, "vms: must be positive")
 	require(s.Workers.Count > 0 && s.Workers.PerRack > 0, "workers: count and per-rack must be positive")
 	require(len(s.Workers.Slowdowns) > 0 && len(s.Workers.Latencies) > 0, "workers: speeds and distances must not be empty")
+	require(s.Durations.Valid(), "durations: unknown value %q", s.Durations)
 	known := make(map[string]bool)
 	for _, q := range s.Queues {
 		require(!known[q.Name], "queues: name %q is not unique", q.Name)
--- a/model/play/simulation.go
+++ b/model/play/simulation.go
@@ -74,7 +74,7 @@
 		proxyFreeAt: make(map[string]time.Time), doneAt: make(map[jobs.ID]time.Time), started: make(map[jobs.ID]bool),
 		result: &Result{Queues: make(map[string]*QueueResult)},
 	}
-	c.engine = engine.New(engine.Options{Epoch: 1, LeaseTerm: leaseTerm, MaxLease: leaseTerm, StopTime: time.Duration(s.Workers.StopTime), Policy: policy})
+	c.engine = engine.New(engine.Options{Epoch: 1, LeaseTerm: leaseTerm, MaxLease: leaseTerm, StopTime: time.Duration(s.Workers.StopTime), Policy: policy, Durations: s.Durations})
 	config := &jobs.Config{Version: 1}
 	for i := range s.Queues {
 		config.Queues = append(config.Queues, s.Queues[i].settings())
@@ -97,11 +97,11 @@
 func (c *simulation) addWorkers() {
 	f := c.scenario.Workers
 	for i := range f.Count {
-		rack := fmt.Sprintf("rack-%d", i/f.PerRack)
+		rack, kind := fmt.Sprintf("rack-%d", i/f.PerRack), fmt.Sprintf("kind-%d", i%len(f.Slowdowns))
 		w := &worker{
 			sim: c, slowdown: f.Slowdowns[i%len(f.Slowdowns)], latency: time.Duration(f.Latencies[i%len(f.Latencies)]), running: make(map[jobs.TaskID]*run),
 			info: engine.Worker{
-				ID: fmt.Sprintf("worker-%03d", i), Service: service, Rack: rack, Labels: []string{rack}, StartedAt: startTime,
+				ID: fmt.Sprintf("worker-%03d", i), Service: service, Rack: rack, Labels: []string{kind, rack}, StartedAt: startTime,
 				Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 1),
 				Capacity: roster.Resources{Millicores: f.Millicores, MemoryBytes: f.MemoryBytes},
 			},
--- a/model/run.go
+++ b/model/run.go
@@ -37,6 +37,7 @@
 	firstSeed uint64
 	loads     []float64
 	policies  []string
+	durations string
 	gain      float64
 }
 
@@ -61,6 +62,7 @@
 	cmd.Flags().Uint64Var(&o.firstSeed, "first-seed", 1, "the first seed")
 	cmd.Flags().Float64SliceVar(&o.loads, "load", []float64{1}, "factors on the arrival rates of the scenario, each simulated on its own")
 	cmd.Flags().StringSliceVar(&o.policies, "policy", []string{"product", "naive"}, "policies to compare, of "+strings.Join(names, ", "))
+	cmd.Flags().StringVar(&o.durations, "durations", "", "what predicted durations rest on: estimates, learned or noise; by default what the scenario says")
 	cmd.Flags().Float64Var(&o.gain, "gain", 0, "fail unless the first policy earns at least this many times as much as the last one; 0 disables the check")
 	return cmd
 }
@@ -74,6 +76,12 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
+	if d := engine.Durations(o.durations); d != "" {
+		if !d.Valid() {
+			return fmt.Errorf("--durations: unknown value %q", o.durations)
+		}
+		scenario.Durations = d
+	}
 	for _, name := range o.policies {
 		if _, known := policies[name]; !known {
 			return fmt.Errorf("--policy: unknown policy %q", name)
