--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -28,7 +28,9 @@
 	stops, polls, adviceRequests *prometheus.CounterVec
 	// unreadable counts entries and rows of others that could not be decoded, by kind.
 	unreadable *prometheus.CounterVec
-	takeovers  prometheus.Counter
+	// learnedRows counts the rows of learned durations by what became of them.
+	learnedRows *prometheus.CounterVec
+	takeovers   prometheus.Counter
 	// keyChecks counts checks of callers' keys by outcome.
 	keyChecks *prometheus.CounterVec
 	// refusals counts jobs refused for the load by reason, and those that were not refused because
@@ -50,8 +52,9 @@
 		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "tanager", Name: "unreadable_entries_total", Help: "Entries and rows written by others that cannot be decoded and are left out.",
 		}, []string{"kind"}),
-		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "tanager", Name: "takeovers_total", Help: "Times that this VM became the leader."}),
-		keyChecks: newCounters("credential_checks_total", "Checks of callers' keys."),
+		learnedRows: newCounters("learned_rows_total", "Rows of learned durations that were read or written."),
+		takeovers:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: "tanager", Name: "takeovers_total", Help: "Times that this VM became the leader."}),
+		keyChecks:   newCounters("credential_checks_total", "Checks of callers' keys."),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "tanager", Name: "refused_jobs_total", Help: "Jobs refused for the load, by reason.",
 		}, []string{"reason"}),
@@ -61,7 +64,7 @@
 		advice: newHistogram("advice_seconds", "Time from a question to the adviser to its answer."),
 	}
 	m.registry.MustRegister(
-		m.submits, m.cancels, m.starts, m.stops, m.polls, m.adviceRequests, m.unreadable, m.takeovers, m.keyChecks, m.refusals,
+		m.submits, m.cancels, m.starts, m.stops, m.polls, m.adviceRequests, m.unreadable, m.learnedRows, m.takeovers, m.keyChecks, m.refusals,
 		m.submit, m.start, m.record, m.advice, nodeCollector{n},
 	)
 	m.registry.MustRegister(guardCollector{n.opts.Guard})
@@ -158,7 +161,7 @@
 func (c nodeCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, desc := range []*prometheus.Desc{
 		leadingDesc, epochDesc, configDesc, proofDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc, wasteDesc,
-		organizationUsageDesc, organizationCapDesc, organizationWaitingDesc,
+		organizationUsageDesc, organizationCapDesc, organizationWaitingDesc, predictionErrorDesc, predictionBiasDesc, observationsDesc,
 	} {
 		out <- desc
 	}
@@ -195,6 +198,7 @@
 	l.mu.Lock()
 	ends, pending, wasted := l.engine.Counters(), l.pendingLocked(), l.engine.WastedCoreSeconds()
 	organizations := l.engine.OrganizationUses(maxOrganizationMetrics)
+	l.collectDurations(out)
 	l.mu.Unlock()
 	collectOrganizations(out, organizations)
 	out <- prometheus.MustNewConstMetric(termDesc, prometheus.GaugeValue, l.confirmedBefore().Seconds())
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/guard"
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/meter"
@@ -71,6 +72,9 @@
 	RevokeWithin time.Duration
 	// Admission selects whether jobs are refused for the load.
 	Admission Admission
+	// Durations selects what predictions of durations rest on; the zero value means the callers'
+	// estimates.
+	Durations engine.Durations
 }
 
 // Node is one VM of a cell. It is safe for concurrent use.
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -76,6 +76,10 @@
 	charge charge
 	// waste is why the run was stopped.
 	waste WasteCause
+	// lowerBound is the age at which the run was observed last, or zero, and boundDueAt the time at
+	// which it is observed next unless it ends.
+	lowerBound time.Duration
+	boundDueAt time.Time
 }
 
 // confirmArrival records that the worker has or had the run.
