--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/guard"
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/meter"
@@ -69,6 +70,11 @@
 	// RevokeWithin is the time after which a key that a configuration removed no longer works on any
 	// VM, also on one that is cut off. Zero means that revocation is not strict.
 	RevokeWithin time.Duration
+	// Admission selects whether jobs are refused for the load.
+	Admission Admission
+	// Durations selects what predictions of durations rest on; the zero value means the callers'
+	// estimates.
+	Durations engine.Durations
 }
 
 // Node is one VM of a cell. It is safe for concurrent use.
@@ -94,6 +100,7 @@
 	// pending is the number of pending jobs by queue as last reported by the leader.
 	pending   map[string]int
 	pendingAt time.Time
+	admission admission
 	stopping  atomic.Bool
 }
 
--- a/core/cell/peer.go
+++ b/core/cell/peer.go
@@ -159,6 +159,7 @@
 			if counts := l.pending(); counts != nil {
 				n.setPending(counts)
 			}
+			n.admission.received(l.loadSnapshot(), time.Now())
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
@@ -178,6 +179,9 @@
 		if reply.Leading && reply.Pending != nil {
 			n.setPending(reply.Pending)
 		}
+		if reply.Leading {
+			n.admission.received(reply.Load, sent)
+		}
 	}
 }
 
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -369,9 +369,16 @@
 	j.state = state
 	e.markChanged(j)
 	j.finalRevision = j.revision
+	cause := WasteDuplicate
+	switch state {
+	case jobs.Canceled:
+		cause = WasteCanceled
+	case jobs.Failed:
+		cause = WasteFailed
+	}
 	for _, o := range j.open {
 		for _, s := range o.steps {
-			e.stopAll(now, s)
+			e.stopAll(now, s, cause)
 		}
 	}
 	j.open, j.openTasks = nil, 0
@@ -381,11 +388,11 @@
 	}
 }
 
-// stopAll stops the runs of a step's tasks.
-func (e *Engine) stopAll(now time.Time, s *step) {
+// stopAll stops the runs of a step's tasks for a cause.
+func (e *Engine) stopAll(now time.Time, s *step, cause WasteCause) {
 	for _, t := range s.tasks {
 		if t.run != nil && t.run.phase != stopping {
-			e.stop(now, t.run)
+			e.stopFor(now, t.run, cause)
 		}
 	}
 }
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -74,6 +74,12 @@
 	resumed bool
 	// charge is what the run adds to the usage of its organization.
 	charge charge
+	// waste is why the run was stopped.
+	waste WasteCause
+	// lowerBound is the age at which the run was observed last, or zero, and boundDueAt the time at
+	// which it is observed next unless it ends.
+	lowerBound time.Duration
+	boundDueAt time.Time
 }
 
 // confirmArrival records that the worker has or had the run.
@@ -132,7 +138,7 @@
 	}
 	if t == nil || t.done || t.step.job.final() || t.run != nil {
 		e.log("stopping unwanted run", "task", active.Task, "run", active.Run, "worker", w.ID, "known", t != nil)
-		e.stop(now, r)
+		e.stopFor(now, r, WasteDuplicate)
 		return r
 	}
 	e.assignRun(r, t)
@@ -163,7 +169,7 @@
 			continue
 		}
 		if r.phase == unanswered && sent.After(r.phaseSince) && !r.sentBeforeRestart {
-			e.stop(now, r)
+			e.stopFor(now, r, WasteDuplicate)
 			continue
 		}
 		end, why := r.provedEnd(sent)
--- a/model/play/organization.go
+++ b/model/play/organization.go
@@ -3,14 +3,30 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
-	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/orgs"
 	"tanagerstack.org/core/roster"
 )
 
+// Organizations describes who submits the jobs of a scenario: either Count organizations whose sizes
+// follow from Skew, or those of List.
+type Organizations struct {
+	Count int `json:"count"`
+	// Skew makes their sizes uneven: the k-th largest submits a share of the jobs that is
+	// proportional to k to the power of -Skew.
+	Skew float64 `json:"skew"`
+	// WeightFactor is the weight of an organization relative to the jobs per second that it usually
+	// submits.
+	WeightFactor float64 `json:"weight-factor"`
+	// List states the organizations one by one.
+	List []Organization `json:"list"`
+	// Surges are times in which one of them sends more.
+	Surges []Surge `json:"surges"`
+}
+
 // Organization is an organization that submits jobs to all queues.
 type Organization struct {
 	Name   string  `json:"name"`
@@ -22,119 +38,145 @@
 	LoadShare float64 `json:"load-share"`
 }
 
-// OrganizationBurst adds jobs of one organization in all queues, up to Factor times its usual load,
-// from At for the duration For. The jobs of the others stay the same.
-type OrganizationBurst struct {
-	Organization string   `json:"organization"`
+// Surge multiplies the rate of the organization with the given place, in List or in the order of size,
+// from 0, by Factor, from At for the duration For.
+type Surge struct {
+	Organization int      `json:"organization"`
 	At           Duration `json:"at"`
 	For          Duration `json:"for"`
 	Factor       float64  `json:"times"`
 }
 
-// Streams of random numbers that do not depend on each other. Those of the queues begin at 0.
-const (
-	organizationStream = 1 << 16
-	burstStream        = 1 << 17
-)
-
-// directory returns the organizations as the engine is configured with them, or nil if there are none.
-func (s *Scenario) directory() (*orgs.Directory, error) {
-	if len(s.Organizations) == 0 {
-		return nil, nil
-	}
-	list := make([]orgs.Organization, 0, len(s.Organizations))
-	for _, o := range s.Organizations {
-		list = append(list, orgs.Organization{Name: o.Name, Weight: o.Weight, Cap: roster.Resources{Millicores: o.CapMillicores, MemoryBytes: o.CapMemoryBytes}})
-	}
-	return orgs.NewDirectory(list)
-}
-
-// validateOrganizations returns the faults of the organizations and their bursts.
-func (s *Scenario) validateOrganizations() error {
-	_, err := s.directory()
+func (o *Organizations) validate(s *Scenario) error {
+	_, err := o.directory(s)
 	errs := []error{err}
-	known := make(map[string]bool)
-	for _, o := range s.Organizations {
-		known[o.Name] = true
-		if !(o.LoadShare >= 0) {
-			errs = append(errs, fmt.Errorf("organization %q: load-share must not be negative", o.Name))
+	if (o.Count > 0) == (len(o.List) > 0) || o.Count < 0 || o.WeightFactor < 0 {
+		errs = append(errs, errors.New("organizations: either count must be positive or list not empty, weight-factor not negative"))
+	}
+	for _, entry := range o.List {
+		if !(entry.LoadShare >= 0) {
+			errs = append(errs, fmt.Errorf("organization %q: load-share must not be negative", entry.Name))
 		}
 	}
-	for _, b := range s.OrganizationBursts {
-		if !known[b.Organization] || b.Factor < 1 {
-			errs = append(errs, fmt.Errorf("organization-bursts: organization %q must exist, and times be at least 1", b.Organization))
+	for _, surge := range o.Surges {
+		if surge.Organization < 0 || surge.Organization >= o.size() || surge.Factor < 1 {
+			errs = append(errs, fmt.Errorf("organizations: surge of organization %d by %g", surge.Organization, surge.Factor))
 		}
 	}
 	return errors.Join(errs...)
 }
 
-// assignOrganizations gives each job an organization at random, by LoadShare.
-func (s *Scenario) assignOrganizations(list []*simJob, seed uint64) {
-	total := 0.0
-	for _, o := range s.Organizations {
-		total += o.LoadShare
+// organizationName returns the name of the organization with a place in the order of size.
+func organizationName(place int) string { return fmt.Sprintf("org-%02d", place) }
+
+// size returns the number of organizations.
+func (o *Organizations) size() int {
+	if len(o.List) > 0 {
+		return len(o.List)
 	}
-	r := rand.New(rand.NewPCG(seed, organizationStream))
-	for _, p := range list {
-		at := total * r.Float64()
-		for _, o := range s.Organizations {
-			p.Organization = o.Name
-			if at -= o.LoadShare; at < 0 {
-				break
-			}
-		}
+	return o.Count
+}
+
+// name returns the name of the organization with a place.
+func (o *Organizations) name(place int) string {
+	if len(o.List) > 0 {
+		return o.List[place].Name
 	}
+	return organizationName(place)
 }
 
-// drawOrganizationBursts returns the additional jobs of all bursts of organizations.
-func (s *Scenario) drawOrganizationBursts(seed uint64, load float64) []*simJob {
-	total, shares := 0.0, make(map[string]float64)
-	for _, o := range s.Organizations {
-		total += o.LoadShare
-		shares[o.Name] = o.LoadShare
+// loadShare returns the part of the jobs of an organization, relative to the others.
+func (o *Organizations) loadShare(place int) float64 {
+	if len(o.List) > 0 {
+		return o.List[place].LoadShare
 	}
-	var list []*simJob
-	for i, b := range s.OrganizationBursts {
-		r := rand.New(rand.NewPCG(seed, burstStream+uint64(i)))
-		for k := range s.Queues {
-			q := &s.Queues[k]
-			rate := load * q.PerSecond * shares[b.Organization] / total * (b.Factor - 1)
-			if rate <= 0 {
-				continue
-			}
-			for at := time.Duration(b.At); ; {
-				at += seconds(r.ExpFloat64() / rate)
-				if at >= time.Duration(b.At+b.For) {
-					break
-				}
-				p := q.draw(r, jobs.ID(fmt.Sprintf("burst-%d-%s-%d", i, q.Name, len(list))), at)
-				p.Organization = b.Organization
-				list = append(list, p)
+	return math.Pow(float64(place+1), -o.Skew)
+}
+
+// share returns the usual share of the jobs of an organization.
+func (o *Organizations) share(place int) float64 {
+	sum := 0.0
+	for k := range o.size() {
+		sum += o.loadShare(k)
+	}
+	return o.loadShare(place) / sum
+}
+
+// surgeAt returns the surge of a time, with factor 1 if there is none.
+func (o *Organizations) surgeAt(at time.Duration) Surge {
+	if o != nil {
+		for _, s := range o.Surges {
+			if at >= time.Duration(s.At) && at < time.Duration(s.At+s.For) {
+				return s
 			}
 		}
 	}
-	return list
+	return Surge{Factor: 1}
 }
 
-// OrganizationResult holds the result for the jobs of one organization.
-type OrganizationResult struct {
-	Jobs, OnTime       int
-	Earned, Attainable float64
+// surgeFactor returns the factor by which a surge raises the rate of all jobs together.
+func (o *Organizations) surgeFactor(at time.Duration) float64 {
+	s := o.surgeAt(at)
+	if s.Factor == 1 {
+		return 1
+	}
+	return 1 + o.share(s.Organization)*(s.Factor-1)
 }
 
-// Share returns the earned part of the attainable value.
-func (o *OrganizationResult) Share() float64 { return o.Earned / o.Attainable }
+// draw returns the organization of a job that arrives at the given offset.
+func (o *Organizations) draw(r *rand.Rand, at time.Duration) string {
+	surge := o.surgeAt(at)
+	x := r.Float64() * o.surgeFactor(at)
+	for place := range o.size() {
+		share := o.share(place)
+		if place == surge.Organization {
+			share *= surge.Factor
+		}
+		if x -= share; x < 0 {
+			return o.name(place)
+		}
+	}
+	return o.name(0)
+}
 
-// addToOrganization adds a job to the result of its organization, with the value that it earned.
-func (t *Result) addToOrganization(p *simJob, earned float64, onTime bool) {
-	o := t.Organizations[p.Organization]
+// directory returns the organizations as the engine is configured with them, or nil if there are none.
+func (o *Organizations) directory(s *Scenario) (*orgs.Directory, error) {
 	if o == nil {
-		return
+		return nil, nil
+	}
+	rate := 0.0
+	for i := range s.Queues {
+		rate += s.Queues[i].PerSecond
 	}
-	o.Jobs++
-	o.Attainable += p.value
-	o.Earned += earned
-	if onTime {
-		o.OnTime++
+	list := make([]orgs.Organization, 0, o.size())
+	for place := range o.Count {
+		list = append(list, orgs.Organization{Name: o.name(place), Weight: o.WeightFactor * rate * o.share(place)})
+	}
+	for _, entry := range o.List {
+		list = append(list, orgs.Organization{
+			Name: entry.Name, Weight: entry.Weight, Cap: roster.Resources{Millicores: entry.CapMillicores, MemoryBytes: entry.CapMemoryBytes},
+		})
+	}
+	return orgs.NewDirectory(list)
+}
+
+// extrasStream is the stream of random numbers for what older scenarios lack, so that their jobs stay
+// the same for the same seed.
+const extrasStream = 1 << 40
+
+// drawExtras draws the organizations, checkpoints and cancellations of the jobs.
+func (s *Scenario) drawExtras(seed uint64, list []*simJob) {
+	r := rand.New(rand.NewPCG(seed, extrasStream))
+	for _, p := range list {
+		if s.Organizations != nil {
+			p.Organization = s.Organizations.draw(r, p.arrivalOffset)
+		}
+		saves := r.Float64() < p.queue.CheckpointShare
+		for i := range p.Steps {
+			p.Steps[i].SavesCheckpoints = saves
+		}
+		if r.Float64() < p.queue.CancelShare {
+			p.canceledAfter = time.Duration(r.Float64() * float64(p.objective))
+		}
 	}
 }
--- a/model/play/simulation.go
+++ b/model/play/simulation.go
@@ -32,10 +32,17 @@
 // Simulate runs the jobs drawn from a seed under a policy. Load multiplies the arrival rates of the
 // scenario. The result is deterministic, except for LongestPass.
 func Simulate(s *Scenario, policy engine.Policy, seed uint64, load float64) *Result {
-	c := newSimulation(s, policy, seed)
+	return newSimulation(s, policy, seed).simulate(seed, load)
+}
+
+func (c *simulation) simulate(seed uint64, load float64) *Result {
+	s := c.scenario
 	for _, p := range s.draw(seed, load) {
 		c.jobs[p.ID] = p
 		c.after(p.arrivalOffset, func() { c.submit(p) })
+		if p.canceledAfter > 0 {
+			c.after(p.arrivalOffset+p.canceledAfter+storeLatency, func() { c.apply(engine.JobCanceled{ID: p.ID}) })
+		}
 	}
 	for _, loss := range s.Losses {
 		c.after(time.Duration(loss.At), func() { c.removeWorkers(loss.Share) })
@@ -65,6 +72,8 @@
 	result      *Result
 	nextPassAt  time.Time
 	passPending bool
+	// door decides about submissions; nil accepts all.
+	door *door
 }
 
 func newSimulation(s *Scenario, policy engine.Policy, seed uint64) *simulation {
@@ -72,17 +81,14 @@
 		scenario: s, rand: rand.New(rand.NewPCG(seed, 1<<32)), now: startTime,
 		byID: make(map[string]*worker), jobs: make(map[jobs.ID]*simJob), tickets: make(map[ticketKey]time.Time),
 		proxyFreeAt: make(map[string]time.Time), doneAt: make(map[jobs.ID]time.Time), started: make(map[jobs.ID]bool),
-		result: &Result{Queues: make(map[string]*QueueResult), Organizations: make(map[string]*OrganizationResult)},
+		result: newResult(),
 	}
-	c.engine = engine.New(engine.Options{Epoch: 1, LeaseTerm: leaseTerm, MaxLease: leaseTerm, StopTime: time.Duration(s.Workers.StopTime), Policy: policy})
-	directory, err := s.directory()
+	c.engine = engine.New(engine.Options{Epoch: 1, LeaseTerm: leaseTerm, MaxLease: leaseTerm, StopTime: time.Duration(s.Workers.StopTime), Policy: policy, Durations: s.Durations})
+	directory, err := s.Organizations.directory(s)
 	if err != nil {
 		panic(err) // ParseScenario validates the organizations
 	}
 	config := &jobs.Config{Version: 1, Organizations: directory}
-	for _, o := range s.Organizations {
-		c.result.Organizations[o.Name] = &OrganizationResult{}
-	}
 	for i := range s.Queues {
 		config.Queues = append(config.Queues, s.Queues[i].settings())
 		c.result.Queues[s.Queues[i].Name] = &QueueResult{}
@@ -104,11 +110,11 @@
 func (c *simulation) addWorkers() {
 	f := c.scenario.Workers
 	for i := range f.Count {
-		rack := fmt.Sprintf("rack-%d", i/f.PerRack)
+		rack, kind := fmt.Sprintf("rack-%d", i/f.PerRack), fmt.Sprintf("kind-%d", i%len(f.Slowdowns))
 		w := &worker{
 			sim: c, slowdown: f.Slowdowns[i%len(f.Slowdowns)], latency: time.Duration(f.Latencies[i%len(f.Latencies)]), running: make(map[jobs.TaskID]*run),
 			info: engine.Worker{
-				ID: fmt.Sprintf("worker-%03d", i), Service: service, Rack: rack, Labels: []string{rack}, StartedAt: startTime,
+				ID: fmt.Sprintf("worker-%03d", i), Service: service, Rack: rack, Labels: []string{kind, rack}, StartedAt: startTime,
 				Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 1),
 				Capacity: roster.Resources{Millicores: f.Millicores, MemoryBytes: f.MemoryBytes},
 			},
@@ -147,8 +153,11 @@
 	c.now = end
 }
 
-// submit records the job's arrival and gives it to the engine once it is stored.
+// submit records the job's arrival and, unless it is refused, gives it to the engine once it is stored.
 func (c *simulation) submit(p *simJob) {
+	if !c.admit(p) {
+		return
+	}
 	p.ArrivedAt = c.now
 	c.after(storeLatency, func() { c.apply(engine.JobAccepted{Job: p.Job}) })
 }
@@ -280,10 +289,11 @@
 		p := c.jobs[id]
 		var elapsed time.Duration
 		if at := c.doneAt[id]; !at.IsZero() {
-			elapsed = at.Sub(p.ArrivedAt)
+			elapsed = at.Sub(startTime.Add(p.arrivalOffset))
 		}
 		c.result.addJob(p, elapsed)
 	}
+	c.result.LostCoreSeconds = c.lostCoreSeconds()
 	c.result.CapacityCoreSeconds = float64(c.scenario.Workers.Count) * float64(c.scenario.Workers.Millicores) / 1000 * time.Duration(c.scenario.ArrivalPeriod).Seconds()
 	return c.result
 }
