Keep the rows of canceled jobs until runs of earlier leaders are resolved

A leader closed a canceled or failed job of an organization, that is, replaced its row by a short one without steps, although runs of an earlier leader might be left on a worker that it had not polled. The same happened to a job with known runs while one version of the configuration lacked the organization. The next leader did not know what these runs take, and started up to the whole cap beside them: in the test 4 tasks under a cap of 4, with 3 that may run on a lost worker.

The row is now kept until no such run can be left. It is also replaced if a later leader loads the job. In a cell without organizations nothing changes.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -222,7 +222,7 @@
 	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
 	for _, id := range ids {
 		e.counters.Records++
-		e.emit(e.changedJobs[id].record())
+		e.emit(e.record(e.changedJobs[id]))
 		delete(e.changedJobs, id)
 	}
 	commands := e.commands
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -36,7 +36,7 @@
 	finalRevision int
 	// organization is the organization that the job belongs to, or nil. runs counts the runs of the job
 	// that are charged to it.
-	// unclosed is set if the final state was recorded while there were such runs.
+	// unclosed is set if the final state is recorded but the job's row could not be replaced yet.
 	organization *organization
 	runs         int
 	unclosed     bool
@@ -185,6 +185,7 @@
 	j.restoreProgress(ev.Progress, e.opts.unsafe)
 	j.openDue(now)
 	if j.organization != nil && inherited && j.state != jobs.Done {
+		j.unclosed = j.final() && e.config != nil && e.config.Organizations != nil
 		e.inheritedJobs = append(e.inheritedJobs, j)
 	}
 	e.log("job loaded", "job", ev.Job.ID, "queue", ev.Job.Queue.Name, "steps", len(ev.Job.Steps),
--- a/core/engine/organization.go
+++ b/core/engine/organization.go
@@ -112,16 +112,29 @@
 	}
 	j := e.jobs[r.task.Job]
 	j.runs--
-	if j.unclosed && j.mayClose() {
-		j.unclosed = false
-		e.markChanged(j)
-	}
+	e.closeLater(j)
 }
 
 // mayClose reports whether the job is final and its stored row may be replaced by a short one. The
-// next leader needs the requests of runs whose end is not proved.
-func (j *job) mayClose() bool {
-	return j.final() && (j.runs == 0 || j.organization.entry == nil)
+// next leader needs the requests of runs whose end is not proved, those of earlier leaders included. An
+// organization that the configuration lacks may be back in the next version.
+func (e *Engine) mayClose(j *job) bool {
+	switch {
+	case !j.final():
+		return false
+	case j.organization == nil, e.config != nil && e.config.Organizations == nil:
+		return true
+	default:
+		return j.runs == 0 && (j.state == jobs.Done || e.previousRunsResolved(j))
+	}
+}
+
+// closeLater records a final job again whose row could not be replaced when its state was recorded.
+func (e *Engine) closeLater(j *job) {
+	if j.unclosed && e.mayClose(j) {
+		j.unclosed = false
+		e.markChanged(j)
+	}
 }
 
 // updateOrganizations marks new jobs that are excess, and updates what may run of earlier leaders.
@@ -131,6 +144,9 @@
 		o.earlier = roster.Resources{}
 	}
 	if len(e.previousWorkers) == 0 {
+		for _, j := range e.inheritedJobs {
+			e.closeLater(j)
+		}
 		if now.After(e.opts.PreviousActiveUntil) {
 			e.inheritedJobs = nil // no worker is added to previousWorkers any more
 		}
@@ -150,6 +166,8 @@
 	for _, j := range e.inheritedJobs {
 		if anyJob || listed[j.ID] {
 			j.addUnknownRuns(now, &j.organization.earlier)
+		} else {
+			e.closeLater(j)
 		}
 	}
 }
--- a/core/engine/organization_test.go
+++ b/core/engine/organization_test.go
@@ -219,6 +219,50 @@
 	}
 }
 
+// TestJobIsClosedAfterEarlierRuns guards against starts above the cap after two takeovers: if the second
+// leader closed a canceled job that may have runs of the first one, the third would not know what they take.
+func TestJobIsClosedAfterEarlierRuns(t *testing.T) {
+	for name, limits := range map[string][]orgs.Organization{
+		"listed": {{Name: "north", Weight: 10, Cap: capOf(4)}},
+		"left out of one version of the configuration": {{Name: "south"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			opts := Options{
+				Epoch: 2, PreviousRoster: Roster{Workers: []string{"lost"}, Lost: map[string][]jobs.ID{"lost": {"job"}}},
+				PreviousActiveUntil: testStart.Add(time.Second), PreviousLeasesUntil: testStart.Add(10 * time.Second),
+			}
+			second := newTestEngine(t, opts)
+			second.setOrganizations(t, limits...)
+			second.apply(JobAccepted{Job: orgJob("job", 3), Inherited: true})
+			records := commandsOfType[Record](second.apply(JobCanceled{ID: "job"}))
+			if len(records) != 1 {
+				t.Fatalf("records %v, want one", records)
+			}
+			stored := orgJob("job", 3)
+			if records[0].Closed != nil {
+				stored = *records[0].Closed
+			}
+
+			opts.Epoch, opts.PreviousRoster.Workers = 3, []string{"lost", "w1"}
+			third := newCapTest(t, opts, capOf(4))
+			third.apply(JobAccepted{Job: stored, Progress: records[0].Progress, Inherited: true})
+			third.apply(JobAccepted{Job: orgJob("window", 4), Inherited: true})
+			if got := third.startsIn(third.runPass(0)); got != 1 {
+				t.Errorf("%d tasks started, want 1 beside the 3 of the canceled job that may run on the lost worker", got)
+			}
+
+			for leader, e := range map[string]*testEngine{"second": second, "third": third} {
+				e.now = testStart.Add(11 * time.Second)
+				e.confirm()
+				records = slices.DeleteFunc(commandsOfType[Record](append(e.apply(Tick{}), e.runPass(0)...)), func(r Record) bool { return r.ID.Job != "job" })
+				if len(records) != 1 || records[0].Closed == nil {
+					t.Errorf("the %s leader's records %v after the leases have expired, want one that closes the job", leader, records)
+				}
+			}
+		})
+	}
+}
+
 // TestOrganizationsNeedConfiguration guards against changed decisions in a cell whose configuration has
 // no organizations: the same simulations with and without organizations of jobs must take the same
 // course.
--- a/core/engine/progress.go
+++ b/core/engine/progress.go
@@ -36,7 +36,7 @@
 }
 
 // record returns the command that stores the job's progress.
-func (j *job) record() Record {
+func (e *Engine) record(j *job) Record {
 	p := jobs.Progress{State: j.state, Started: j.started}
 	if !j.final() {
 		p.Done = slices.Clone(j.done)
@@ -49,7 +49,7 @@
 		}
 	}
 	record := Record{ID: ProgressID{Job: j.ID, Revision: j.revision}, Progress: p}
-	if j.mayClose() {
+	if e.mayClose(j) {
 		closed := j.closed()
 		record.Closed = &closed
 	}
