Let a key shared with an unreadable organization work for nobody

An entry of tenants with a field of another type was left out together with its keys, so that a key that it shares with a sound entry worked for the latter. The rule for the other faulty entries (a key of two organizations works for neither) now holds for these as well: the keys that could be decoded are passed on with the reason why the entry could not.

--- a/core/orgs/directory.go
+++ b/core/orgs/directory.go
@@ -40,11 +40,16 @@
 	// Cap limits what the organization may have running on all workers together. An amount of zero
 	// means no limit.
 	Cap roster.Resources
+	// Fault is why the entry could not be decoded, or nil. Such an entry is faulty; its name and keys
+	// are those that could be decoded.
+	Fault error
 }
 
 // validate returns an error if a field is out of range.
 func (o *Organization) validate() error {
 	switch {
+	case o.Fault != nil:
+		return fmt.Errorf("%w: %w", ErrInvalid, o.Fault)
 	case o.Name == "":
 		return fmt.Errorf("%w: no name", ErrInvalid)
 	case !(o.Weight >= 0) || math.IsInf(o.Weight, 0):
