--- a/core/cell/proof_test.go
+++ b/core/cell/proof_test.go
@@ -283,7 +283,7 @@
 				}
 				return began.Sub(removed) > 2*bound && errors.Is(last, c.want)
 			})
-			if c.want != ErrConfigUnproved {
+			if !errors.Is(c.want, ErrConfigUnproved) {
 				return
 			}
 			if err := vm.check("other"); !errors.Is(err, ErrConfigUnproved) {
