--- a/core/learn/doc.go
+++ b/core/learn/doc.go
@@ -8,10 +8,10 @@
 //	logarithm of the duration = line(estimate) + effect(worker kind) + effect(step) + residual
 //
 // For each organization in a queue there is a line, effects, and a histogram of the residuals. What a
-// queue's organizations have in common is the median over the organizations, one vote each, so that
-// neither many tasks nor extreme values of one organization move it. An organization of which little
-// is known falls back to that and, if too few organizations vote, to the estimate. Older observations
-// have less weight.
+// queue's organizations have in common is pooled from all that are no outliers, each with a limited
+// weight, so that neither many tasks nor extreme values of one organization move it far. An
+// organization of which little is known falls back to that and, if too few organizations are known,
+// to the estimate. Older observations have less weight.
 //
 // A Model has no clock and starts no goroutine. It is not safe for concurrent use.
 package learn
