--- a/model/play/admission_test.go
+++ b/model/play/admission_test.go
@@ -89,6 +89,7 @@
 // TestRefusalsKeepValue guards against refusals that cost callers value: all that are refused would have earned nothing,
 // or are excess. The tolerance is what single gangs make.
 func TestRefusalsKeepValue(t *testing.T) {
+	t.Parallel()
 	testOverload(t, func(t *testing.T, refusing, naive admissionTotals) {
 		if refusing.earned < 0.95*naive.earned {
 			t.Errorf("earned %.1f, want at least 0.95 times the %.1f without refusals", refusing.earned, naive.earned)
@@ -99,6 +100,7 @@
 // TestRefusalsSpareVainWaits guards against callers that are accepted and get nothing: refusals must not leave more of them
 // than there are without.
 func TestRefusalsSpareVainWaits(t *testing.T) {
+	t.Parallel()
 	testOverload(t, func(t *testing.T, refusing, naive admissionTotals) {
 		if refusing.vain > naive.vain {
 			t.Errorf("%d jobs waited in vain, want at most the %d without refusals", refusing.vain, naive.vain)
--- a/model/play/durations_test.go
+++ b/model/play/durations_test.go
@@ -45,6 +45,7 @@
 // estimates, or no better than noise, under the loads of both customers at 1.4 times their rates, in sums
 // over seeds. Settings that are equally good differ by up to 1% in such sums.
 func TestLearnedDurationsServeCallers(t *testing.T) {
+	t.Parallel()
 	const seeds, scale, overload = 2, 0.3, 1.4
 	earned := make(map[engine.Durations]float64)
 	for _, name := range []string{"counter", "campsite"} {
--- a/model/play/organization_test.go
+++ b/model/play/organization_test.go
@@ -75,6 +75,7 @@
 // costs them without excess and shares. It guards against excess that takes the capacity that the
 // gangs of others wait for.
 func TestFloodLeavesOthersUnaffected(t *testing.T) {
+	t.Parallel()
 	const seeds = 6
 	s := ordersScenario(t)
 	s.Bursts = []Burst{{Queue: "urgent", At: Duration(9 * time.Second), For: Duration(4 * time.Second), Factor: 1.7}}
@@ -93,6 +94,7 @@
 // TestIdleSharesAreLent guards against capacity that is kept free for organizations that need none: an
 // organization that is alone earns as much with seven times its usual load as without excess and shares.
 func TestIdleSharesAreLent(t *testing.T) {
+	t.Parallel()
 	s := ordersScenario(t)
 	for i := range s.Organizations.List[1:] {
 		s.Organizations.List[i+1].LoadShare = 0
--- a/model/play/play_test.go
+++ b/model/play/play_test.go
@@ -57,6 +57,7 @@
 // their rate for six seconds, more than the workers can run. In deadline order each job starts when
 // it has just become too late. The product's order must earn at least a tenth more.
 func TestOrderServesBurst(t *testing.T) {
+	t.Parallel()
 	scenario := loadScenario(t, "booking", 0.3)
 	scenario.ArrivalPeriod = Duration(20 * time.Second)
 	scenario.Bursts = []Burst{{Queue: "slot-hold", At: Duration(8 * time.Second), For: Duration(6 * time.Second), Factor: 8}}
@@ -72,6 +73,7 @@
 // each scheduling decision than without it. It compares sums over the eight seeds, since they
 // are too few to compare one by one.
 func TestDecisionsServeGangs(t *testing.T) {
+	t.Parallel()
 	scenario := loadScenario(t, "inspection", 0.4)
 	earned := func(policy engine.Policy) float64 { return earnedByQueue(scenario, policy, "sonar-sweep", 8) }
 	withAll := earned(engine.Policy{})
