Doubtful crashes count less before a task is given up

A start was sent to a worker that had lost contact before; it was never answered, and after the lease the worker counted as crashed under the task. With a second worker that had crashed before its start arrived and one real crash the job failed, although one worker had crashed under it and users accept it after two.

A crash is now doubtful if the worker never told that it had the run and nothing but its lease says that it crashed. A task is given up after three crashes without the doubtful ones, or five in all, as users accept two more starts after three. The progress row holds the mark; earlier builds ignore it.

A start without an answer on a worker that provably restarted still counts in full, as TestDeadlyTaskIsGivenUp asks for. Two of these and one real crash still fail a job, so the check can still fail, more rarely.

--- a/core/engine/crash.go
+++ b/core/engine/crash.go
@@ -12,14 +12,17 @@
 // and the count is stored before the task starts again. The exception is the first worker that is
 // lost without proof of a crash, since the store may be away as well. A task under which several
 // workers have crashed starts only on a worker without other work. If that one crashes as well, it
-// is not due to a neighbor, and the task is given up.
+// is not due to a neighbor, and the task is given up. Doubtful crashes count less: the worker was lost
+// without proof and never told that it had the run, so the start may not have reached it.
 
 const (
 	// crashesToIsolate is the number of crashed workers from which on a task starts only on a
 	// worker without other work.
 	crashesToIsolate = 2
-	// maxCrashes is the number of crashed workers from which on a task is given up.
-	maxCrashes = 3
+	// maxCrashes is the number of crashed workers, without doubtful crashes, from which on a task is
+	// given up, and maxDoubtfulCrashes the number with them. Users accept two starts after maxCrashes.
+	maxCrashes         = 3
+	maxDoubtfulCrashes = maxCrashes + 2
 	// maxKeptShare is the maximum share of the open workers that are kept for isolated tasks.
 	maxKeptShare = 0.25
 	// serviceProbation is the age from which on a run of a service is no suspect. Services run for
@@ -63,7 +66,7 @@
 		r.worker.presumedCrashes = append(r.worker.presumedCrashes, r.runKey)
 	}
 	t.avoid = append(t.avoid, r.worker.ID)
-	if !s.addCrash(t, r.number) {
+	if !s.addCrash(t, r.number, !r.arrived && r.crash != provedCrash) {
 		return
 	}
 	e.counters.Crashes++
@@ -73,8 +76,8 @@
 		counted.heldUntil = j.revision
 	}
 	e.log("worker crashed under task", "task", r.task, "run", r.number, "worker", r.worker.ID, "proved", r.crash == provedCrash,
-		"crashes", counted.crashes, "isolated", r.worker.keptFor != nil && r.worker.keptFor.step == s, "age", r.worker.lastSeen.Sub(r.startSentAt))
-	if counted.crashes >= maxCrashes {
+		"arrived", r.arrived, "crashes", counted.crashes, "isolated", r.worker.keptFor != nil && r.worker.keptFor.step == s, "age", r.worker.lastSeen.Sub(r.startSentAt))
+	if s.crashesWorkers(counted) {
 		e.counters.GivenUp++
 		e.log("job fails because its task crashes workers", "job", j.ID, "task", r.task, "crashes", counted.crashes, "runs", s.crashes)
 		e.finalize(now, j, jobs.Failed)
@@ -110,15 +113,32 @@
 // later leader would not know of it.
 func (t *task) held() bool { return t.heldUntil > t.step.job.committed }
 
-// addCrash records a run whose worker crashed, and reports whether it was new. A run of a gang counts
-// once, however many workers crash under it.
-func (s *step) addCrash(t *task, number int) bool {
+// crashesWorkers reports whether so many workers crashed under a task that it is given up.
+func (s *step) crashesWorkers(counted *task) bool {
+	doubtful := 0
+	for _, crash := range s.crashes {
+		if crash.Task == counted.id.Index && crash.Doubtful {
+			doubtful++
+		}
+	}
+	return counted.crashes-doubtful >= maxCrashes || counted.crashes >= maxDoubtfulCrashes
+}
+
+// indexOfCrash returns the position of a run in the recorded crashes, or -1.
+func (s *step) indexOfCrash(counted *task, number int) int {
+	return slices.IndexFunc(s.crashes, func(c jobs.Failure) bool { return c.Task == counted.id.Index && c.Run == number })
+}
+
+// addCrash records a run whose worker crashed, and reports whether that changed the record. A run of a
+// gang counts once, however many workers crash under it, and is doubtful if all of these crashes are.
+func (s *step) addCrash(t *task, number int, doubtful bool) bool {
 	counted := t.counted()
-	crash := jobs.Failure{Task: counted.id.Index, Run: number}
-	if slices.Contains(s.crashes, crash) {
-		return false
+	if i := s.indexOfCrash(counted, number); i >= 0 {
+		cleared := s.crashes[i].Doubtful && !doubtful
+		s.crashes[i].Doubtful = s.crashes[i].Doubtful && doubtful
+		return cleared
 	}
-	s.crashes = append(s.crashes, crash)
+	s.crashes = append(s.crashes, jobs.Failure{Task: counted.id.Index, Run: number, Doubtful: doubtful})
 	s.lastRun = max(s.lastRun, number)
 	counted.crashes++
 	return true
@@ -127,7 +147,7 @@
 // removeCrash takes back a crash and reports whether it was recorded.
 func (s *step) removeCrash(t *task, number int) bool {
 	counted := t.counted()
-	i := slices.Index(s.crashes, jobs.Failure{Task: counted.id.Index, Run: number})
+	i := s.indexOfCrash(counted, number)
 	if i < 0 {
 		return false
 	}
--- a/core/engine/crash_test.go
+++ b/core/engine/crash_test.go
@@ -227,6 +227,49 @@
 	}
 }
 
+// TestDoubtfulCrashCountsLess guards against giving up a task because its starts were sent to workers
+// that had been lost before.
+func TestDoubtfulCrashCountsLess(t *testing.T) {
+	e := newCrashTest(t, "w1", "w2", "w3")
+	e.apply(JobAccepted{Job: testJob("job", 1)})
+	first := startOf(t, "job", e.idle())
+	e.apply(StartAnswered{Worker: first.Worker, Task: first.Task, Run: first.Run, Outcome: StartUnknown})
+	var recorded jobs.Progress
+	failed := false
+	note := func(commands []Command) {
+		for _, r := range commandsOfType[Record](commands) {
+			recorded, failed = r.Progress, failed || r.Progress.State == jobs.Failed
+		}
+		e.commit(commands)
+	}
+	for e.Counters().Crashes == 0 {
+		e.confirm()
+		e.now = e.now.Add(100 * time.Millisecond)
+		for _, id := range e.Workers() {
+			if id != first.Worker {
+				e.report(id, Report{})
+			}
+		}
+		note(e.apply(Tick{}))
+	}
+	if crashes := recorded.Steps[0].Crashes; len(crashes) != 1 || !crashes[0].Doubtful {
+		t.Fatalf("recorded crashes %+v, want a doubtful one", crashes)
+	}
+	starts := 0
+	for range 60 {
+		list := e.idle()
+		if len(list) == 0 {
+			continue
+		}
+		starts++
+		e.accept(list)
+		note(e.restart(list[0].Worker))
+	}
+	if starts != maxCrashes || !failed {
+		t.Errorf("%d more starts, failed %t, want %d and true", starts, failed, maxCrashes)
+	}
+}
+
 // TestLostWorkerIsNoCrashOnceItAnswers guards against giving up a sound task because its workers were
 // cut off again and again and ran on.
 func TestLostWorkerIsNoCrashOnceItAnswers(t *testing.T) {
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -311,7 +311,7 @@
 				break
 			}
 			if crash.Task >= 0 && crash.Task < len(s.tasks) {
-				s.addCrash(s.tasks[crash.Task], crash.Run)
+				s.addCrash(s.tasks[crash.Task], crash.Run, crash.Doubtful)
 			}
 		}
 		j.closeIfDone(o)
--- a/core/engine/run.go
+++ b/core/engine/run.go
@@ -54,6 +54,8 @@
 	stopSentAt  time.Time
 	// stopConfirmedAt is the time at which the worker confirmed a stop, or zero.
 	stopConfirmedAt time.Time
+	// arrived is set once the worker has told that it has or had the run.
+	arrived bool
 	// listed is set if a report of the worker's current incarnation has listed the run.
 	listed bool
 	// missingSince is the time of the first of the reports in a row that lack the run, or zero.
@@ -84,7 +86,7 @@
 
 // confirmArrival records that the worker has or had the run.
 func (r *run) confirmArrival() {
-	r.sentBeforeRestart, r.crash = false, noCrash
+	r.arrived, r.sentBeforeRestart, r.crash = true, false, noCrash
 	if r.owner != nil {
 		r.owner.step.job.started = true
 	}
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -42,6 +42,9 @@
 type Failure struct {
 	Task int `cbor:"1,keyasint"`
 	Run  int `cbor:"2,keyasint"`
+	// Doubtful is set for a crash if the worker never told that it had the run, and was lost without proof
+	// of a crash. Earlier builds ignore it.
+	Doubtful bool `cbor:"3,keyasint,omitempty"`
 }
 
 // OccurrenceSet is a set of occurrences, as ranges in ascending order that neither overlap nor
