Keep a suspect connection open while the peer waits for answers on it

Both ends send messages on a connection. An end that gets no packets for a while marks it as suspect and closed it when its own last call on it ended, although it was still handling messages of the other end. Their answers were lost.

Calls and messages being handled now both count as uses, and suspect connections are closed by the sweeper once they are unused.

--- a/core/peer/connection.go
+++ b/core/peer/connection.go
@@ -24,7 +24,10 @@
 	// forces a ping before the next message.
 	lastActive atomic.Int64
 	suspect    atomic.Bool
-	calls      atomic.Int64
+	// uses counts the calls of this node, and the peer's messages that it handles. releasedAt is when
+	// the last of them ended, in Unix nanoseconds.
+	uses       atomic.Int64
+	releasedAt atomic.Int64
 
 	mu sync.Mutex
 	// acceptedCount is the number of the peer's messages that this node has started to handle.
@@ -70,7 +73,7 @@
 			continue
 		}
 		c.markActive()
-		go (&incomingExchange{node: c.node, from: c.peer, stream: stream}).run(ctx)
+		go (&incomingExchange{connection: c, stream: stream}).run(ctx)
 	}
 }
 
@@ -84,6 +87,7 @@
 		return false
 	}
 	c.acceptedCount = int64(stream.StreamID())/streamIDStep + 1
+	c.uses.Add(1)
 	return true
 }
 
@@ -151,12 +155,16 @@
 	}
 }
 
-// release ends the use of the connection by a call. A suspect connection is closed when its last
-// call ends.
+// release ends the use of the connection by a call, or by a message of the peer.
 func (c *connection) release() {
-	if c.calls.Add(-1) == 0 && c.suspect.Load() {
-		c.close("replaced")
-	}
+	c.releasedAt.Store(time.Now().UnixNano())
+	c.uses.Add(-1)
+}
+
+// unusedFor reports whether neither end has used the connection for a time. An answer that was written
+// at the last use has been sent by then.
+func (c *connection) unusedFor(d time.Duration) bool {
+	return c.uses.Load() == 0 && time.Since(time.Unix(0, c.releasedAt.Load())) > d && c.idleTime() > d
 }
 
 func (c *connection) packetsReceived() uint64 { return c.conn.ConnectionStats().PacketsReceived }
@@ -167,8 +175,9 @@
 	return stats.BytesSent + stats.BytesReceived
 }
 
-// sweeper closes connections that this node opened and that are no longer used, such as one of
-// two that both ends opened at the same time.
+// sweeper closes connections that are no longer used, if this node opened them, such as one of two that
+// both ends opened at the same time, or if they are suspect. The peer may still get answers on a suspect
+// connection, so it is not closed while it is used.
 type sweeper struct{ node *Node }
 
 func (s *sweeper) loop(ctx context.Context) {
@@ -186,7 +195,7 @@
 
 func (s *sweeper) sweep() {
 	for _, c := range s.node.openConnections() {
-		if c.transport != nil && c.calls.Load() == 0 && c.idleTime() > unusedTimeout {
+		if (c.transport != nil || c.suspect.Load()) && c.unusedFor(unusedTimeout) {
 			c.close("unused")
 		}
 	}
--- a/core/peer/failure_test.go
+++ b/core/peer/failure_test.go
@@ -152,6 +152,60 @@
 	}
 }
 
+// TestSuspectConnectionServesItsPeer guards against closing a connection that looks dead to one end while
+// the other end waits for answers on it, which would lose them.
+func TestSuspectConnectionServesItsPeer(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	mux := NewMux()
+	arrived, finish := make(chan struct{}), make(chan struct{})
+	Handle(mux, func(_ context.Context, _ Identity, message note) (note, error) {
+		close(arrived)
+		<-finish
+		return message, nil
+	})
+	a, addressOfA := f.node("a", mux)
+	b, addressOfB := f.node("b", echoMux())
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	answered := make(chan error, 1)
+	caller := &caller{node: b, to: addressOfA, message: note{Text: "slow"}, answered: answered}
+	go caller.run(ctx)
+	<-arrived
+	l, err := a.linkTo(addressOfB)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.connect(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if dials := a.Stats().Dials.Load(); dials != 0 {
+		t.Fatalf("%d dials: the ends use two connections", dials)
+	}
+	c.markSuspect()
+	c.release()
+	if _, err := Call[note](ctx, a, addressOfB, note{Text: "x"}); err != nil {
+		t.Errorf("call after the connection became suspect: %v", err)
+	}
+	close(finish)
+	if err := <-answered; err != nil {
+		t.Errorf("the peer's call on the suspect connection: %v", err)
+	}
+}
+
+// caller makes one call and reports its error.
+type caller struct {
+	node     *Node
+	to       Address
+	message  note
+	answered chan<- error
+}
+
+func (c *caller) run(ctx context.Context) {
+	_, err := Call[note](ctx, c.node, c.to, c.message)
+	c.answered <- err
+}
+
 // TestLongHandler checks that a connection does not become suspect while the handler of a message
 // takes longer than IdleTimeout.
 func TestLongHandler(t *testing.T) {
--- a/core/peer/link.go
+++ b/core/peer/link.go
@@ -55,7 +55,7 @@
 	}
 	if l.current.usable() {
 		defer l.mu.Unlock()
-		l.current.calls.Add(1)
+		l.current.uses.Add(1)
 		return l.current, nil
 	}
 	if l.dialing == nil {
@@ -72,7 +72,7 @@
 	if pending.err != nil {
 		return nil, pending.err
 	}
-	pending.result.calls.Add(1)
+	pending.result.uses.Add(1)
 	return pending.result, nil
 }
 
--- a/core/peer/serve.go
+++ b/core/peer/serve.go
@@ -51,17 +51,18 @@
 
 // incomingExchange handles one message of a peer and sends its answer.
 type incomingExchange struct {
-	node   *Node
-	from   Identity
-	stream *quic.Stream
+	connection *connection
+	stream     *quic.Stream
 	// room is what the exchange has taken of the byte budget.
 	room *guard.Stream
 }
 
 func (x *incomingExchange) run(ctx context.Context) {
-	defer x.node.serving.Done()
+	node := x.connection.node
+	defer node.serving.Done()
+	defer x.connection.release()
 	var err error
-	if x.room, err = x.node.opts.Port.OpenStream(exchangeCost, x); err != nil {
+	if x.room, err = node.opts.Port.OpenStream(exchangeCost, x); err != nil {
 		_ = x.Close()
 		return
 	}
@@ -76,9 +77,9 @@
 		x.stream.CancelWrite(0)
 		return
 	}
-	data, err := x.node.codec.encode(answer)
+	data, err := node.codec.encode(answer)
 	if err != nil {
-		data, _ = x.node.codec.encode(errorReply(err))
+		data, _ = node.codec.encode(errorReply(err))
 	}
 	if err := x.stream.SetWriteDeadline(time.Now().Add(CallTimeout)); err != nil {
 		x.stream.CancelWrite(0)
@@ -122,7 +123,7 @@
 	if err := x.room.Complete(); err != nil {
 		return reply{}, err
 	}
-	message, err := decode[envelope](x.node.codec, data)
+	message, err := decode[envelope](x.connection.node.codec, data)
 	if err != nil {
 		return reply{Code: CodeMalformed, Detail: err.Error()}, nil
 	}
@@ -134,8 +135,9 @@
 	// The stream's context ends when the caller gives up or the connection ends.
 	stop := context.AfterFunc(x.stream.Context(), cancel)
 	defer stop()
-	x.node.stats.Handled.Add(1)
-	return x.node.opts.Mux.dispatch(ctx, x.node.codec, x.from, message), nil
+	node := x.connection.node
+	node.stats.Handled.Add(1)
+	return node.opts.Mux.dispatch(ctx, node.codec, x.connection.peer, message), nil
 }
 
 // readAll reads a stream to its end. The error is a *SizeError if it exceeds MaxMessageBytes.
