Shorten the search for workers in a scheduling pass

The adviser's verdicts of a step are kept as bit sets by worker number, the tickets beside the permitted workers, and a gang skips workers that a bound computed once per pass and priority shows to be too full. The search for a proxy sorts no queues and ends at the first idle proxy.

--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -60,11 +60,10 @@
 
 // stepAdvice is the adviser's answers for a step, and the requests that are outstanding.
 type stepAdvice struct {
-	// verdicts holds whether the adviser permits the step on a worker, for all workers that were
-	// asked about. A verdict never changes. permittedWorkers holds those that are permitted.
-	verdicts         map[*worker]bool
-	permittedWorkers []*worker
-	tickets          map[*worker]cachedTicket
+	// asked holds the workers that the adviser has answered about, and permitted those of them on
+	// which it permits the step. permittedWorkers holds the latter with their newest tickets.
+	asked, permitted workerSet
+	permittedWorkers []permittedWorker
 	// lastTicketExpiry is the time at which the newest tickets expire.
 	lastTicketExpiry time.Time
 	// expectedUse is the processor capacity that the outstanding requests are expected to use.
@@ -76,6 +75,12 @@
 	retryAfter  time.Time
 }
 
+// permittedWorker is a worker that the adviser permits for a step, with the newest ticket for it.
+type permittedWorker struct {
+	*worker
+	ticket cachedTicket
+}
+
 // workerUse is an expected use of processor capacity on a worker.
 type workerUse struct {
 	worker     *worker
@@ -95,8 +100,28 @@
 // usable reports whether the ticket is valid long enough for a start.
 func (t cachedTicket) usable(now time.Time) bool { return now.Add(ticketMargin).Before(t.validUntil) }
 
-// hasTicketFor reports whether a ticket for a worker is valid long enough for a start.
-func (a *stepAdvice) hasTicketFor(now time.Time, w *worker) bool { return a.tickets[w].usable(now) }
+// ticketFor returns the newest ticket for a worker, which is empty if there is none.
+func (a *stepAdvice) ticketFor(w *worker) cachedTicket {
+	if i := a.indexOfPermitted(w); i >= 0 {
+		return a.permittedWorkers[i].ticket
+	}
+	return cachedTicket{}
+}
+
+// setTicket replaces the ticket for a permitted worker.
+func (a *stepAdvice) setTicket(w *worker, ticket cachedTicket) {
+	if i := a.indexOfPermitted(w); i >= 0 {
+		a.permittedWorkers[i].ticket = ticket
+	}
+}
+
+// indexOfPermitted returns the index of a worker in permittedWorkers, or -1.
+func (a *stepAdvice) indexOfPermitted(w *worker) int {
+	if !a.permitted.has(w) {
+		return -1
+	}
+	return slices.IndexFunc(a.permittedWorkers, func(other permittedWorker) bool { return other.worker == w })
+}
 
 // hasTicket reports whether any ticket is valid long enough for a start.
 func (a *stepAdvice) hasTicket(now time.Time) bool {
@@ -187,10 +212,13 @@
 // if they suffice, otherwise workers to evict work from, otherwise workers that were not asked
 // about yet.
 func (e *Engine) adviceCandidates(p *pass, s *step, missing int) []candidate {
-	a := &s.advice
+	if s.reservation != nil {
+		return nil // not all of the reserved capacity is free yet
+	}
 	var permitted []candidate
-	for _, w := range a.permittedWorkers {
-		if !p.isOpen(w) || !s.mayRunOn(w) || a.hasTicketFor(p.now, w) {
+	for i := range s.advice.permittedWorkers {
+		w, ticket := s.advice.permittedWorkers[i].worker, &s.advice.permittedWorkers[i].ticket
+		if ticket.usable(p.now) || !p.isOpen(w) || w.free().Millicores < s.demand().Millicores || !s.mayRunOn(w) {
 			continue
 		}
 		if fits := s.fits(w, missing); fits > 0 {
@@ -201,9 +229,6 @@
 	if !s.Gang {
 		needed = 1
 	}
-	if s.reservation != nil {
-		return nil // not all of the reserved capacity is free yet
-	}
 	if len(permitted) > 0 && totalFits(permitted)+totalFits(e.candidates(p.withoutDedicated(), s, missing)) >= needed {
 		return mostFree(permitted, capacityMargin*float64(missing), 1, len(permitted))
 	}
@@ -239,7 +264,7 @@
 	lead := advice.RequestTime + advice.RequestTime/2 + adviceAheadMargin
 	for _, predecessor := range s.After {
 		b := s.occ.steps[predecessor]
-		if b.tasksLeft > 0 && (len(b.waiting()) > 0 || e.remainingStepTime(now, b) > lead) {
+		if b.tasksLeft > 0 && (b.hasWaiting() || e.remainingStepTime(now, b) > lead) {
 			return false
 		}
 	}
@@ -262,15 +287,16 @@
 	list := make([]candidate, 0, minWorkersPerRequest)
 	var busy []*worker
 	total := 0.0
+	demand := s.demand().Millicores
 	for _, entry := range p.workersByFree() {
-		w := entry.worker
 		if len(list) >= limit || len(list) >= minWorkersPerRequest && total >= wanted {
 			return list
 		}
-		if entry.millicores < s.demand().Millicores && len(list)+len(busy) >= minWorkersPerRequest {
+		if entry.millicores < demand && len(list)+len(busy) >= minWorkersPerRequest {
 			break // the workers after it have no more free capacity
 		}
-		if !s.mayRequest(p, w) {
+		w := entry.worker
+		if s.advice.asked.hasNumber(entry.number) || !s.mayRequest(p, w) {
 			continue
 		}
 		expectedFits := ledger.FitCount(s.demand(), w.expectedFree(), missing)
@@ -297,8 +323,7 @@
 
 // mayRequest reports whether a worker can be named in a step's first request.
 func (s *step) mayRequest(p *pass, w *worker) bool {
-	_, asked := s.advice.verdicts[w]
-	return !asked && !p.dedicatedToOther(w, s) && s.mayRunOn(w)
+	return !s.advice.asked.has(w) && !p.dedicatedToOther(w, s) && s.mayRunOn(w)
 }
 
 // unaskedForGang returns workers for a gang, which needs all its capacity at once: asking again
@@ -313,18 +338,27 @@
 	share := e.estimatedPermittedShare(s)
 	free, withEvictions := 0.0, 0.0
 	var list []candidate
-	for _, entry := range p.workersByFree() {
+	demand := s.demand().Millicores
+	p.resetBounds(s)
+	for i, entry := range p.workersByFree() {
+		if i == len(p.bounds) {
+			p.bounds = append(p.bounds, e.mostWithEvictions(p, s, entry.worker))
+		}
+		if p.bounds[i] < demand || s.advice.asked.hasNumber(entry.number) {
+			continue
+		}
 		w := entry.worker
+		fits := ledger.FitCount(s.demand(), e.capacityWithEvictions(p, s, w), missing)
+		if fits == 0 || !s.mayRequest(p, w) {
+			continue
+		}
+		list = append(list, candidate{worker: w, free: w.freeFor(s), fits: fits})
+		free += float64(ledger.FitCount(s.demand(), w.expectedFree(), missing))
+		withEvictions += float64(fits)
 		enough := free >= gangCapacityMargin*float64(missing)/share || withEvictions >= gangEvictionMargin*float64(missing)/share
 		if len(list) >= limit || len(list) >= minWorkersPerRequest && enough {
 			break
 		}
-		fits := ledger.FitCount(s.demand(), e.capacityWithEvictions(p, s, w), missing)
-		if fits > 0 && s.mayRequest(p, w) {
-			list = append(list, candidate{worker: w, free: w.freeFor(s), fits: fits})
-			free += float64(ledger.FitCount(s.demand(), w.expectedFree(), missing))
-			withEvictions += float64(fits)
-		}
 	}
 	return list
 }
@@ -386,26 +420,28 @@
 // applyAdvice stores the verdicts and tickets of an answer. It returns the number of workers that
 // the step had no verdict on before, and how many of them are permitted.
 func (e *Engine) applyAdvice(now time.Time, a *stepAdvice, ev AdviceAnswered) (permitted, judged int) {
-	if a.verdicts == nil {
-		a.verdicts, a.tickets = make(map[*worker]bool), make(map[*worker]cachedTicket)
-	}
-	judgedBefore, permittedBefore := len(a.verdicts), len(a.permittedWorkers)
+	permittedBefore := len(a.permittedWorkers)
 	for _, ticket := range ev.Tickets {
 		w := e.workers[ticket.Worker]
 		if w == nil {
 			continue
 		}
-		if !a.verdicts[w] {
-			a.verdicts[w] = true
-			a.permittedWorkers = append(a.permittedWorkers, w)
+		if !a.asked.has(w) {
+			a.asked.add(w)
+			judged++
+		}
+		if !a.permitted.has(w) {
+			a.permitted.add(w)
+			a.permittedWorkers = append(a.permittedWorkers, permittedWorker{worker: w})
 		}
 		a.lastTicketExpiry = now.Add(ev.Valid)
-		a.tickets[w] = cachedTicket{value: ticket.Value, validUntil: a.lastTicketExpiry}
+		a.setTicket(w, cachedTicket{value: ticket.Value, validUntil: a.lastTicketExpiry})
 	}
 	for _, id := range ev.Workers {
-		if w := e.workers[id]; w != nil && !a.verdicts[w] {
-			a.verdicts[w] = false
+		if w := e.workers[id]; w != nil && !a.asked.has(w) {
+			a.asked.add(w)
+			judged++
 		}
 	}
-	return len(a.permittedWorkers) - permittedBefore, len(a.verdicts) - judgedBefore
+	return len(a.permittedWorkers) - permittedBefore, judged
 }
--- a/core/engine/advice_proxy.go
+++ b/core/engine/advice_proxy.go
@@ -93,26 +93,33 @@
 // queue with slower requests, unless the wait there exceeds its own RequestTime. A quick request
 // is thus never queued behind a slow one.
 func (e *Engine) proxyFor(now time.Time, q jobs.Queue) *adviceProxy {
-	queues := e.queuesWithAdvice(q)
-	position := slices.IndexFunc(queues, func(other jobs.Queue) bool { return other.Name == q.Name })
+	position, queues := e.proxyPosition(q)
 	ownCount := max(1, int(ownProxyShare*float64(len(e.adviceProxies))))
+	first := 0
+	if len(e.adviceProxies) > queues {
+		first = min(position*ownCount, len(e.adviceProxies)) // those before it belong to quicker queues
+	}
 	var best *adviceProxy
-	for i, p := range e.adviceProxies {
-		ownerPosition := len(queues)
-		if len(e.adviceProxies) > len(queues) {
-			ownerPosition = min(i/ownCount, len(queues))
+	var bestWait time.Duration
+	for i, p := range e.adviceProxies[first:] {
+		ownerPosition := queues
+		if len(e.adviceProxies) > queues {
+			ownerPosition = min((first+i)/ownCount, queues)
+		}
+		limit := 1
+		if ownerPosition == position {
+			limit = maxRequestsPerProxy
 		}
-		limit := maxRequestsPerProxy
-		switch {
-		case ownerPosition < position:
+		if p.pending >= limit {
 			continue
-		case ownerPosition > position && proxyWait(p, now) > q.Advice.RequestTime:
+		}
+		wait := proxyWait(p, now)
+		if ownerPosition > position && wait > q.Advice.RequestTime || best != nil && wait >= bestWait {
 			continue
-		case ownerPosition != position:
-			limit = 1
 		}
-		if p.pending < limit && (best == nil || proxyWait(p, now) < proxyWait(best, now)) {
-			best = p
+		best, bestWait = p, wait
+		if wait == 0 {
+			break
 		}
 	}
 	return best
@@ -120,19 +127,35 @@
 
 func proxyWait(p *adviceProxy, now time.Time) time.Duration { return max(0, p.freeAt.Sub(now)) }
 
-// queuesWithAdvice returns the queues with advice, the quickest first. It includes q even if the
-// configuration no longer has it.
-func (e *Engine) queuesWithAdvice(q jobs.Queue) []jobs.Queue {
-	list := []jobs.Queue{q}
-	if e.config != nil {
-		for _, other := range e.config.Queues {
-			if other.Advice != nil && other.Name != q.Name {
-				list = append(list, other)
-			}
+// proxyPosition returns the position of a queue among the queues with advice, of which the quickest is
+// the first, and their number. The queue counts even if the configuration no longer has it.
+func (e *Engine) proxyPosition(q jobs.Queue) (position, count int) {
+	count = 1
+	for _, other := range e.advisedQueues {
+		if other.name == q.Name {
+			continue
+		}
+		count++
+		if cmp.Or(cmp.Compare(other.requestTime, q.Advice.RequestTime), cmp.Compare(other.name, q.Name)) < 0 {
+			position++
+		}
+	}
+	return position, count
+}
+
+// advisedQueue is a queue with advice of the configuration in force.
+type advisedQueue struct {
+	name        string
+	requestTime time.Duration
+}
+
+// advisedQueues returns the queues with advice of a configuration.
+func advisedQueues(config *jobs.Config) []advisedQueue {
+	var list []advisedQueue
+	for i := range config.Queues {
+		if q := &config.Queues[i]; q.Advice != nil {
+			list = append(list, advisedQueue{name: q.Name, requestTime: q.Advice.RequestTime})
 		}
 	}
-	slices.SortFunc(list, func(a, b jobs.Queue) int {
-		return cmp.Or(cmp.Compare(a.Advice.RequestTime, b.Advice.RequestTime), cmp.Compare(a.Name, b.Name))
-	})
 	return list
 }
--- a/core/engine/crash.go
+++ b/core/engine/crash.go
@@ -229,7 +229,7 @@
 	var best *worker
 	var bestIn time.Duration
 	for _, w := range p.open {
-		if w.keptFor != nil || p.dedicated[w] != nil || !s.mayRunOn(w) || s.job.Queue.Advice != nil && !s.advice.verdicts[w] {
+		if w.keptFor != nil || p.dedicated[w] != nil || !s.mayRunOn(w) || s.job.Queue.Advice != nil && !s.advice.permitted.has(w) {
 			continue
 		}
 		in, possible := e.vacantIn(p.now, w, s)
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -84,7 +84,9 @@
 	workers map[string]*worker
 	// sortedWorkers holds the workers sorted by ID.
 	sortedWorkers []*worker
-	jobs          map[jobs.ID]*job
+	// nextWorkerNumber is the number of the next new worker.
+	nextWorkerNumber int
+	jobs             map[jobs.ID]*job
 	// active holds the jobs without a final state, in the order in which they arrived.
 	active []*job
 	// previousWorkers holds the workers that may still execute runs of previous leaders, with the
@@ -96,6 +98,8 @@
 	orphanedRuns    map[jobs.ID][]orphanedRun
 	stats           map[string]*queueStats
 	adviceProxies   []*adviceProxy
+	// advisedQueues holds the queues with advice of the configuration.
+	advisedQueues []advisedQueue
 	// reservingSteps holds the steps with reserved capacity.
 	reservingSteps []*step
 	// roster is the last recorded roster.
@@ -252,7 +256,7 @@
 	if e.config != nil && ev.Config.Version <= e.config.Version {
 		return
 	}
-	e.config = ev.Config
+	e.config, e.advisedQueues = ev.Config, advisedQueues(ev.Config)
 	e.organizationsChanged()
 	e.selectDurations()
 }
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -151,9 +151,9 @@
 	return false
 }
 
-// waiting returns the tasks that are neither done nor have a run, and may start.
-func (s *step) waiting() []*task {
-	var list []*task
+// waiting returns the tasks that are neither done nor have a run, and may start. It appends them to
+// an empty list.
+func (s *step) waiting(list []*task) []*task {
 	for _, t := range s.tasks {
 		if !t.done && t.run == nil && !t.held() {
 			list = append(list, t)
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -50,6 +50,12 @@
 	// byFree holds the open workers with the most free capacity first, as of the first advice
 	// request of the pass.
 	byFree []freeWorker
+	// bounds holds the results of mostWithEvictions for steps of boundsPriority and the first workers
+	// of byFree. Gangs look through all workers of a full fleet, most of which have too little.
+	bounds         []int64
+	boundsPriority int
+	// tasks is the space for the waiting tasks of the step that is being scheduled.
+	tasks []*task
 }
 
 // withoutDedicated returns a copy of the pass without dedicated workers.
@@ -67,7 +73,8 @@
 // freeWorker is a worker with its expected free processor capacity at the first advice request of
 // a pass. That capacity only shrinks during a pass.
 type freeWorker struct {
-	*worker
+	worker     *worker
+	number     int
 	millicores int64
 }
 
@@ -76,15 +83,25 @@
 	if p.byFree == nil {
 		p.byFree = make([]freeWorker, 0, len(p.open))
 		for _, w := range p.open {
-			p.byFree = append(p.byFree, freeWorker{w, w.expectedFree().Millicores})
+			p.byFree = append(p.byFree, freeWorker{w, w.number, w.expectedFree().Millicores})
 		}
 		slices.SortFunc(p.byFree, func(a, b freeWorker) int {
-			return cmp.Or(cmp.Compare(b.millicores, a.millicores), cmp.Compare(a.ID, b.ID))
+			if a.millicores != b.millicores {
+				return cmp.Compare(b.millicores, a.millicores)
+			}
+			return cmp.Compare(a.worker.ID, b.worker.ID)
 		})
 	}
 	return p.byFree
 }
 
+// resetBounds drops the bounds of steps of another priority than that of s.
+func (p *pass) resetBounds(s *step) {
+	if priority := s.job.Queue.Priority; p.boundsPriority != priority {
+		p.bounds, p.boundsPriority = p.bounds[:0], priority
+	}
+}
+
 // scheduleStep starts at most limit tasks of a step, and requests advice if there are more.
 func (e *Engine) scheduleStep(p *pass, s *step, limit int) {
 	if p.now.Before(s.retryAt) {
@@ -92,7 +109,8 @@
 		e.noteWait(p.now, s.job, s.job.wait.reason)
 		return
 	}
-	tasks := s.waiting()
+	p.tasks = s.waiting(p.tasks[:0])
+	tasks := p.tasks
 	if len(tasks) == 0 {
 		return
 	}
@@ -182,7 +200,7 @@
 	}
 	var list []candidate
 	for _, w := range p.open {
-		if !s.mayRunOn(w) || advised && !s.advice.verdicts[w] {
+		if !s.mayRunOn(w) || advised && !s.advice.permitted.has(w) {
 			continue
 		}
 		list = append(list, candidate{worker: w, free: w.free(), fits: ledger.FitCount(s.demand(), w.Capacity, missing)})
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -40,9 +40,9 @@
 			consider(w)
 		}
 	}
-	for w, ticket := range s.advice.tickets {
-		if p.isOpen(w) && ticket.usable(now) {
-			consider(w)
+	for i := range s.advice.permittedWorkers {
+		if permitted := &s.advice.permittedWorkers[i]; permitted.ticket.usable(now) && p.isOpen(permitted.worker) {
+			consider(permitted.worker)
 		}
 	}
 	e.rankKinds(s, list)
--- a/core/engine/preempt.go
+++ b/core/engine/preempt.go
@@ -54,7 +54,8 @@
 	horizon := max(e.opts.StopTime, advice.RequestTime+time.Duration(min(len(s.advice.permittedWorkers), maxWorkersPerRequest))*advice.PerWorkerTime)
 	var options []eviction
 	fitsWithout := 0
-	for _, w := range s.advice.permittedWorkers {
+	for i := range s.advice.permittedWorkers {
+		w := s.advice.permittedWorkers[i].worker
 		if !p.isOpen(w) || p.dedicatedToOther(w, s) || !s.mayRunOn(w) {
 			continue
 		}
@@ -73,7 +74,7 @@
 		list = append(list, o.candidate)
 	}
 	e.reserveCapacity(s, list, p.now.Add(horizon))
-	return slices.DeleteFunc(list, func(c candidate) bool { return s.advice.hasTicketFor(p.now.Add(horizon), c.worker) })
+	return slices.DeleteFunc(list, func(c candidate) bool { return s.advice.ticketFor(c.worker).usable(p.now.Add(horizon)) })
 }
 
 // mayEvictFor reports whether work can be stopped for a step now.
@@ -144,6 +145,15 @@
 	return ledger.Sum(free, e.evictableCapacity(p, s, w))
 }
 
+// mostWithEvictions returns a bound on the processor capacity that capacityWithEvictions returns for a
+// worker for the rest of the pass: work that starts only lowers what is free.
+func (e *Engine) mostWithEvictions(p *pass, s *step, w *worker) int64 {
+	if e.opts.Policy.NoPreemption {
+		return w.free().Millicores
+	}
+	return w.free().Millicores + e.evictableCapacity(p, s, w).Millicores
+}
+
 // evictableCapacity returns the capacity used by runs that are stopping or can be stopped for
 // steps of the priority of s. It is computed once per pass and priority.
 func (e *Engine) evictableCapacity(p *pass, s *step, w *worker) roster.Resources {
@@ -152,6 +162,9 @@
 		return cached.capacity
 	}
 	*cached = evictableCapacity{pass: p.number, priority: s.job.Queue.Priority}
+	if len(w.runs) == 0 {
+		return cached.capacity
+	}
 	for _, r := range w.runs {
 		if r.phase == stopping || r.owner != nil && e.evictable(p.now, s, r) {
 			cached.capacity = ledger.Sum(cached.capacity, r.demand)
--- a/core/engine/rank.go
+++ b/core/engine/rank.go
@@ -76,7 +76,7 @@
 		}
 	}
 	if !e.opts.Policy.ArrivalOrder {
-		slices.SortStableFunc(list, compareSteps)
+		slices.SortFunc(list, compareSteps)
 	}
 	return list
 }
@@ -110,11 +110,18 @@
 	return a.job.deadline.Compare(b.job.deadline)
 }
 
+// compareSteps gives a total order: no two steps compare as equal.
 func compareSteps(a, b *step) int {
+	if a.class != b.class {
+		return cmp.Compare(a.class, b.class)
+	}
+	if a.job.Queue.Priority != b.job.Queue.Priority {
+		return cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority)
+	}
+	if c := compareChances(a, b); c != 0 {
+		return c
+	}
 	return cmp.Or(
-		cmp.Compare(a.class, b.class),
-		cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
-		compareChances(a, b),
 		cmp.Compare(a.job.ID, b.job.ID),
 		cmp.Compare(a.id.Occurrence, b.id.Occurrence),
 		cmp.Compare(a.id.Step, b.id.Step),
--- a/core/engine/start.go
+++ b/core/engine/start.go
@@ -25,7 +25,7 @@
 	e.chargeRun(r)
 	t.run = r
 	e.counters.Starts++
-	ticket := s.advice.tickets[w].value
+	ticket := s.advice.ticketFor(w).value
 	checkpoint := t.checkpoint
 	if s.Gang {
 		checkpoint = s.gangCheckpoint()
@@ -118,7 +118,7 @@
 	case StartInvalidTicket:
 		e.counters.InvalidTicket++
 		if t != nil {
-			delete(t.step.advice.tickets, w)
+			t.step.advice.setTicket(w, cachedTicket{})
 		}
 	case StartNoCapacity:
 		e.counters.NoCapacity++
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -36,6 +36,8 @@
 // worker is a worker with everything that may run on it.
 type worker struct {
 	Worker
+	// number identifies the worker in a workerSet. No two workers of an engine have the same one.
+	number     int
 	listed     bool
 	unlistedAt time.Time
 	// entryStartedAt is the incarnation that the last directory entry names. StartedAt is the one
@@ -87,6 +89,21 @@
 	unknownDemandRuns int
 }
 
+// workerSet is a set of workers, as a bit for the number of each. Steps keep sets of workers for as
+// long as their job, and passes look each worker up for each step.
+type workerSet []uint64
+
+func (s workerSet) has(w *worker) bool { return s.hasNumber(w.number) }
+
+func (s workerSet) hasNumber(n int) bool { return n/64 < len(s) && s[n/64]>>(n%64)&1 != 0 }
+
+func (s *workerSet) add(w *worker) {
+	if missing := w.number/64 + 1 - len(*s); missing > 0 {
+		*s = append(*s, make([]uint64, missing)...)
+	}
+	(*s)[w.number/64] |= 1 << (w.number % 64)
+}
+
 func (w *worker) destination() Destination {
 	return Destination{Worker: w.ID, Address: w.Address, Zone: w.Zone}
 }
@@ -191,7 +208,8 @@
 func (e *Engine) workerListed(now time.Time, entry Worker) {
 	w, known := e.workers[entry.ID]
 	if !known {
-		w = &worker{Worker: entry, listed: true, entryStartedAt: entry.StartedAt, runs: make(map[runKey]*run)}
+		w = &worker{Worker: entry, number: e.nextWorkerNumber, listed: true, entryStartedAt: entry.StartedAt, runs: make(map[runKey]*run)}
+		e.nextWorkerNumber++
 		e.workers[entry.ID] = w
 		e.sortedWorkers = append(e.sortedWorkers, w)
 		slices.SortFunc(e.sortedWorkers, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
