Process a step once in a scheduling pass

A step that found too little capacity within the fair share of its organization was processed again with all of its tasks, and counted twice among the steps of its queue that wait with tickets. Only steps that the share alone limits come again.

--- a/core/engine/advice_test.go
+++ b/core/engine/advice_test.go
@@ -10,6 +10,8 @@
 
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/ledger"
+	"tanagerstack.org/core/orgs"
+	"tanagerstack.org/core/roster"
 )
 
 // TestWorkerSet guards against a verdict that counts for another worker.
@@ -216,3 +218,56 @@
 	}
 	return ids
 }
+
+// TestStepCountsOncePerPass guards against steps that count twice among those that wait with tickets, so
+// that half as many of them keep the others of their queue from requesting advice.
+func TestStepCountsOncePerPass(t *testing.T) {
+	for name, c := range map[string]struct{ ticketed, want int }{
+		"one too few": {maxTicketedSteps - 1, 1},
+		"enough":      {maxTicketedSteps, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEngine(t, Options{}, testWorker("w1"), testWorker("w2"))
+			e.setOrganizations(t, orgs.Organization{Name: "north", Weight: 100}, orgs.Organization{Name: "south", Weight: 100}, orgs.Organization{Name: "east"})
+			e.apply(AdviceProxiesChanged{Names: []string{"vm1", "vm2", "vm3"}})
+			e.apply(JobAccepted{Job: testJob("running", 8)})
+			if got := e.startsIn(e.runPass(0)); got != 8 {
+				t.Fatalf("%d tasks started, want 8", got)
+			}
+			busy := testJob("south", 1)
+			busy.Organization = "south"
+			e.apply(JobAccepted{Job: busy})
+			// Each step of north has more tasks than its fair share of four processors. The step without
+			// tickets belongs to an organization without weight, so that it comes last.
+			for i := range c.ticketed + 1 {
+				job := orgJob(jobs.ID(fmt.Sprintf("job%02d", i)), 6)
+				if i == c.ticketed {
+					job.Organization = "east"
+				}
+				job.Queue.Name, job.Queue.Advice = "advised", &jobs.AdviceSettings{RequestTime: 20 * time.Millisecond, PerWorkerTime: time.Millisecond, TicketValidity: 2 * time.Second}
+				e.apply(JobAccepted{Job: job})
+				if i < c.ticketed {
+					e.apply(AdviceAnswered{Step: jobs.StepID{Job: job.ID}, Workers: []string{"w1", "w2"}, Tickets: []Ticket{{Worker: "w1", Value: "t"}}, Valid: 2 * time.Second})
+				}
+			}
+			if got := len(commandsOfType[AdviceRequest](e.runPass(time.Millisecond))); got != c.want {
+				t.Errorf("%d advice requests for the step without tickets, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// TestStepBeyondShareStartsInSamePass guards against tasks beyond the fair share that wait on idle
+// workers for a further pass.
+func TestStepBeyondShareStartsInSamePass(t *testing.T) {
+	e := newTestEngine(t, Options{}, testWorker("w1"), testWorker("w2"))
+	e.setOrganizations(t, orgs.Organization{Name: "north", Weight: 100}, orgs.Organization{Name: "south", Weight: 100})
+	e.apply(JobAccepted{Job: orgJob("north", 9)})
+	south := testJob("south", 1)
+	south.Organization, south.Steps[0].PerTask = "south", roster.Resources{Millicores: 1000}
+	e.apply(JobAccepted{Job: south})
+	got := e.startsByOrganization(e.runPass(0))
+	if got["north"] != 7 || got["south"] != 1 {
+		t.Errorf("started %v, want 7 of north and 1 of south", got)
+	}
+}
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -102,43 +102,57 @@
 	}
 }
 
-// scheduleStep starts at most limit tasks of a step, and requests advice if there are more.
-func (e *Engine) scheduleStep(p *pass, s *step, limit int) {
+// scheduleStep starts at most limit tasks of a step, and requests advice if it finds too little
+// capacity for these. It reports whether only the limit keeps the step from starting more. Such a step
+// is to be scheduled again in the pass; any other must not be, since its tickets would count twice.
+func (e *Engine) scheduleStep(p *pass, s *step, limit int) (limited bool) {
 	if p.now.Before(s.retryAt) {
 		p.addOwed(s, s.tasksLeft)
 		e.noteWait(p.now, s.job, s.job.wait.reason)
-		return
+		return false
 	}
 	p.tasks = s.waiting(p.tasks[:0])
 	tasks := p.tasks
 	if len(tasks) == 0 {
-		return
+		return false
 	}
 	if s.Gang && len(tasks) < s.tasksLeft {
 		e.noteWait(p.now, s.job, waitsForEarlierRuns)
-		return // some members of the previous run have not ended yet
+		return false // some members of the previous run have not ended yet
 	}
 	if e.waitsForCap(s, len(tasks)) {
 		s.waitingSince = time.Time{}
 		e.releaseReservation(s)
 		e.noteWait(p.now, s.job, e.capReason(s))
-		return
+		return false
 	}
 	if !s.Gang {
-		tasks = tasks[:min(limit, e.capRoom(s, len(tasks)))]
+		tasks = tasks[:e.capRoom(s, len(tasks))]
 	}
 	if s.job.excess {
 		if tasks = tasks[:p.excessTasks(s, len(tasks))]; len(tasks) == 0 {
 			e.noteWait(p.now, s.job, waitsForShare)
-			return
+			return false
 		}
 	}
+	if !s.Gang && limit < len(tasks) {
+		tasks, limited = tasks[:limit], true
+	}
 	started := e.place(p, s, tasks)
 	p.useExcessRoom(s, started)
 	missing := len(tasks) - started
 	if missing == 0 {
-		return
+		return limited
+	}
+	if limited && slices.ContainsFunc(tasks, (*task).isolated) {
+		return true // the tasks beyond the limit may have capacity that isolated ones cannot use
 	}
+	e.waitForCapacity(p, s, missing)
+	return false
+}
+
+// waitForCapacity handles a step that found too little capacity for a number of tasks.
+func (e *Engine) waitForCapacity(p *pass, s *step, missing int) {
 	if s.waitingSince.IsZero() {
 		s.waitingSince = p.now
 	}
--- a/core/engine/share.go
+++ b/core/engine/share.go
@@ -153,11 +153,7 @@
 		}
 		deferred = deferred[:0]
 		for _, s := range list[:n] {
-			limit := p.tasksToFairShare(s)
-			if limit > 0 {
-				e.scheduleStep(p, s, limit)
-			}
-			if !s.Gang && limit < s.tasksLeft || limit == 0 {
+			if limit := p.tasksToFairShare(s); limit == 0 || e.scheduleStep(p, s, limit) {
 				deferred = append(deferred, s)
 			}
 		}
