--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -50,6 +50,12 @@
 	// byFree holds the open workers with the most free capacity first, as of the first advice
 	// request of the pass.
 	byFree []freeWorker
+	// bounds holds the results of mostWithEvictions for steps of boundsPriority and the first workers
+	// of byFree. Gangs look through all workers of a full fleet, most of which have too little.
+	bounds         []int64
+	boundsPriority int
+	// tasks is the space for the waiting tasks of the step that is being scheduled.
+	tasks []*task
 }
 
 // withoutDedicated returns a copy of the pass without dedicated workers.
@@ -67,7 +73,8 @@
 // freeWorker is a worker with its expected free processor capacity at the first advice request of
 // a pass. That capacity only shrinks during a pass.
 type freeWorker struct {
-	*worker
+	worker     *worker
+	number     int
 	millicores int64
 }
 
@@ -76,51 +83,76 @@
 	if p.byFree == nil {
 		p.byFree = make([]freeWorker, 0, len(p.open))
 		for _, w := range p.open {
-			p.byFree = append(p.byFree, freeWorker{w, w.expectedFree().Millicores})
+			p.byFree = append(p.byFree, freeWorker{w, w.number, w.expectedFree().Millicores})
 		}
 		slices.SortFunc(p.byFree, func(a, b freeWorker) int {
-			return cmp.Or(cmp.Compare(b.millicores, a.millicores), cmp.Compare(a.ID, b.ID))
+			if a.millicores != b.millicores {
+				return cmp.Compare(b.millicores, a.millicores)
+			}
+			return cmp.Compare(a.worker.ID, b.worker.ID)
 		})
 	}
 	return p.byFree
 }
 
-// scheduleStep starts at most limit tasks of a step, and requests advice if there are more.
-func (e *Engine) scheduleStep(p *pass, s *step, limit int) {
+// resetBounds drops the bounds of steps of another priority than that of s.
+func (p *pass) resetBounds(s *step) {
+	if priority := s.job.Queue.Priority; p.boundsPriority != priority {
+		p.bounds, p.boundsPriority = p.bounds[:0], priority
+	}
+}
+
+// scheduleStep starts at most limit tasks of a step, and requests advice if it finds too little
+// capacity for these. It reports whether only the limit keeps the step from starting more. Such a step
+// is to be scheduled again in the pass; any other must not be, since its tickets would count twice.
+func (e *Engine) scheduleStep(p *pass, s *step, limit int) (limited bool) {
 	if p.now.Before(s.retryAt) {
 		p.addOwed(s, s.tasksLeft)
 		e.noteWait(p.now, s.job, s.job.wait.reason)
-		return
+		return false
 	}
-	tasks := s.waiting()
+	p.tasks = s.waiting(p.tasks[:0])
+	tasks := p.tasks
 	if len(tasks) == 0 {
-		return
+		return false
 	}
 	if s.Gang && len(tasks) < s.tasksLeft {
 		e.noteWait(p.now, s.job, waitsForEarlierRuns)
-		return // some members of the previous run have not ended yet
+		return false // some members of the previous run have not ended yet
 	}
 	if e.waitsForCap(s, len(tasks)) {
 		s.waitingSince = time.Time{}
 		e.releaseReservation(s)
 		e.noteWait(p.now, s.job, e.capReason(s))
-		return
+		return false
 	}
 	if !s.Gang {
-		tasks = tasks[:min(limit, e.capRoom(s, len(tasks)))]
+		tasks = tasks[:e.capRoom(s, len(tasks))]
 	}
 	if s.job.excess {
 		if tasks = tasks[:p.excessTasks(s, len(tasks))]; len(tasks) == 0 {
 			e.noteWait(p.now, s.job, waitsForShare)
-			return
+			return false
 		}
 	}
+	if !s.Gang && limit < len(tasks) {
+		tasks, limited = tasks[:limit], true
+	}
 	started := e.place(p, s, tasks)
 	p.useExcessRoom(s, started)
 	missing := len(tasks) - started
 	if missing == 0 {
-		return
+		return limited
+	}
+	if limited && slices.ContainsFunc(tasks, (*task).isolated) {
+		return true // the tasks beyond the limit may have capacity that isolated ones cannot use
 	}
+	e.waitForCapacity(p, s, missing)
+	return false
+}
+
+// waitForCapacity handles a step that found too little capacity for a number of tasks.
+func (e *Engine) waitForCapacity(p *pass, s *step, missing int) {
 	if s.waitingSince.IsZero() {
 		s.waitingSince = p.now
 	}
@@ -182,7 +214,7 @@
 	}
 	var list []candidate
 	for _, w := range p.open {
-		if !s.mayRunOn(w) || advised && !s.advice.verdicts[w] {
+		if !s.mayRunOn(w) || advised && !s.advice.permitted.has(w) {
 			continue
 		}
 		list = append(list, candidate{worker: w, free: w.free(), fits: ledger.FitCount(s.demand(), w.Capacity, missing)})
