--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -61,7 +61,8 @@
 // stepAdvice is the adviser's answers for a step, and the requests that are outstanding.
 type stepAdvice struct {
 	// asked holds the workers that the adviser has answered about, and permitted those of them on
-	// which it permits the step. permittedWorkers holds the latter with their newest tickets.
+	// which it permits the step. A verdict never changes. permittedWorkers holds the permitted ones with
+	// their newest tickets.
 	asked, permitted workerSet
 	permittedWorkers []permittedWorker
 	// lastTicketExpiry is the time at which the newest tickets expire.
