--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -104,6 +104,7 @@
 		PreviousRoster:      engine.Roster{Workers: row.Workers, Lost: row.Lost},
 		PreviousLeasesUntil: previous.leasesUntil,
 		Durations:           n.opts.Durations,
+		Health:              n.opts.Health,
 		Logger:              n.opts.Logger,
 	})
 	// The followers of the previous leader can relay until it is known which of them are alive.
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -162,6 +162,7 @@
 	for _, desc := range []*prometheus.Desc{
 		leadingDesc, epochDesc, configDesc, proofDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc, wasteDesc,
 		organizationUsageDesc, organizationCapDesc, organizationWaitingDesc, predictionErrorDesc, predictionBiasDesc, observationsDesc,
+		withheldWorkersDesc, withholdingsDesc,
 	} {
 		out <- desc
 	}
@@ -198,9 +199,13 @@
 	l.mu.Lock()
 	ends, pending, wasted := l.engine.Counters(), l.pendingLocked(), l.engine.WastedCoreSeconds()
 	organizations := l.engine.OrganizationUses(maxOrganizationMetrics)
+	graded, withheld := l.engine.Health() == engine.HealthGraded, l.engine.WithheldWorkers(time.Now())
 	l.collectDurations(out)
 	l.mu.Unlock()
 	collectOrganizations(out, organizations)
+	if graded {
+		collectHealth(out, withheld, ends.Withheld)
+	}
 	out <- prometheus.MustNewConstMetric(termDesc, prometheus.GaugeValue, l.confirmedBefore().Seconds())
 	out <- prometheus.MustNewConstMetric(relaysDesc, prometheus.GaugeValue, float64(l.dispatch.openLinks()))
 	for queue, count := range pending {
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -75,6 +75,9 @@
 	// Durations selects what predictions of durations rest on; the zero value means the callers'
 	// estimates.
 	Durations engine.Durations
+	// Health selects how unreliable workers are told from others; the zero value means
+	// engine.HealthBasic.
+	Health engine.Health
 }
 
 // Node is one VM of a cell. It is safe for concurrent use.
