Model: faults of workers, and a test of graded health

A scenario may have workers that fail a share of their runs for a time, that flap, or that leave with notice. The result tells how soon faulty workers are withheld and used again, and how long sound ones are withheld.

--- a/model/play/gang.go
+++ b/model/play/gang.go
@@ -27,10 +27,14 @@
 func (c *simulation) startGang(members []*run) {
 	var longest time.Duration
 	for _, r := range members {
-		longest = max(longest, r.duration)
+		if !r.spoiled {
+			longest = max(longest, r.duration)
+		}
 	}
 	for _, r := range members {
-		r.duration = longest
+		if !r.spoiled {
+			r.duration = longest
+		}
 		r.begin()
 	}
 }
--- a/model/play/result.go
+++ b/model/play/result.go
@@ -32,6 +32,15 @@
 	WastedByCause map[string]float64
 	// LostCoreSeconds is what runs of jobs used that ended worthless or did not end.
 	LostCoreSeconds float64
+	// DetectedAfter holds, for each faulty worker that was withheld during its fault, the time from the
+	// begin of the fault, and ReturnedAfter the time from the end of the fault to full use.
+	DetectedAfter, ReturnedAfter []time.Duration
+	// FaultyWithheld is the time for which workers were withheld or on probation during their faults,
+	// SoundWithheld the same for workers without fault.
+	FaultyWithheld, SoundWithheld time.Duration
+	// MostWithheld is the largest number of workers that were withheld or on probation because of their
+	// grades at the same time.
+	MostWithheld int
 	// Refusals counts refused submissions by reason.
 	Refusals map[string]int
 }
--- a/model/play/scenario.go
+++ b/model/play/scenario.go
@@ -30,6 +30,9 @@
 	Patience Duration `json:"patience"`
 	// Durations selects what the engine's predictions of durations rest on.
 	Durations engine.Durations `json:"durations"`
+	// Health selects how the engine tells unreliable workers, and WorkerFaults are their faults.
+	Health       engine.Health `json:"health"`
+	WorkerFaults []WorkerFault `json:"worker-faults"`
 }
 
 // Fleet describes the workers of a scenario.
@@ -167,6 +170,10 @@
 	require(s.Workers.Count > 0 && s.Workers.PerRack > 0, "workers: count and per-rack must be positive")
 	require(len(s.Workers.Slowdowns) > 0 && len(s.Workers.Latencies) > 0, "workers: speeds and distances must not be empty")
 	require(s.Durations.Valid(), "durations: unknown value %q", s.Durations)
+	require(s.Health.Valid(), "health: unknown value %q", s.Health)
+	for i := range s.WorkerFaults {
+		errs = append(errs, s.WorkerFaults[i].validate())
+	}
 	known := make(map[string]bool)
 	for _, q := range s.Queues {
 		require(!known[q.Name], "queues: name %q is not unique", q.Name)
--- a/model/play/simulation.go
+++ b/model/play/simulation.go
@@ -47,6 +47,7 @@
 	for _, loss := range s.Losses {
 		c.after(time.Duration(loss.At), func() { c.removeWorkers(loss.Share) })
 	}
+	c.planFaults(seed)
 	c.tick()
 	c.run(startTime.Add(time.Duration(s.ArrivalPeriod) + completionPeriod))
 	return c.summarize()
@@ -72,6 +73,8 @@
 	result      *Result
 	nextPassAt  time.Time
 	passPending bool
+	// faultRand draws the faults of workers.
+	faultRand *rand.Rand
 	// door decides about submissions; nil accepts all.
 	door *door
 }
@@ -83,7 +86,7 @@
 		proxyFreeAt: make(map[string]time.Time), doneAt: make(map[jobs.ID]time.Time), started: make(map[jobs.ID]bool),
 		result: newResult(),
 	}
-	c.engine = engine.New(engine.Options{Epoch: 1, LeaseTerm: leaseTerm, MaxLease: leaseTerm, StopTime: time.Duration(s.Workers.StopTime), Policy: policy, Durations: s.Durations})
+	c.engine = engine.New(engine.Options{Epoch: 1, LeaseTerm: leaseTerm, MaxLease: leaseTerm, StopTime: time.Duration(s.Workers.StopTime), Policy: policy, Durations: s.Durations, Health: s.Health})
 	directory, err := s.Organizations.directory(s)
 	if err != nil {
 		panic(err) // ParseScenario validates the organizations
@@ -177,6 +180,7 @@
 func (c *simulation) tick() {
 	c.apply(engine.Tick{})
 	c.recordRoster()
+	c.noteHealth()
 	c.after(tickInterval, c.tick)
 }
 
@@ -207,6 +211,9 @@
 			c.result.Starts++
 			c.noteFirstStart(cmd.Task.Job)
 			w := c.byID[cmd.Worker]
+			c.failIfDown(w, func() {
+				c.apply(engine.StartAnswered{Worker: cmd.Worker, Task: cmd.Task, Run: cmd.Run, Outcome: engine.StartUnknown})
+			})
 			c.deliver(w, func() {
 				outcome := w.start(cmd)
 				c.after(w.latency, func() {
@@ -239,6 +246,18 @@
 	})
 }
 
+// failIfDown calls do after commandTimeout if a worker that flaps is down by the time a command arrives.
+func (c *simulation) failIfDown(w *worker, do func()) {
+	if w.fault == nil || w.fault.FlapPeriod == 0 {
+		return
+	}
+	c.after(w.latency, func() {
+		if w.lost {
+			c.after(commandTimeout, do)
+		}
+	})
+}
+
 // sendPoll sends the next poll to a worker. If results wait to be stored, it first waits
 // storeLatency, so that the poll can acknowledge them.
 func (c *simulation) sendPoll(w *worker) {
--- a/model/play/worker.go
+++ b/model/play/worker.go
@@ -22,6 +22,8 @@
 	lastSequence int64
 	// heldPoll is the poll that waits for a result, or nil.
 	heldPoll *heldPoll
+	// fault is the worker's fault, or nil.
+	fault *workerFault
 }
 
 // run is one run of a task on a worker. It is not active while it waits for the rest of its gang.
@@ -35,6 +37,8 @@
 	worker    *worker
 	// begunAt is the share of the work that was done when the run began.
 	begunAt float64
+	// spoiled is set if the run fails because of its worker.
+	spoiled bool
 }
 
 // heldPoll is a poll that a worker has not answered yet.
@@ -57,6 +61,7 @@
 	r := &run{task: c.Task, number: c.Run, job: p, startedAt: w.sim.now, worker: w}
 	r.duration = time.Duration(float64(p.work[c.Task.Step][c.Task.Index]) * w.slowdown)
 	r.resume(c.Checkpoint)
+	r.spoil()
 	w.running[c.Task] = r
 	if !p.Steps[c.Task.Step].Gang {
 		r.begin()
@@ -82,7 +87,7 @@
 		return
 	}
 	end := jobs.EndDone
-	if r.job.doomed || r.worker.sim.rand.Float64() < r.job.queue.FailShare {
+	if r.spoiled || r.job.doomed || r.worker.sim.rand.Float64() < r.job.queue.FailShare {
 		end = jobs.EndFailed
 	}
 	r.worker.recordEnd(r, end)
@@ -104,15 +109,20 @@
 		return
 	}
 	delete(w.running, r.task)
+	w.countRun(r, end)
+	w.lastSequence++
+	w.results = append(w.results, engine.RunResult{Sequence: w.lastSequence, Task: r.task, Run: r.number, End: end, Checkpoint: r.checkpoint(w.sim.now)})
+	w.answerPoll()
+}
+
+// countRun adds the core time of an ended run to the result.
+func (w *worker) countRun(r *run, end jobs.End) {
 	coreSeconds := w.sim.now.Sub(r.startedAt).Seconds() * float64(r.job.Steps[r.task.Step].PerTask.Millicores) / 1000
 	w.sim.result.BusyCoreSeconds += coreSeconds
 	if end != jobs.EndDone {
 		w.sim.result.WastedCoreSeconds += coreSeconds
 	}
 	w.sim.result.noteRun(r, end, coreSeconds)
-	w.lastSequence++
-	w.results = append(w.results, engine.RunResult{Sequence: w.lastSequence, Task: r.task, Run: r.number, End: end, Checkpoint: r.checkpoint(w.sim.now)})
-	w.answerPoll()
 }
 
 // stop ends a run after half of the longest stop time. It ignores runs that are not present.
--- a/model/run.go
+++ b/model/run.go
@@ -71,6 +71,7 @@
 	loads     []float64
 	policies  []string
 	durations string
+	health    string
 	gain      float64
 	detail    bool
 	refuse    []string
@@ -98,6 +99,7 @@
 	cmd.Flags().Float64SliceVar(&o.loads, "load", []float64{1}, "factors on the arrival rates of the scenario, each simulated on its own")
 	cmd.Flags().StringSliceVar(&o.policies, "policy", []string{"product", "naive"}, "policies to compare, of "+strings.Join(names, ", "))
 	cmd.Flags().StringVar(&o.durations, "durations", "", "what predicted durations rest on: estimates, learned or noise; by default what the scenario says")
+	cmd.Flags().StringVar(&o.health, "health", "", "how unreliable workers are told from others: basic, graded or auto; by default what the scenario says")
 	cmd.Flags().Float64Var(&o.gain, "gain", 0, "fail unless the first policy earns at least this many times as much as the last one; 0 disables the check")
 	cmd.Flags().StringSliceVar(&o.refuse, "refuse", []string{"none"}, "refusals to compare with each policy, of "+strings.Join(slices.Sorted(maps.Keys(refusals)), ", "))
 	cmd.Flags().BoolVar(&o.detail, "detail", false, "print where value is lost: by queue, by organization and by second")
@@ -119,6 +121,12 @@
 		}
 		scenario.Durations = d
 	}
+	if h := engine.Health(o.health); h != "" {
+		if !h.Valid() {
+			return fmt.Errorf("--health: unknown value %q", o.health)
+		}
+		scenario.Health = h
+	}
 	for _, name := range o.policies {
 		if _, known := policies[name]; !known {
 			return fmt.Errorf("--policy: unknown policy %q", name)
