--- a/core/engine/grade_test.go
+++ b/core/engine/grade_test.go
@@ -77,14 +77,15 @@
 }
 
 // TestDoomedJobsConvictNobody guards against withholding workers for jobs that fail wherever they run:
-// one wide job on all workers, many of them, and 3% of all jobs, whose tasks are tried on several workers.
+// a few, many and all jobs, on few workers and on all.
 func TestDoomedJobsConvictNobody(t *testing.T) {
-	cases := map[string]struct{ every, width int }{
-		"one in 33 on 4 workers":       {33, 4},
-		"one in 33 on all workers":     {33, 40},
-		"each second on all the rest":  {2, 40},
-		"all jobs on three workers":    {1, 3},
-		"one in ten on single workers": {10, 1},
+	cases := map[string]struct{ of, doomed, width int }{
+		"one in 33 on 4 workers":       {33, 1, 4},
+		"one in 33 on all workers":     {33, 1, 40},
+		"two in a row on all workers":  {50, 2, 40},
+		"each second on all workers":   {2, 1, 40},
+		"all jobs on three workers":    {1, 1, 3},
+		"one in ten on single workers": {10, 1, 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -95,7 +96,7 @@
 				f.now = f.now.Add(100 * time.Millisecond)
 				id := jobs.ID(fmt.Sprint("job", i))
 				for _, w := range r.Perm(len(f.grades))[:c.width] {
-					f.observe(w, id, i%c.every == 0)
+					f.observe(w, id, i%c.of >= c.of-c.doomed)
 				}
 				for w := range f.grades {
 					g := &f.grades[w]
@@ -268,6 +269,7 @@
 		"urgent":                    {func(j *jobs.Job) { j.Queue.Priority = 0 }, 0},
 		"urgent, others are full":   {func(j *jobs.Job) { j.Queue.Priority, j.Steps[0].Count = 0, 24 }, 1},
 		"gang":                      {func(j *jobs.Job) { j.Steps[0].Gang = true }, 0},
+		"gang that lacks one":       {func(j *jobs.Job) { j.Steps[0].Gang, j.Steps[0].Count = true, 21 }, 0},
 		"gang that fits only there": {func(j *jobs.Job) { j.Steps[0].Gang, j.Steps[0].Count = true, 24 }, 0},
 	}
 	for name, c := range cases {
