Engine: a probation ends after 8 s without a failure

A gang could wait forever. TestWorldHolds found it with graded health (rapid, tight caps, advice): the adviser permitted the gang on two workers, one of them on probation. Members of gangs do not run on probation, and there was no other work by which the worker could prove itself.

--- a/core/engine/grade.go
+++ b/core/engine/grade.go
@@ -57,8 +57,11 @@
 	// relapseMemory is the time of full use after which a worker that is withheld again counts as
 	// withheld for the first time.
 	relapseMemory = time.Minute
-	// probationTasks is the number of tasks that must be done on probation.
+	// probationTasks is the number of tasks that end the probation once they are done, and maxProbation the
+	// time that ends it if none fails. There may be no other work for the worker than a gang that does not
+	// fit elsewhere.
 	probationTasks = 3
+	maxProbation   = 8 * time.Second
 )
 
 // spoiledShares are the shares of its runs that a worker is assumed to spoil, one after the other. The
@@ -448,10 +451,14 @@
 	w.outcomes, w.flaps, w.score = nil, nil, 0
 }
 
-// advance starts the probation of a worker whose wait is over.
+// advance starts the probation of a worker whose wait is over, and ends one that takes too long.
 func (w *grade) advance(now time.Time) {
-	if w.stage == withheld && !w.down && !now.Before(w.until) {
+	switch {
+	case w.down:
+	case w.stage == withheld && !now.Before(w.until):
 		w.stage, w.changedAt, w.completed = onProbation, now, 0
+	case w.stage == onProbation && now.Sub(w.changedAt) >= maxProbation:
+		w.restore(now)
 	}
 }
 
--- a/core/engine/grade_test.go
+++ b/core/engine/grade_test.go
@@ -287,6 +287,27 @@
 	}
 }
 
+// TestProbationEndsWithoutWork guards against a gang that waits forever for a worker on probation, because
+// there is no other work by which that could prove itself.
+func TestProbationEndsWithoutWork(t *testing.T) {
+	e := gradedEngine(t, 6)
+	e.workers["w2"].grade.withhold(e.now, WithheldForFailures)
+	gang := testJob("gang", 24)
+	gang.Steps[0].Gang = true
+	starts := e.startsByWorker(gang)
+	for len(starts) == 0 && e.now.Sub(testStart) < time.Minute {
+		for id := range e.workers {
+			e.poll(id, Report{})
+		}
+		for _, s := range commandsOfType[Start](e.runPass(200 * time.Millisecond)) {
+			starts[s.Worker]++
+		}
+	}
+	if waited := e.now.Sub(testStart); waited < firstWait || waited > firstWait+maxProbation+time.Second {
+		t.Errorf("the gang waited %s, want %s and %s", waited, firstWait, maxProbation)
+	}
+}
+
 // TestGangsAvoidSuspiciousWorkers guards against a gang that has a member on a worker with a recent
 // failure while others are free, and against one that waits although it fits with that worker.
 func TestGangsAvoidSuspiciousWorkers(t *testing.T) {
--- a/core/engine/health.go
+++ b/core/engine/health.go
@@ -236,8 +236,11 @@
 		e.log("worker on probation", "worker", w.ID, "reason", g.reason, "relapses", g.relapses, "from", previous)
 	case inUse:
 		why := "its tasks were done"
-		if g.stage != inUse {
+		switch {
+		case g.stage != inUse:
 			why = "too many others are withheld"
+		case g.completed < probationTasks:
+			why = "none of its tasks failed in time"
 		}
 		e.log("worker used again", "worker", w.ID, "reason", g.reason, "why", why, "after", now.Sub(g.withheldAt), "relapses", g.relapses,
 			"completed", g.completed, "score", g.score)
