Define the worthless factor and the risk margin once

core/intake and core/engine each had a copy of both. They are in core/jobs now, beside the objective that they apply to. No decision changes.

--- a/core/engine/durations.go
+++ b/core/engine/durations.go
@@ -136,7 +136,7 @@
 			}
 		}
 	}
-	return predictionTolerance, riskMargin
+	return predictionTolerance, jobs.RiskMargin
 }
 
 // rankKinds sets the slowness of candidates for a step, if durations are learned.
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -171,7 +171,7 @@
 	j := &job{Job: ev.Job, loadedAt: now, inherited: inherited, started: ev.Progress.Started, organization: e.organizationOf(ev.Job.Organization)}
 	objective := ev.Job.Queue.Objective(e.criticalPath(&ev.Job))
 	j.deadline = ev.Job.ArrivedAt.Add(objective)
-	j.worthlessAt = ev.Job.ArrivedAt.Add(worthlessFactor * objective)
+	j.worthlessAt = ev.Job.ArrivedAt.Add(jobs.WorthlessFactor * objective)
 	e.jobs[ev.Job.ID] = j
 	if j.organization != nil {
 		e.unmarkedJobs = append(e.unmarkedJobs, j)
@@ -197,10 +197,6 @@
 	e.matchOrphanedRuns(now, j)
 }
 
-// worthlessFactor is the number of objectives after which completing a job has no value: users
-// count completions up to three times the objective as late.
-const worthlessFactor = 3
-
 // maxOpenTasks is the number of tasks of a job up to which further occurrences are opened. Without
 // it, a recurring job that is overdue would exhaust the memory. One occurrence is always opened.
 const maxOpenTasks = 2000
--- a/core/engine/rank.go
+++ b/core/engine/rank.go
@@ -26,12 +26,6 @@
 // miss its deadline and still count as on time, since predictions are rough.
 const predictionTolerance = 0.25
 
-// riskMargin is the fraction of its predicted remaining time that an occurrence must have to
-// spare to be likely to end in time. Of the slot holds of the load large scale-1, which ran for a
-// second, 0.8 ended in time if they started 1.3 s before their deadline, and 0.3 if they started
-// 0.8 s before it.
-const riskMargin = 0.3
-
 // computeRank ranks an occurrence by its predicted end if it continued now, and updates endsAt
 // and atRisk.
 func (e *Engine) computeRank(now time.Time, o *occurrence, j *job) valueRank {
--- a/core/intake/decide.go
+++ b/core/intake/decide.go
@@ -1,6 +1,10 @@
 package intake
 
-import "time"
+import (
+	"time"
+
+	"tanagerstack.org/core/jobs"
+)
 
 // Reason tells why a job was refused. The zero value means that it was not.
 type Reason string
@@ -32,12 +36,6 @@
 type Rules struct{ TooLate, Excess bool }
 
 const (
-	// worthlessFactor is the number of objectives after which a job has no value. core/engine has the
-	// same figure.
-	worthlessFactor = 3
-	// riskMargin is the fraction of its critical path that a job must have to spare to be likely to
-	// end on time, as in the engine's order of steps.
-	riskMargin = 0.3
 	// minRetryAfter is the least time to come back that a caller is told: callers retry at most four
 	// times, and the load changes within seconds.
 	minRetryAfter = time.Second
@@ -68,11 +66,11 @@
 	start := max(0, after-now.Sub(s.At))
 	end := start + r.CriticalPath
 	d := Decision{Start: start}
-	if rules.TooLate && end > worthlessFactor*r.Objective {
+	if rules.TooLate && end > jobs.WorthlessFactor*r.Objective {
 		d.Reason, d.RetryAfter = TooLate, s.retryAfter(r, start)
 		return d
 	}
-	endangered := end+time.Duration(riskMargin*float64(r.CriticalPath)) > r.Objective
+	endangered := end+time.Duration(jobs.RiskMargin*float64(r.CriticalPath)) > r.Objective
 	if wait, excess := s.excess(now, r.Organization); rules.Excess && excess && endangered {
 		d.Reason, d.RetryAfter = Excess, s.retryAfter(r, max(start, wait))
 	}
--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -136,6 +136,15 @@
 // estimates.
 func (j *Job) Objective() time.Duration { return j.Queue.Objective(j.CriticalPath()) }
 
+// WorthlessFactor is the number of objectives after which completing a job has no value: users
+// count completions up to three times the objective as late.
+const WorthlessFactor = 3
+
+// RiskMargin is the fraction of its predicted remaining time that a job must have to spare to be
+// likely to end in time. Of the slot holds of the load large scale-1, which ran for a second, 0.8
+// ended in time if they started 1.3 s before their deadline, and 0.3 if they started 0.8 s before it.
+const RiskMargin = 0.3
+
 // Objective returns the latency objective of a job with the given critical path, at most
 // MaxObjective.
 func (q *Queue) Objective(criticalPath time.Duration) time.Duration {
