Weights rise with the typical load of the organizations

When all organizations sent far beyond their weights, much of every organization's work was excess, and waited in vain behind owed work, while half of the processors were left free for owed gangs. The weights are now raised by twice the typical rate of an organization relative to its weight (median by weight), at least 1, so only what an organization sends clearly beyond the others is excess. TANAGER_ADMISSION=off keeps the weights as they are.

--- a/core/cell/admission.go
+++ b/core/cell/admission.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/intake"
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/roster"
@@ -58,6 +59,10 @@
 	return intake.Rules{}
 }
 
+// policy returns the policy of the engine: weights that rise with the load of all organizations, unless
+// admission is off.
+func (a Admission) policy() engine.Policy { return engine.Policy{FixedWeights: a == AdmissionOff} }
+
 const (
 	// snapshotInterval is how long the leader sends the same snapshot to several VMs: one takes a
 	// fraction of a scheduling pass.
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -103,6 +103,7 @@
 		PreviousActiveUntil: previous.activeUntil,
 		PreviousRoster:      engine.Roster{Workers: row.Workers, Lost: row.Lost},
 		PreviousLeasesUntil: previous.leasesUntil,
+		Policy:              n.opts.Admission.policy(),
 		Durations:           n.opts.Durations,
 		Logger:              n.opts.Logger,
 	})
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -56,6 +56,8 @@
 	NoExcess bool
 	// NoShares orders work without regard to what its organization uses already.
 	NoShares bool
+	// FixedWeights takes weights as rates at any load.
+	FixedWeights bool
 }
 
 // unsafeOptions turns safety measures off, so that tests can show that they detect the
@@ -129,6 +131,9 @@
 	// unmarkedJobs holds the jobs of organizations of which it is not known yet whether they are
 	// excess.
 	unmarkedJobs []*job
+	// lastWeightFactor is the factor on the weights as of weightFactorAt.
+	lastWeightFactor float64
+	weightFactorAt   time.Time
 	// wasted holds the core-seconds of runs that were of no use.
 	wasted [wasteCauses]float64
 }
--- a/core/engine/load.go
+++ b/core/engine/load.go
@@ -148,9 +148,11 @@
 		return nil
 	}
 	var list []intake.Organization
-	for _, o := range e.config.Organizations.All() {
-		if left := e.submissionsLeft(now, &o); left < 1 || left <= intake.Depth(o.Weight)/2 {
-			list = append(list, intake.Organization{Name: o.Name, Jobs: left, PerSecond: o.Weight})
+	factor := e.computeWeightFactor(now)
+	for _, entry := range e.config.Organizations.All() {
+		weight := entry.Weight * factor
+		if left := e.submissionsLeft(now, entry.Name, weight); left < 1 || left <= intake.Depth(weight)/2 {
+			list = append(list, intake.Organization{Name: entry.Name, Jobs: left, PerSecond: weight})
 		}
 	}
 	return list
--- a/core/engine/organization.go
+++ b/core/engine/organization.go
@@ -30,6 +30,8 @@
 	// here, as of the last pass.
 	earlier roster.Resources
 	bucket  excessBucket
+	// submissions is the rate at which the organization submits jobs.
+	submissions submissionRate
 	// busy is set if the organization has runs or ready steps, and fairShare is its share of the
 	// workers, from 0 to 1, both as of the last pass.
 	busy      bool
--- a/core/engine/share.go
+++ b/core/engine/share.go
@@ -8,7 +8,6 @@
 
 	"tanagerstack.org/core/intake"
 	"tanagerstack.org/core/jobs"
-	"tanagerstack.org/core/orgs"
 	"tanagerstack.org/core/roster"
 )
 
@@ -64,19 +63,19 @@
 	b.tokens = min(b.tokens, depth)
 }
 
-// submissionsLeft returns how many jobs an organization may still submit before they are excess. It
-// includes the jobs that are not marked yet, and does not change the bucket.
-func (e *Engine) submissionsLeft(now time.Time, entry *orgs.Organization) float64 {
+// submissionsLeft returns how many jobs an organization with a weight may still submit before they are
+// excess. It includes the jobs that are not marked yet, and does not change the bucket.
+func (e *Engine) submissionsLeft(now time.Time, name string, weight float64) float64 {
 	var b excessBucket
-	if o := e.organizations[entry.Name]; o != nil {
+	if o := e.organizations[name]; o != nil {
 		b = o.bucket
 	}
 	for _, j := range e.unmarkedJobs {
-		if j.Organization == entry.Name {
-			b.take(j.arrivedBy(now), entry.Weight)
+		if j.Organization == name {
+			b.take(j.arrivedBy(now), weight)
 		}
 	}
-	b.refill(now, entry.Weight)
+	b.refill(now, weight)
 	return b.tokens
 }
 
@@ -97,7 +96,7 @@
 	})
 	for _, j := range list {
 		if o := j.organization; o.entry != nil {
-			j.excess = o.bucket.take(j.arrivedBy(now), o.entry.Weight)
+			j.excess = e.takeSubmission(j, j.arrivedBy(now))
 		}
 	}
 }
--- a/model/play/admission_test.go
+++ b/model/play/admission_test.go
@@ -142,3 +142,27 @@
 		}
 	}
 }
+
+// TestWeightsHoldInOverload guards against excess that waits in vain behind owed work when all organizations send far
+// beyond their weights: weights that rise with the typical load earn more there than fixed ones, with fewer jobs in vain.
+func TestWeightsHoldInOverload(t *testing.T) {
+	t.Parallel()
+	scenario, err := readScenario("counter", 0.06)
+	if err != nil {
+		t.Fatal(err)
+	}
+	scenario.ArrivalPeriod = Duration(10 * time.Second)
+	scenario.Organizations.Surges = nil
+	earned, vain := make(map[bool]float64), make(map[bool]int)
+	for _, fixed := range []bool{false, true} {
+		for seed := range uint64(2) {
+			r := Simulate(scenario, engine.Policy{FixedWeights: fixed}, seed+1, 2.5)
+			earned[fixed] += r.Earned
+			vain[fixed] += r.Vain()
+		}
+	}
+	t.Logf("earned %.1f with %d jobs in vain; with fixed weights %.1f with %d", earned[false], vain[false], earned[true], vain[true])
+	if earned[false] < 1.02*earned[true] || vain[false] >= vain[true] {
+		t.Error("want at least 1.02 times as much, and fewer jobs in vain")
+	}
+}
--- a/model/run.go
+++ b/model/run.go
@@ -31,6 +31,7 @@
 	"one-question":   {SingleAdviceRequest: true},
 	"no-excess":      {NoExcess: true},
 	"no-shares":      {NoShares: true},
+	"fixed-weights":  {FixedWeights: true},
 	"naive":          {ArrivalOrder: true, DeadlineOrder: true, NoDedicatedWorkers: true, NoPreemption: true, SingleAdviceRequest: true},
 }
 
