--- a/core/engine/load.go
+++ b/core/engine/load.go
@@ -7,6 +7,7 @@
 
 	"tanagerstack.org/core/intake"
 	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/learn"
 )
 
 const (
@@ -35,19 +36,27 @@
 			profile.add(e, steps[0])
 			steps = steps[1:]
 		}
-		stats := e.statsOf(q.Name)
-		entry := intake.Queue{
-			Name: q.Name, Priority: q.Priority, Free: profile.at(),
-			Short: stats.durations.predict(intake.ShortEstimate), Long: stats.durations.predict(intake.LongEstimate),
-		}
+		entry := intake.Queue{Name: q.Name, Priority: q.Priority, Free: profile.at()}
+		e.setDurations(&entry)
 		if q.Advice != nil {
-			entry.PermittedShare = max(stats.permittedShare, minPermittedShare)
+			entry.PermittedShare = max(e.statsOf(q.Name).permittedShare, minPermittedShare)
 		}
 		s.Queues = append(s.Queues, entry)
 	}
 	return s
 }
 
+// setDurations sets the predicted durations of a queue's tasks.
+func (e *Engine) setDurations(q *intake.Queue) {
+	if e.durations != DurationsLearned {
+		model := &e.statsOf(q.Name).durations
+		q.Short, q.Long = model.predict(intake.ShortEstimate), model.predict(intake.LongEstimate)
+		return
+	}
+	short, long := e.learned.Predict(learn.Key{Queue: q.Name}, intake.ShortEstimate), e.learned.Predict(learn.Key{Queue: q.Name}, intake.LongEstimate)
+	q.Short, q.Long, q.LeastShare = short.Median(), long.Median(), short.Spread(lateQuantile)
+}
+
 // stepsAhead returns the steps that wait and are likely to end on time, the most urgent queues first.
 func (e *Engine) stepsAhead(now time.Time) []*step {
 	var list []*step
@@ -93,7 +102,7 @@
 		for _, r := range w.runs {
 			remaining := time.Duration(0)
 			if r.owner != nil && r.phase != stopping {
-				remaining = r.remaining(now, e.predict(r.owner.step))
+				remaining = e.remainingRunTime(now, r)
 			}
 			p.release(int(remaining/loadBin), r.demand.Millicores)
 		}
@@ -101,6 +110,16 @@
 	return p
 }
 
+// remainingRunTime returns the predicted remaining time of a run. Where durations are learned, it allows for
+// how long the run has taken already.
+func (e *Engine) remainingRunTime(now time.Time, r *run) time.Duration {
+	if e.durations == DurationsLearned && r.percent-r.startPercent < minProgressPercent && !r.resumed {
+		p := e.prediction(r.owner.step, r.worker)
+		return p.Remaining(now.Sub(r.startSentAt))
+	}
+	return r.remaining(now, e.predict(r.owner.step))
+}
+
 // release adds capacity that becomes free in a bin; what does after the last one is left out.
 func (p *loadProfile) release(bin int, millicores int64) {
 	if bin < loadBins {
--- a/core/engine/load_test.go
+++ b/core/engine/load_test.go
@@ -7,6 +7,7 @@
 
 	"tanagerstack.org/core/intake"
 	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/learn"
 	"tanagerstack.org/core/orgs"
 )
 
@@ -168,3 +169,24 @@
 		})
 	}
 }
+
+// TestSnapshotUsesLearnedDurations checks that VMs predict by what was learned: the median for the objective and
+// a low quantile for the requested job, so that one that may be short is not refused.
+func TestSnapshotUsesLearnedDurations(t *testing.T) {
+	e := newLoadTest(t)
+	e.opts.Durations = DurationsLearned
+	e.selectDurations()
+	for i := range 400 {
+		e.learned.Observe(e.now, learn.Key{Queue: "batch", Organization: fmt.Sprintf("org%d", i%4)}, time.Second, 3*time.Second+time.Duration(i%5)*time.Second/2, true)
+	}
+	s := e.LoadSnapshot(e.now)
+	for _, q := range s.Queues {
+		if q.Name != "batch" {
+			continue
+		}
+		// Nothing is known of other estimates, so the durations are in proportion to those of 1 s.
+		if q.Short < 1500*time.Millisecond || q.Short > 2500*time.Millisecond || q.Long < 24*time.Second || q.Long > 40*time.Second || !(q.LeastShare > 0.5 && q.LeastShare < 0.95) {
+			t.Errorf("got %s and %s, %.2f of them at least, want 1.5 to 2.5 s, 24 to 40 s, and 0.5 to 0.95", q.Short, q.Long, q.LeastShare)
+		}
+	}
+}
--- a/core/intake/decide_test.go
+++ b/core/intake/decide_test.go
@@ -104,6 +104,17 @@
 	}
 }
 
+// TestShortestPathIsOptimistic checks that a job is judged by the time that few such jobs fall below, and its
+// objective by the predicted one: otherwise the objective shrinks with the path, and jobs in time are refused.
+func TestShortestPathIsOptimistic(t *testing.T) {
+	s := testSnapshot()
+	s.Queues[0].LeastShare = 0.5
+	job := &jobs.Job{Queue: jobs.Queue{Name: "queue", Stretch: 2}, Steps: []jobs.Step{{Count: 1, Estimate: 4 * time.Second}}}
+	if r := s.NewRequest(job, roster.Resources{}, 0); r.CriticalPath != 2*time.Second || r.Objective != 8*time.Second {
+		t.Errorf("got a path of %s and an objective of %s, want 2s and 8s", r.CriticalPath, r.Objective)
+	}
+}
+
 // TestEstimatesAreCorrected checks that the critical path follows the leader's predictions between and
 // beyond the two estimates of the snapshot, and that nothing overflows.
 func TestEstimatesAreCorrected(t *testing.T) {
--- a/core/intake/request.go
+++ b/core/intake/request.go
@@ -15,8 +15,8 @@
 	// Millicores is the processor capacity that the first steps of the job need to start: that of a
 	// whole gang, or of one task of another step.
 	Millicores int64
-	// CriticalPath is the predicted duration of the longest chain of steps, Objective the time that the
-	// job may take to be on time.
+	// CriticalPath is the duration of the longest chain of steps that few such jobs fall below, Objective
+	// the time that the job may take to be on time, by the predicted duration of that chain.
 	CriticalPath, Objective time.Duration
 	// Recurring jobs become due later, and service tasks have no end, so nothing is predicted of them.
 	Recurring, Service bool
@@ -53,6 +53,7 @@
 		}
 	}
 	r.Objective = job.Queue.Objective(r.CriticalPath)
+	r.CriticalPath = q.least(r.CriticalPath)
 	return r
 }
 
--- a/core/intake/snapshot.go
+++ b/core/intake/snapshot.go
@@ -41,6 +41,9 @@
 	// LongEstimate.
 	Short time.Duration `cbor:"5,keyasint"`
 	Long  time.Duration `cbor:"6,keyasint"`
+	// LeastShare is the duration that few tasks fall below, as a share of the predicted one; 0 is the
+	// predicted one.
+	LeastShare float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // ShortEstimate and LongEstimate are the estimates for which a snapshot states predicted durations.
@@ -139,6 +142,14 @@
 	return seconds(math.Exp(short + part*(long-short)))
 }
 
+// least returns the duration that few tasks with a predicted duration fall below.
+func (q *Queue) least(predicted time.Duration) time.Duration {
+	if q == nil || !(q.LeastShare > 0 && q.LeastShare < 1) {
+		return predicted
+	}
+	return time.Duration(q.LeastShare * float64(predicted))
+}
+
 // seconds converts a number of seconds, at most maxPrediction of them.
 func seconds(s float64) time.Duration {
 	if !(s < maxPrediction.Seconds()) {
