Refuse excess that has no chance

With TANAGER_ADMISSION=on, a job that is excess is refused with 429 if the owed work that waits, and owed work that goes on arriving as lately, leaves no capacity for one of its tasks before the job is worthless. Callers waited in vain until then.

--- a/core/cell/admission.go
+++ b/core/cell/admission.go
@@ -54,7 +54,7 @@
 // late nor of the excess of organizations earned more (docs/design/admission.md), so they need AdmissionOn.
 func (a Admission) rules() intake.Rules {
 	if a == AdmissionOn {
-		return intake.Rules{TooLate: true, Excess: true}
+		return intake.Rules{TooLate: true, Excess: true, NoChance: true}
 	}
 	return intake.Rules{}
 }
@@ -119,7 +119,7 @@
 	r = snapshot.NewRequest(job, limit, rand.Float64()) //nolint:gosec // spreads callers, no secret
 	d = snapshot.Decide(now, r, rules)
 	if d.Accepted() {
-		snapshot.NoteAccepted(r)
+		snapshot.NoteAccepted(now, r)
 	}
 	return d, r, age
 }
@@ -198,6 +198,7 @@
 var refusalTexts = map[intake.Reason]string{
 	intake.TooLate:        "the job would end too late",
 	intake.Excess:         "the organization submits more jobs than its weight while the cell is full",
+	intake.NoChance:       "the organization submits more jobs than its weight, and the cell has no capacity left for them",
 	intake.GangExceedsCap: "a gang needs more than the organization may have running",
 }
 
--- a/core/engine/load.go
+++ b/core/engine/load.go
@@ -25,9 +25,10 @@
 	if e.config == nil || len(e.sortedWorkers) == 0 {
 		return nil
 	}
-	profile := e.loadProfile(now)
+	profile := e.loadProfile(now, "")
 	steps := e.stepsAhead(now)
 	s := &intake.Snapshot{Organizations: e.organizationTokens(now)}
+	excess := e.newExcessForecast(now, len(s.Organizations) > 0)
 	queues := slices.Clone(e.config.Queues)
 	slices.SortStableFunc(queues, func(a, b jobs.Queue) int { return cmp.Compare(a.Priority, b.Priority) })
 	for i := range queues {
@@ -36,7 +37,7 @@
 			profile.add(e, steps[0])
 			steps = steps[1:]
 		}
-		entry := intake.Queue{Name: q.Name, Priority: q.Priority, Free: profile.at()}
+		entry := intake.Queue{Name: q.Name, Priority: q.Priority, Free: profile.at(), ExcessFree: excess.free(q)}
 		e.setDurations(&entry)
 		if q.Advice != nil {
 			entry.PermittedShare = max(e.statsOf(q.Name).permittedShare, minPermittedShare)
@@ -83,6 +84,11 @@
 	return e.rankOf(now, &o, j) == onTime && !o.atRisk
 }
 
+// rankOfCopy returns the rank of an occurrence without keeping it.
+func (e *Engine) rankOfCopy(now time.Time, o occurrence, j *job) valueRank {
+	return e.rankOf(now, &o, j)
+}
+
 // loadProfile is the processor capacity, in millicores, that becomes free in each bin. Work is put into
 // the first bins that have capacity for it.
 type loadProfile struct {
@@ -91,11 +97,12 @@
 	bin int
 }
 
-// loadProfile returns what the runs release at their predicted ends, and what is free now.
-func (e *Engine) loadProfile(now time.Time) *loadProfile {
+// loadProfile returns what the runs of a service release at their predicted ends, and what is free now. The
+// empty service is all services.
+func (e *Engine) loadProfile(now time.Time, service string) *loadProfile {
 	p := new(loadProfile)
 	for _, w := range e.sortedWorkers {
-		if !w.usable(now) || w.health.quarantined(now) {
+		if !w.usable(now) || w.health.quarantined(now) || service != "" && w.Service != service {
 			continue
 		}
 		p.released[0] += max(0, w.free().Millicores)
@@ -129,13 +136,7 @@
 
 // add starts the waiting tasks of a step.
 func (p *loadProfile) add(e *Engine, s *step) {
-	waiting := int64(0)
-	for _, t := range s.tasks {
-		if !t.done && t.run == nil {
-			waiting++
-		}
-	}
-	missing := waiting * s.demand().Millicores
+	missing := s.waitingMillicores()
 	duration := max(1, int(e.predict(s)/loadBin))
 	for missing > 0 && p.bin < loadBins {
 		part := min(missing, p.released[p.bin])
@@ -148,6 +149,17 @@
 	}
 }
 
+// waitingMillicores returns the processor capacity that the waiting tasks of a step request.
+func (s *step) waitingMillicores() int64 {
+	waiting := int64(0)
+	for _, t := range s.tasks {
+		if !t.done && t.run == nil {
+			waiting++
+		}
+	}
+	return waiting * s.demand().Millicores
+}
+
 // at returns the capacity that is free at each of intake.Horizons.
 func (p *loadProfile) at() (free [len(intake.Horizons)]int64) {
 	sum, k := int64(0), 0
@@ -170,9 +182,15 @@
 	factor := e.computeWeightFactor(now)
 	for _, entry := range e.config.Organizations.All() {
 		weight := entry.Weight * factor
-		if left := e.submissionsLeft(now, entry.Name, weight); left < 1 || left <= intake.Depth(weight)/2 {
-			list = append(list, intake.Organization{Name: entry.Name, Jobs: left, PerSecond: weight})
+		left := e.submissionsLeft(now, entry.Name, weight)
+		if left >= 1 && left > intake.Depth(weight)/2 {
+			continue
+		}
+		o := intake.Organization{Name: entry.Name, Jobs: left, PerSecond: weight, Growth: weight}
+		if known := e.organizations[entry.Name]; known != nil {
+			o.Growth = max(0, weight-known.submissions.by(now))
 		}
+		list = append(list, o)
 	}
 	return list
 }
--- a/core/engine/load_test.go
+++ b/core/engine/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -170,6 +171,92 @@
 	}
 }
 
+// TestExcessIsLeftWhatOthersAreNotOwed checks the capacity that is predicted for excess against owed work that
+// waits, late or not, and against owed work that arrived lately. Worthless work, and what earlier leaders
+// accepted, does not count: the prediction would refuse jobs that have a chance.
+func TestExcessIsLeftWhatOthersAreNotOwed(t *testing.T) {
+	free := func(e *testEngine, millicores int64) time.Duration {
+		t.Helper()
+		s := e.LoadSnapshot(e.now)
+		for k, amount := range s.Queues[slices.IndexFunc(s.Queues, func(q intake.Queue) bool { return q.Name == "batch" })].ExcessFree {
+			if amount >= millicores {
+				return intake.Horizons[k]
+			}
+		}
+		return -1
+	}
+	waiting := func(id jobs.ID, age, slack time.Duration) jobs.Job {
+		job := testJob(id, 8)
+		job.Organization, job.ArrivedAt = "steady", testStart.Add(-age)
+		job.Queue.Slack, job.Steps[0].Estimate, job.Queue.Priority = slack, 2*time.Second, 3
+		return job
+	}
+	cases := map[string]struct {
+		job  *jobs.Job
+		want time.Duration
+	}{
+		"nothing waits":               {want: 2 * time.Second},
+		"less urgent owed work waits": {job: new(waiting("waiting", 0, time.Minute)), want: 4 * time.Second},
+		"late owed work waits":        {job: new(waiting("waiting", 10*time.Second, 9*time.Second)), want: 4 * time.Second},
+		"worthless work waits":        {job: new(waiting("waiting", time.Minute, 0)), want: 2 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newLoadTest(t)
+			if c.job != nil {
+				e.apply(JobAccepted{Job: *c.job, Inherited: true})
+				e.runPass(0)
+			}
+			if got := free(e, 8000); got != c.want {
+				t.Errorf("all capacity is free for excess after %s, want %s", got, c.want)
+			}
+		})
+	}
+	e := newLoadTest(t)
+	for i := range 40 {
+		e.now = e.now.Add(250 * time.Millisecond)
+		job := testJob(jobs.ID(fmt.Sprintf("arrival%d", i)), 8)
+		job.Organization, job.ArrivedAt, job.Steps[0].Estimate = "steady", e.now, 2*time.Second
+		e.apply(JobAccepted{Job: job})
+		e.runPass(0)
+		e.apply(JobCanceled{ID: job.ID})
+	}
+	if got := free(e, 1000); got != -1 {
+		t.Errorf("capacity is free for excess after %s, want none: owed work of eight times the capacity arrives", got)
+	}
+	for range 60 {
+		e.now = e.now.Add(time.Second)
+		e.pollAll(nil)
+	}
+	if got := free(e, 1000); got < 0 {
+		t.Error("no capacity is free for excess a minute after the last arrival")
+	}
+}
+
+// TestArrivalRateIsOptimistic guards against a burst that passes for the load of the next half minute.
+func TestArrivalRateIsOptimistic(t *testing.T) {
+	var a arrivalRate
+	now := testStart
+	for range 300 {
+		now = now.Add(100 * time.Millisecond)
+		a.observe(now, 100, 200)
+	}
+	steady, duration := a.lowest(now)
+	if steady < 850 || steady > 1050 || duration != 2*time.Second {
+		t.Errorf("got %.0f millicores per second of %s, want about 1,000 of 2s", steady, duration)
+	}
+	if calm, _ := a.lowest(now.Add(3 * time.Second)); calm > 0.5*steady {
+		t.Errorf("got %.0f after 3 s without arrivals, want at most half of %.0f", calm, steady)
+	}
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		a.observe(now, 700, 1400)
+	}
+	if burst, _ := a.lowest(now); burst > 1.8*steady {
+		t.Errorf("got %.0f after a second of seven times the %.0f", burst, steady)
+	}
+}
+
 // TestSnapshotUsesLearnedDurations checks that VMs predict by what was learned: the median for the objective and
 // a low quantile for the requested job, so that one that may be short is not refused.
 func TestSnapshotUsesLearnedDurations(t *testing.T) {
--- a/core/engine/predict.go
+++ b/core/engine/predict.go
@@ -32,6 +32,8 @@
 	permittedShare float64
 	durations      durationModel
 	errors         predictionError
+	// arrivals is the work of new jobs that are not excess.
+	arrivals arrivalRate
 }
 
 // durationModel is a linear regression of the logarithm of task durations on the logarithm of the
--- a/core/engine/share.go
+++ b/core/engine/share.go
@@ -97,6 +97,9 @@
 	for _, j := range list {
 		if o := j.organization; o.entry != nil {
 			j.excess = e.takeSubmission(j, j.arrivedBy(now))
+			if !j.excess && !j.inherited {
+				e.observeArrival(now, j)
+			}
 		}
 	}
 }
--- a/core/intake/decide.go
+++ b/core/intake/decide.go
@@ -15,6 +15,9 @@
 	TooLate Reason = "too-late"
 	// Excess means that the organization submits more than its weight while its queue is full.
 	Excess Reason = "excess"
+	// NoChance means that the job is excess, and the work that organizations are owed leaves no capacity
+	// before it is worthless.
+	NoChance Reason = "no-chance"
 	// GangExceedsCap means that a gang of the job is wider than its organization's cap.
 	GangExceedsCap Reason = "gang-exceeds-cap"
 )
@@ -33,7 +36,7 @@
 func (d Decision) Accepted() bool { return d.Reason == "" }
 
 // Rules select what is refused besides gangs that exceed a cap. The zero value refuses nothing else.
-type Rules struct{ TooLate, Excess bool }
+type Rules struct{ TooLate, Excess, NoChance bool }
 
 const (
 	// minRetryAfter is the least time to come back that a caller is told: callers retry at most four
@@ -45,7 +48,7 @@
 )
 
 // Decide accepts a job, or refuses it with the reason and the time to come back. It handles bursts that
-// ask for more than the workers have, and an organization that sends a multiple of its usual load. It
+// ask for more than the workers have, and organizations that send a multiple of their usual load. It
 // accepts what a snapshot does not tell, or a snapshot older than MaxAge.
 func (s *Snapshot) Decide(now time.Time, r Request, rules Rules) Decision {
 	if r.ExceedsCap {
@@ -58,6 +61,12 @@
 	if q == nil {
 		return Decision{}
 	}
+	wait, excess, lasting := s.excess(now, r.Organization)
+	if rules.NoChance && lasting {
+		if d := s.decideExcess(now, q, r, wait); !d.Accepted() {
+			return d
+		}
+	}
 	// A capacity that is not free by the last horizon depends on more than is predicted.
 	after, known := q.freeAfter(r.Millicores)
 	if !known {
@@ -71,12 +80,37 @@
 		return d
 	}
 	endangered := end+time.Duration(jobs.RiskMargin*float64(r.CriticalPath)) > r.Objective
-	if wait, excess := s.excess(now, r.Organization); rules.Excess && excess && endangered {
+	if rules.Excess && excess && endangered {
 		d.Reason, d.RetryAfter = Excess, s.retryAfter(r, max(start, wait))
 	}
 	return d
 }
 
+// decideExcess refuses excess for which no capacity is left before it is worthless. Wait is the time until
+// a job of the organization is not excess. A job that could still start after the last of the horizons is
+// accepted.
+func (s *Snapshot) decideExcess(now time.Time, q *Queue, r Request, wait time.Duration) Decision {
+	if q.ExcessFree == nil {
+		return Decision{}
+	}
+	age := now.Sub(s.At)
+	latest := age + jobs.WorthlessFactor*r.Objective - r.CriticalPath
+	after, known := q.freeAfterIn(q.ExcessFree, r.TaskMillicores)
+	if known && after <= latest || !known && latest >= Horizons[len(Horizons)-1] {
+		return Decision{}
+	}
+	// The job has a place as excess, or as a job that is not excess once the organization may submit one.
+	d := Decision{Reason: NoChance, Start: Horizons[len(Horizons)-1] - age}
+	if owed, free := q.freeAfter(r.Millicores); free {
+		d.Start = max(wait, owed-age)
+	}
+	if known {
+		d.Start = min(d.Start, after-age)
+	}
+	d.RetryAfter = s.retryAfter(r, d.Start)
+	return d
+}
+
 // retryAfter returns the time after which a job that could start after a wait would start at once, spread
 // by the request.
 func (s *Snapshot) retryAfter(r Request, wait time.Duration) time.Duration {
@@ -85,20 +119,24 @@
 }
 
 // excess reports whether a job that an organization submits now is excess, and when the next one would not be.
-func (s *Snapshot) excess(now time.Time, name string) (wait time.Duration, excess bool) {
+// Lasting also allows for what the organization submits at other VMs, which take from the same bucket.
+func (s *Snapshot) excess(now time.Time, name string) (wait time.Duration, excess, lasting bool) {
 	for i := range s.Organizations {
 		o := &s.Organizations[i]
 		if o.Name != name {
 			continue
 		}
-		available := min(o.Jobs+o.PerSecond*now.Sub(s.At).Seconds(), Depth(o.PerSecond))
-		if available >= 1 {
-			return 0, false
-		}
-		if o.PerSecond <= 0 {
-			return Horizons[len(Horizons)-1], true
+		age := now.Sub(s.At).Seconds()
+		lasting = min(o.Jobs+o.Growth*age, Depth(o.PerSecond)) < 1
+		available := min(o.Jobs+o.PerSecond*age, Depth(o.PerSecond))
+		switch {
+		case available >= 1:
+			return 0, false, lasting
+		case o.PerSecond <= 0:
+			return Horizons[len(Horizons)-1], true, lasting
+		default:
+			return seconds((1 - available) / o.PerSecond), true, lasting
 		}
-		return seconds((1 - available) / o.PerSecond), true
 	}
-	return 0, false
+	return 0, false, false
 }
--- a/core/intake/decide_test.go
+++ b/core/intake/decide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,7 +26,13 @@
 }
 
 func testRequest() Request {
-	return Request{Queue: "queue", Priority: 1, Millicores: 10_000, CriticalPath: time.Second, Objective: 3 * time.Second}
+	return Request{Queue: "queue", Priority: 1, Millicores: 10_000, TaskMillicores: 10_000, CriticalPath: time.Second, Objective: 3 * time.Second}
+}
+
+// noChance makes a request excess for which no capacity is left.
+func noChance(s *Snapshot, r *Request) {
+	s.Queues[0].ExcessFree = make([]int64, len(Horizons))
+	r.Organization = "large"
 }
 
 // TestDecide checks who is refused, and that whatever the snapshot does not tell is accepted: a refusal
@@ -53,6 +60,20 @@
 		"excess, nobody endangered":       {change: func(_ *Snapshot, r *Request) { r.Organization, r.Objective = "large", time.Minute }, rules: all},
 		"weight of zero":                  {change: func(_ *Snapshot, r *Request) { r.Organization = "none" }, rules: all, want: Excess, least: 30 * time.Second, atMost: time.Minute},
 		"organization far from its limit": {change: func(_ *Snapshot, r *Request) { r.Organization = "small" }, rules: all},
+		"no chance":                       {change: noChance, rules: Rules{NoChance: true}, want: NoChance, least: 3 * time.Second, atMost: 9 * time.Second},
+		"no chance, rule off":             {change: noChance},
+		"no chance, but owed":             {change: func(s *Snapshot, r *Request) { noChance(s, r); r.Organization = "small" }, rules: Rules{NoChance: true}},
+		"no chance, owed by now":          {change: func(s *Snapshot, r *Request) { noChance(s, r); s.Organizations[0].Growth = 2 }, after: time.Second, rules: Rules{NoChance: true}},
+		"no chance, others take the rest": {change: func(s *Snapshot, r *Request) { noChance(s, r); s.Organizations[0].PerSecond = 2 }, after: time.Second, rules: Rules{NoChance: true}, want: NoChance, least: time.Second, atMost: 5 * time.Second},
+		"gang of which a task has room": {change: func(s *Snapshot, r *Request) {
+			noChance(s, r)
+			r.TaskMillicores, s.Queues[0].ExcessFree[0] = 1000, 1000
+		}, rules: Rules{NoChance: true}},
+		"no chance, weight of zero":       {change: func(s *Snapshot, r *Request) { noChance(s, r); r.Organization = "none" }, rules: Rules{NoChance: true}, want: NoChance, least: 30 * time.Second, atMost: time.Minute},
+		"excess in time for a late end":   {change: func(s *Snapshot, r *Request) { noChance(s, r); s.Queues[0].ExcessFree[6] = 10_000 }, rules: Rules{NoChance: true}},
+		"excess too late":                 {change: func(s *Snapshot, r *Request) { noChance(s, r); s.Queues[0].ExcessFree[7] = 10_000 }, rules: Rules{NoChance: true}, want: NoChance, least: 3 * time.Second, atMost: 9 * time.Second},
+		"excess of use after the horizon": {change: func(s *Snapshot, r *Request) { noChance(s, r); r.Objective = time.Minute }, rules: Rules{NoChance: true}},
+		"excess, nothing predicted":       {change: func(s *Snapshot, r *Request) { noChance(s, r); s.Queues[0].ExcessFree = nil }, rules: Rules{NoChance: true}},
 		"gang wider than the cap":         {change: func(_ *Snapshot, r *Request) { r.ExceedsCap = true }, after: time.Hour, want: GangExceedsCap},
 	}
 	for name, c := range cases {
@@ -79,7 +100,7 @@
 	job := &jobs.Job{Queue: jobs.Queue{Name: "queue"}, Steps: []jobs.Step{{Count: 3, Gang: true, PerTask: roster.Resources{Millicores: 1000}}}}
 	for limit, want := range map[int64]Reason{0: "", 2999: GangExceedsCap, 3000: ""} {
 		r := none.NewRequest(job, roster.Resources{Millicores: limit}, 0.5)
-		none.NoteAccepted(r)
+		none.NoteAccepted(testTime, r)
 		if d := none.Decide(testTime, r, Rules{TooLate: true, Excess: true}); d.Reason != want {
 			t.Errorf("cap of %d millicores: got %+v, want %q", limit, d, want)
 		}
@@ -94,16 +115,43 @@
 	before := start()
 	urgent, less := r, r
 	urgent.Priority, less.Priority = 0, 2
-	s.NoteAccepted(less)
+	s.NoteAccepted(testTime, less)
 	if got := start(); got != before {
 		t.Errorf("start after %s with a less urgent job ahead, want %s", got, before)
 	}
-	s.NoteAccepted(urgent)
+	s.NoteAccepted(testTime, urgent)
 	if got := start(); got != before+time.Second {
 		t.Errorf("start after %s with an urgent job ahead, want %s", got, before+time.Second)
 	}
 }
 
+// TestAcceptedExcessTakesNothing guards against a VM that takes accepted excess from what the organization may
+// still submit, as the leader does not: its later jobs would be refused although they are owed.
+func TestAcceptedExcessTakesNothing(t *testing.T) {
+	s, r := testSnapshot(), testRequest()
+	r.Organization = "large"
+	for range 5 {
+		s.NoteAccepted(testTime, r)
+	}
+	if _, excess, _ := s.excess(testTime.Add(MaxAge), r.Organization); excess {
+		t.Error("a job is excess when the organization may submit one again")
+	}
+	s.NoteAccepted(testTime.Add(MaxAge), r)
+	if _, excess, _ := s.excess(testTime.Add(MaxAge), r.Organization); !excess {
+		t.Error("an accepted job that is not excess takes nothing")
+	}
+}
+
+// TestCloneSharesNothing guards against snapshots of several VMs that take accepted jobs off each other.
+func TestCloneSharesNothing(t *testing.T) {
+	s, r := testSnapshot(), testRequest()
+	noChance(s, &r)
+	s.Clone().NoteAccepted(testTime, r)
+	if got := s.Queues[0].ExcessFree[0]; got != 0 {
+		t.Errorf("the free capacity became %d, want 0", got)
+	}
+}
+
 // TestShortestPathIsOptimistic checks that a job is judged by the time that few such jobs fall below, and its
 // objective by the predicted one: otherwise the objective shrinks with the path, and jobs in time are refused.
 func TestShortestPathIsOptimistic(t *testing.T) {
@@ -139,6 +187,7 @@
 		for k := range q.Free {
 			q.Free[k] = 11_200_000 - int64(k)
 		}
+		q.ExcessFree, q.LeastShare = slices.Clone(q.Free[:]), 0.4321
 		s.Queues = append(s.Queues, q)
 	}
 	for i := range 20 {
@@ -170,7 +219,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		r := s.NewRequest(job, roster.Resources{Millicores: 1_000_000}, 0.5)
-		if d := s.Decide(testTime, r, Rules{TooLate: true, Excess: true}); d.Reason == GangExceedsCap {
+		if d := s.Decide(testTime, r, Rules{TooLate: true, Excess: true, NoChance: true}); d.Reason == GangExceedsCap {
 			b.Fatal(d)
 		}
 	}
--- a/core/intake/doc.go
+++ b/core/intake/doc.go
@@ -8,5 +8,6 @@
 // The prediction is optimistic: it counts only work that is known to go
 // first, and what is uncertain is accepted. So a refusal means that the job
 // could not have earned anything, or that its organization sends more than
-// its weight while the queue is too full for the jobs of others.
+// its weight while the queue is too full for the jobs of others, or while
+// the work that organizations are owed leaves no capacity for it.
 package intake
--- a/core/intake/request.go
+++ b/core/intake/request.go
@@ -15,6 +15,8 @@
 	// Millicores is the processor capacity that the first steps of the job need to start: that of a
 	// whole gang, or of one task of another step.
 	Millicores int64
+	// TaskMillicores is the least that a task of the first steps needs.
+	TaskMillicores int64
 	// CriticalPath is the duration of the longest chain of steps that few such jobs fall below, Objective
 	// the time that the job may take to be on time, by the predicted duration of that chain.
 	CriticalPath, Objective time.Duration
@@ -50,6 +52,9 @@
 		r.ExceedsCap = r.ExceedsCap || step.Gang && !FitsCap(step.PerTask, step.Count, limit)
 		if len(step.After) == 0 && !step.Filler {
 			r.Millicores = max(r.Millicores, firstMillicores(step))
+			if r.TaskMillicores == 0 || step.PerTask.Millicores < r.TaskMillicores {
+				r.TaskMillicores = step.PerTask.Millicores
+			}
 		}
 	}
 	r.Objective = job.Queue.Objective(r.CriticalPath)
--- a/core/intake/snapshot.go
+++ b/core/intake/snapshot.go
@@ -41,6 +41,9 @@
 	// LongEstimate.
 	Short time.Duration `cbor:"5,keyasint"`
 	Long  time.Duration `cbor:"6,keyasint"`
+	// ExcessFree is Free for a job that is excess: all work that is not excess goes before it, what is
+	// expected to arrive included. It is nil where nothing is excess.
+	ExcessFree []int64 `cbor:"7,keyasint,omitempty"`
 	// LeastShare is the duration that few tasks fall below, as a share of the predicted one; 0 is the
 	// predicted one.
 	LeastShare float64 `cbor:"8,keyasint,omitempty"`
@@ -60,6 +63,8 @@
 	// Depth.
 	Jobs      float64 `cbor:"2,keyasint"`
 	PerSecond float64 `cbor:"3,keyasint"`
+	// Growth is how many of them are added per second beyond what the organization submits, at least 0.
+	Growth float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Depth returns how many jobs an organization with a weight may submit at once: those of one second, and
@@ -81,11 +86,14 @@
 	}
 	c := *s
 	c.Queues, c.Organizations = slices.Clone(s.Queues), slices.Clone(s.Organizations)
+	for i := range c.Queues {
+		c.Queues[i].ExcessFree = slices.Clone(c.Queues[i].ExcessFree)
+	}
 	return &c
 }
 
-// NoteAccepted adds a job that this VM accepted after the snapshot was taken.
-func (s *Snapshot) NoteAccepted(r Request) {
+// NoteAccepted adds a job that this VM accepted at a time after the snapshot was taken.
+func (s *Snapshot) NoteAccepted(now time.Time, r Request) {
 	if s == nil {
 		return
 	}
@@ -97,6 +105,16 @@
 		for k := range q.Free {
 			q.Free[k] -= r.Millicores
 		}
+		if q.Name != r.Queue {
+			continue // the job may use other workers
+		}
+		for k := range q.ExcessFree {
+			q.ExcessFree[k] -= r.Millicores
+		}
+	}
+	// Excess takes nothing from what the organization may still submit.
+	if _, excess, _ := s.excess(now, r.Organization); excess {
+		return
 	}
 	if i := slices.IndexFunc(s.Organizations, func(o Organization) bool { return o.Name == r.Organization }); i >= 0 {
 		s.Organizations[i].Jobs--
@@ -115,17 +133,22 @@
 // freeAfter returns how long after the snapshot an amount of capacity is free, or false if it is not by
 // the last of the Horizons.
 func (q *Queue) freeAfter(millicores int64) (time.Duration, bool) {
+	return q.freeAfterIn(q.Free[:], millicores)
+}
+
+// freeAfterIn is freeAfter with the capacity that is free at each of the Horizons.
+func (q *Queue) freeAfterIn(list []int64, millicores int64) (time.Duration, bool) {
 	if q.PermittedShare > 0 {
 		millicores = int64(float64(millicores) / q.PermittedShare)
 	}
-	for k, free := range q.Free {
+	for k, free := range list[:min(len(list), len(Horizons))] {
 		if free < millicores {
 			continue
 		}
-		if k == 0 || free == q.Free[k-1] {
+		if k == 0 || free == list[k-1] {
 			return Horizons[k], true
 		}
-		part := float64(millicores-q.Free[k-1]) / float64(free-q.Free[k-1])
+		part := float64(millicores-list[k-1]) / float64(free-list[k-1])
 		return Horizons[k-1] + time.Duration(part*float64(Horizons[k]-Horizons[k-1])), true
 	}
 	return 0, false
--- a/model/play/door.go
+++ b/model/play/door.go
@@ -72,7 +72,7 @@
 	request := snapshot.NewRequest(&p.Job, roster.Resources{}, d.rand.Float64())
 	decision := snapshot.Decide(c.now, request, d.rules)
 	if decision.Accepted() {
-		snapshot.NoteAccepted(request)
+		snapshot.NoteAccepted(c.now, request)
 		return true
 	}
 	p.refused = string(decision.Reason)
--- a/model/run.go
+++ b/model/run.go
@@ -37,10 +37,11 @@
 
 // refusals are the rules for refusing jobs that can be compared, by name.
 var refusals = map[string]intake.Rules{
-	"none":     {},
-	"too-late": {TooLate: true},
-	"excess":   {Excess: true},
-	"all":      {TooLate: true, Excess: true},
+	"none":      {},
+	"too-late":  {TooLate: true},
+	"excess":    {Excess: true},
+	"no-chance": {NoChance: true},
+	"all":       {TooLate: true, Excess: true, NoChance: true},
 }
 
 // variant is a scheduling policy with rules for refusing jobs.
