--- a/core/cell/admission.go
+++ b/core/cell/admission.go
@@ -24,7 +24,7 @@
 	AdmissionAuto Admission = iota
 	// AdmissionOn refuses in any cell, by all rules.
 	AdmissionOn
-	// AdmissionOff refuses nothing, gangs that are wider than a cap included.
+	// AdmissionOff refuses nothing, gangs that are wider than a cap included, and keeps weights fixed.
 	AdmissionOff
 )
 
@@ -51,7 +51,8 @@
 }
 
 // rules returns what is refused for the load. In the model neither refusals of jobs that would end too
-// late nor of the excess of organizations earned more (docs/design/admission.md), so they need AdmissionOn.
+// late nor of the excess of organizations, hopeless or not, earned more (docs/design/admission.md), so they
+// need AdmissionOn.
 func (a Admission) rules() intake.Rules {
 	if a == AdmissionOn {
 		return intake.Rules{TooLate: true, Excess: true, NoChance: true}
