--- a/core/cell/admission.go
+++ b/core/cell/admission.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/intake"
 	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/roster"
@@ -23,7 +24,7 @@
 	AdmissionAuto Admission = iota
 	// AdmissionOn refuses in any cell, by all rules.
 	AdmissionOn
-	// AdmissionOff refuses nothing, gangs that are wider than a cap included.
+	// AdmissionOff refuses nothing, gangs that are wider than a cap included, and keeps weights fixed.
 	AdmissionOff
 )
 
@@ -50,14 +51,19 @@
 }
 
 // rules returns what is refused for the load. In the model neither refusals of jobs that would end too
-// late nor of the excess of organizations earned more (docs/design/admission.md), so they need AdmissionOn.
+// late nor of the excess of organizations, hopeless or not, earned more (docs/design/admission.md), so they
+// need AdmissionOn.
 func (a Admission) rules() intake.Rules {
 	if a == AdmissionOn {
-		return intake.Rules{TooLate: true, Excess: true}
+		return intake.Rules{TooLate: true, Excess: true, NoChance: true}
 	}
 	return intake.Rules{}
 }
 
+// policy returns the policy of the engine: weights that rise with the load of all organizations, unless
+// admission is off.
+func (a Admission) policy() engine.Policy { return engine.Policy{FixedWeights: a == AdmissionOff} }
+
 const (
 	// snapshotInterval is how long the leader sends the same snapshot to several VMs: one takes a
 	// fraction of a scheduling pass.
@@ -114,7 +120,7 @@
 	r = snapshot.NewRequest(job, limit, rand.Float64()) //nolint:gosec // spreads callers, no secret
 	d = snapshot.Decide(now, r, rules)
 	if d.Accepted() {
-		snapshot.NoteAccepted(r)
+		snapshot.NoteAccepted(now, r)
 	}
 	return d, r, age
 }
@@ -193,6 +199,7 @@
 var refusalTexts = map[intake.Reason]string{
 	intake.TooLate:        "the job would end too late",
 	intake.Excess:         "the organization submits more jobs than its weight while the cell is full",
+	intake.NoChance:       "the organization submits more jobs than its weight, and the cell has no capacity left for them",
 	intake.GangExceedsCap: "a gang needs more than the organization may have running",
 }
 
--- a/core/engine/load.go
+++ b/core/engine/load.go
@@ -7,6 +7,7 @@
 
 	"tanagerstack.org/core/intake"
 	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/learn"
 )
 
 const (
@@ -24,9 +25,10 @@
 	if e.config == nil || len(e.sortedWorkers) == 0 {
 		return nil
 	}
-	profile := e.loadProfile(now)
+	profile := e.loadProfile(now, "")
 	steps := e.stepsAhead(now)
 	s := &intake.Snapshot{Organizations: e.organizationTokens(now)}
+	excess := e.newExcessForecast(now, len(s.Organizations) > 0)
 	queues := slices.Clone(e.config.Queues)
 	slices.SortStableFunc(queues, func(a, b jobs.Queue) int { return cmp.Compare(a.Priority, b.Priority) })
 	for i := range queues {
@@ -35,19 +37,27 @@
 			profile.add(e, steps[0])
 			steps = steps[1:]
 		}
-		stats := e.statsOf(q.Name)
-		entry := intake.Queue{
-			Name: q.Name, Priority: q.Priority, Free: profile.at(),
-			Short: stats.durations.predict(intake.ShortEstimate), Long: stats.durations.predict(intake.LongEstimate),
-		}
+		entry := intake.Queue{Name: q.Name, Priority: q.Priority, Free: profile.at(), ExcessFree: excess.free(q)}
+		e.setDurations(&entry)
 		if q.Advice != nil {
-			entry.PermittedShare = max(stats.permittedShare, minPermittedShare)
+			entry.PermittedShare = max(e.statsOf(q.Name).permittedShare, minPermittedShare)
 		}
 		s.Queues = append(s.Queues, entry)
 	}
 	return s
 }
 
+// setDurations sets the predicted durations of a queue's tasks.
+func (e *Engine) setDurations(q *intake.Queue) {
+	if e.durations != DurationsLearned {
+		model := &e.statsOf(q.Name).durations
+		q.Short, q.Long = model.predict(intake.ShortEstimate), model.predict(intake.LongEstimate)
+		return
+	}
+	short, long := e.learned.Predict(learn.Key{Queue: q.Name}, intake.ShortEstimate), e.learned.Predict(learn.Key{Queue: q.Name}, intake.LongEstimate)
+	q.Short, q.Long, q.LeastShare = short.Median(), long.Median(), short.Spread(lateQuantile)
+}
+
 // stepsAhead returns the steps that wait and are likely to end on time, the most urgent queues first.
 func (e *Engine) stepsAhead(now time.Time) []*step {
 	var list []*step
@@ -74,6 +84,11 @@
 	return e.rankOf(now, &o, j) == onTime && !o.atRisk
 }
 
+// rankOfCopy returns the rank of an occurrence without keeping it.
+func (e *Engine) rankOfCopy(now time.Time, o occurrence, j *job) valueRank {
+	return e.rankOf(now, &o, j)
+}
+
 // loadProfile is the processor capacity, in millicores, that becomes free in each bin. Work is put into
 // the first bins that have capacity for it.
 type loadProfile struct {
@@ -82,18 +97,19 @@
 	bin int
 }
 
-// loadProfile returns what the runs release at their predicted ends, and what is free now.
-func (e *Engine) loadProfile(now time.Time) *loadProfile {
+// loadProfile returns what the runs of a service release at their predicted ends, and what is free now. The
+// empty service is all services.
+func (e *Engine) loadProfile(now time.Time, service string) *loadProfile {
 	p := new(loadProfile)
 	for _, w := range e.sortedWorkers {
-		if !w.usable(now) || e.withheld(now, w) {
+		if !w.usable(now) || e.withheld(now, w) || service != "" && w.Service != service {
 			continue
 		}
 		p.released[0] += max(0, w.free().Millicores)
 		for _, r := range w.runs {
 			remaining := time.Duration(0)
 			if r.owner != nil && r.phase != stopping {
-				remaining = r.remaining(now, e.predict(r.owner.step))
+				remaining = e.remainingRunTime(now, r)
 			}
 			p.release(int(remaining/loadBin), r.demand.Millicores)
 		}
@@ -101,6 +117,16 @@
 	return p
 }
 
+// remainingRunTime returns the predicted remaining time of a run. Where durations are learned, it allows for
+// how long the run has taken already.
+func (e *Engine) remainingRunTime(now time.Time, r *run) time.Duration {
+	if e.durations == DurationsLearned && r.percent-r.startPercent < minProgressPercent && !r.resumed {
+		p := e.prediction(r.owner.step, r.worker)
+		return p.Remaining(now.Sub(r.startSentAt))
+	}
+	return r.remaining(now, e.predict(r.owner.step))
+}
+
 // release adds capacity that becomes free in a bin; what does after the last one is left out.
 func (p *loadProfile) release(bin int, millicores int64) {
 	if bin < loadBins {
@@ -110,13 +136,7 @@
 
 // add starts the waiting tasks of a step.
 func (p *loadProfile) add(e *Engine, s *step) {
-	waiting := int64(0)
-	for _, t := range s.tasks {
-		if !t.done && t.run == nil {
-			waiting++
-		}
-	}
-	missing := waiting * s.demand().Millicores
+	missing := s.waitingMillicores()
 	duration := max(1, int(e.predict(s)/loadBin))
 	for missing > 0 && p.bin < loadBins {
 		part := min(missing, p.released[p.bin])
@@ -129,6 +149,17 @@
 	}
 }
 
+// waitingMillicores returns the processor capacity that the waiting tasks of a step request.
+func (s *step) waitingMillicores() int64 {
+	waiting := int64(0)
+	for _, t := range s.tasks {
+		if !t.done && t.run == nil {
+			waiting++
+		}
+	}
+	return waiting * s.demand().Millicores
+}
+
 // at returns the capacity that is free at each of intake.Horizons.
 func (p *loadProfile) at() (free [len(intake.Horizons)]int64) {
 	sum, k := int64(0), 0
@@ -148,10 +179,18 @@
 		return nil
 	}
 	var list []intake.Organization
-	for _, o := range e.config.Organizations.All() {
-		if left := e.submissionsLeft(now, &o); left < 1 || left <= intake.Depth(o.Weight)/2 {
-			list = append(list, intake.Organization{Name: o.Name, Jobs: left, PerSecond: o.Weight})
+	factor := e.computeWeightFactor(now)
+	for _, entry := range e.config.Organizations.All() {
+		weight := entry.Weight * factor
+		left := e.submissionsLeft(now, entry.Name, weight)
+		if left >= 1 && left > intake.Depth(weight)/2 {
+			continue
+		}
+		o := intake.Organization{Name: entry.Name, Jobs: left, PerSecond: weight, Growth: weight}
+		if known := e.organizations[entry.Name]; known != nil {
+			o.Growth = max(0, weight-known.submissions.by(now))
 		}
+		list = append(list, o)
 	}
 	return list
 }
--- a/core/intake/request.go
+++ b/core/intake/request.go
@@ -15,8 +15,10 @@
 	// Millicores is the processor capacity that the first steps of the job need to start: that of a
 	// whole gang, or of one task of another step.
 	Millicores int64
-	// CriticalPath is the predicted duration of the longest chain of steps, Objective the time that the
-	// job may take to be on time.
+	// TaskMillicores is the least that a task of the first steps needs.
+	TaskMillicores int64
+	// CriticalPath is the duration of the longest chain of steps that few such jobs fall below, Objective
+	// the time that the job may take to be on time, by the predicted duration of that chain.
 	CriticalPath, Objective time.Duration
 	// Recurring jobs become due later, and service tasks have no end, so nothing is predicted of them.
 	Recurring, Service bool
@@ -50,9 +52,13 @@
 		r.ExceedsCap = r.ExceedsCap || step.Gang && !FitsCap(step.PerTask, step.Count, limit)
 		if len(step.After) == 0 && !step.Filler {
 			r.Millicores = max(r.Millicores, firstMillicores(step))
+			if r.TaskMillicores == 0 || step.PerTask.Millicores < r.TaskMillicores {
+				r.TaskMillicores = step.PerTask.Millicores
+			}
 		}
 	}
 	r.Objective = job.Queue.Objective(r.CriticalPath)
+	r.CriticalPath = q.least(r.CriticalPath)
 	return r
 }
 
