Do not move a task for being slow after a worker crashed under it

Traced: takeovers lose the crashes that the earlier leader had not stored, which is documented.

A task under which a worker crashed is now moved only if it makes no progress.

Tried and taken back: a bound of the check that grows with the takeovers. TestProtections then no longer noticed that leaders forget crashes.

--- a/core/engine/straggler.go
+++ b/core/engine/straggler.go
@@ -61,6 +61,9 @@
 	if stalledFor > stalledAfter+time.Duration(stalledShare*float64(predicted)) && now.Sub(r.progressAt) > stalledAfter {
 		return "it makes no progress"
 	}
+	if r.owner.counted().crashes > 0 {
+		return "" // a move costs one of the starts that are left after crashes
+	}
 	duration, known := r.projectedDuration()
 	if !known || !e.slowDueToWorker(now, r, duration, predicted) {
 		return ""
