--- a/core/engine/predict.go
+++ b/core/engine/predict.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tanagerstack.org/core/jobs"
+	"tanagerstack.org/core/learn"
 )
 
 // Callers estimate how long tasks run, and the estimates of some queues are poor. The durations
@@ -15,8 +16,6 @@
 	// durationSamples is the number of completed tasks that a queue's duration model is averaged
 	// over.
 	durationSamples = 200
-	// minDurationSamples is the number of completed tasks needed before estimates are corrected.
-	minDurationSamples = 15
 	// slowdownSamples is the number of completed tasks that a worker's slowdown is averaged over.
 	slowdownSamples = 8
 	// slowdownLimit is the ratio of actual to predicted duration above which a worker is slow. It
@@ -36,39 +35,25 @@
 	arrivals arrivalRate
 }
 
-// durationModel is a linear regression of the logarithm of task durations on the logarithm of the
-// callers' estimates. Older tasks have less weight.
-type durationModel struct {
-	count        float64
-	meanX, meanY float64
-	varX, covXY  float64
-}
+// durationModel corrects the estimates of a queue's callers by the durations of its tasks.
+type durationModel struct{ learn.Line }
 
 // observe adds a completed task.
 func (d *durationModel) observe(estimate, duration time.Duration) {
-	if estimate <= 0 || duration <= 0 {
-		return
+	if estimate > 0 && duration > 0 {
+		d.Observe(math.Log(estimate.Seconds()), math.Log(duration.Seconds()), durationSamples)
 	}
-	x, y := math.Log(estimate.Seconds()), math.Log(duration.Seconds())
-	d.count = min(d.count+1, durationSamples)
-	weight := 1 / d.count
-	dx, dy := x-d.meanX, y-d.meanY
-	d.meanX += weight * dx
-	d.meanY += weight * dy
-	d.varX += weight * (dx*(x-d.meanX) - d.varX)
-	d.covXY += weight * (dx*(y-d.meanY) - d.covXY)
 }
 
 // predict returns the predicted duration of a task with the given estimate.
 func (d *durationModel) predict(estimate time.Duration) time.Duration {
-	if d.count < minDurationSamples || estimate <= 0 {
+	if estimate <= 0 {
 		return estimate
 	}
-	slope := 1.0
-	if d.varX > 0 {
-		slope = min(max(d.covXY/d.varX, 0), 1)
+	y, known := d.Predict(math.Log(estimate.Seconds()))
+	if !known {
+		return estimate
 	}
-	y := d.meanY + slope*(math.Log(estimate.Seconds())-d.meanX)
 	return time.Duration(math.Exp(y) * float64(time.Second))
 }
 
--- a/core/learn/codec.go
+++ b/core/learn/codec.go
@@ -196,7 +196,7 @@
 		return nil, fmt.Errorf("%w: name of %d bytes, bins %d to %d, effects of %d kinds and %d steps", ErrInvalid, len(e.Name), e.First, e.First+len(e.Weights), len(e.Kinds)/2, len(e.Steps)/2)
 	}
 	o := &organization{center: float64(e.Center), stale: true}
-	o.line = line{float64(e.Line[0]), float64(e.Line[1]), float64(e.Line[2]), float64(e.Line[3]), float64(e.Line[4])}
+	o.line = Line{float64(e.Line[0]), float64(e.Line[1]), float64(e.Line[2]), float64(e.Line[3]), float64(e.Line[4])}
 	valid := within(o.center, maxLog) && within(o.line.meanX, maxLog) && within(o.line.meanY, maxLog) && within(o.line.covXY, maxLog*maxLog) &&
 		o.line.varX >= 0 && within(o.line.varX, maxLog*maxLog) && o.line.weight >= 0 && within(o.line.weight, maxWeight)
 	o.histogram.increment = 1
--- a/core/learn/model.go
+++ b/core/learn/model.go
@@ -90,7 +90,7 @@
 
 // organization is what was learned about an organization in a queue.
 type organization struct {
-	line      line
+	line      Line
 	histogram histogram
 	// center is the mean residual, from which effects are measured.
 	center float64
@@ -153,7 +153,7 @@
 	}
 	m.counts.Ended++
 	if known {
-		o.line.observe(x, y)
+		o.line.Observe(x, y, maxWeight)
 	}
 	r := o.residual(x, known, y, kind, step)
 	o.histogram.add(r)
--- a/core/learn/shared.go
+++ b/core/learn/shared.go
@@ -59,7 +59,7 @@
 
 // pool combines organizations with limited weights.
 func pool(voters []*organization, elapsed time.Duration) shared {
-	var common line
+	var common Line
 	for _, o := range voters {
 		w := min(o.line.weight, maxVoteWeight)
 		common.weight += w
