--- a/core/cell/access.go
+++ b/core/cell/access.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"tanagerstack.org/core/jobs"
 )
 
@@ -34,14 +31,14 @@
 
 // Unproved reports whether requests that need a key have to be refused because the proof is too old.
 func (v ConfigView) Unproved() bool {
-	return v.MaxProofAge > 0 && hasOrganizations(v.Config) && v.ProofAge >= v.MaxProofAge
+	return v.MaxProofAge > 0 && v.Config.HasOrganizations() && v.ProofAge >= v.MaxProofAge
 }
 
 // Authenticate decides who sends a request to a queue, given the key in the request. It handles each
 // request of a cell: thousands per second, among 10,000 keys. The error is ErrUnknownKey or
 // ErrConfigUnproved.
 func (v ConfigView) Authenticate(queue jobs.Queue, key string) (Caller, error) {
-	if !hasOrganizations(v.Config) || queue.Public {
+	if !v.Config.HasOrganizations() || queue.Public {
 		return Caller{config: v.Config}, nil
 	}
 	if v.Unproved() {
@@ -74,20 +71,10 @@
 // thousands of requests with a key that was withdrawn.
 const maxRefusalLines = 10
 
-// refusalLog bounds the lines about requests that were refused for their key.
-type refusalLog struct {
-	limiter    *rate.Limiter
-	suppressed atomic.Int64
-}
-
-func newRefusalLog() *refusalLog {
-	return &refusalLog{limiter: rate.NewLimiter(maxRefusalLines, maxRefusalLines)}
-}
-
 // Authenticate is ConfigView.Authenticate, and counts and logs the outcome.
 func (n *Node) Authenticate(view ConfigView, request KeyedRequest) (Caller, error) {
 	caller, err := view.Authenticate(request.Queue, request.Key)
-	if !hasOrganizations(view.Config) || request.Queue.Public {
+	if !view.Config.HasOrganizations() || request.Queue.Public {
 		return caller, err
 	}
 	outcome := keyAccepted
@@ -107,12 +94,12 @@
 }
 
 func (n *Node) logKeyRefusal(view ConfigView, request KeyedRequest, outcome string) {
-	if !n.refusals.limiter.Allow() {
-		n.refusals.suppressed.Add(1)
+	suppressed, ok := n.keyRefusals.take(time.Now())
+	if !ok {
 		return
 	}
 	n.opts.Logger.Info("request refused for its key", "job", request.Job, "queue", request.Queue.Name, "outcome", outcome,
-		"version", view.Config.Version, "proof-age", view.ProofAge, "max-proof-age", view.MaxProofAge, "suppressed", n.refusals.suppressed.Swap(0))
+		"version", view.Config.Version, "proof-age", view.ProofAge, "max-proof-age", view.MaxProofAge, "suppressed", suppressed)
 }
 
 // Caller is who sends a request, as ConfigView.Authenticate has determined it. The zero value may see
@@ -136,7 +123,7 @@
 // is open to all who can use its queue.
 func (c Caller) mayUse(o owner) bool {
 	switch {
-	case !hasOrganizations(c.config):
+	case !c.config.HasOrganizations():
 		return true
 	case o.Organization != "" || c.Organization != "":
 		return o.Organization == "" || o.Organization == c.Organization
--- a/core/cell/admission.go
+++ b/core/cell/admission.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/intake"
 	"tanagerstack.org/core/jobs"
@@ -47,7 +49,7 @@
 
 // active reports whether jobs are refused under a configuration.
 func (a Admission) active(config *jobs.Config) bool {
-	return a == AdmissionOn || a == AdmissionAuto && config != nil && config.Organizations != nil
+	return a == AdmissionOn || a == AdmissionAuto && config.HasOrganizations()
 }
 
 // rules returns what is refused for the load. In the model neither refusals of jobs that would end too
@@ -89,10 +91,8 @@
 	// uncertain holds the jobs that a write without an answer may have stored, with the time of the
 	// last one.
 	uncertain map[jobs.ID]time.Time
-	// loggedAt is the time of the last log line about a refusal, by reason, and unlogged the number of
-	// refusals since.
-	loggedAt map[intake.Reason]time.Time
-	unlogged map[intake.Reason]int
+	// logLimits bounds the log lines about refusals, by reason.
+	logLimits map[intake.Reason]*logLimit
 }
 
 // received takes over a snapshot that the leader sent; nil means that it is still loading.
@@ -152,20 +152,17 @@
 	return found && now.Sub(at) <= uncertainFor
 }
 
-// takeLogTurn reports whether a refusal is to be logged now, and how many were not logged before it.
-func (a *admission) takeLogTurn(now time.Time, reason intake.Reason) (unlogged int, ok bool) {
+// logLimit returns the bound of the log lines about refusals for a reason.
+func (a *admission) logLimit(reason intake.Reason) *logLimit {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.loggedAt == nil {
-		a.loggedAt, a.unlogged = make(map[intake.Reason]time.Time), make(map[intake.Reason]int)
+	if a.logLimits == nil {
+		a.logLimits = make(map[intake.Reason]*logLimit)
 	}
-	if now.Sub(a.loggedAt[reason]) < refusalLogInterval {
-		a.unlogged[reason]++
-		return 0, false
+	if a.logLimits[reason] == nil {
+		a.logLimits[reason] = newLogLimit(rate.Every(refusalLogInterval), 1)
 	}
-	unlogged = a.unlogged[reason]
-	a.loggedAt[reason], a.unlogged[reason] = now, 0
-	return unlogged, true
+	return a.logLimits[reason]
 }
 
 // admit returns an error if the job is refused for the load. A job that an earlier attempt stored, or
@@ -185,10 +182,10 @@
 		return nil
 	}
 	n.metrics.refusals.WithLabelValues(string(d.Reason)).Inc()
-	if unlogged, ok := n.admission.takeLogTurn(now, d.Reason); ok {
+	if suppressed, ok := n.admission.logLimit(d.Reason).take(now); ok {
 		n.opts.Logger.Info("job refused", "job", job.ID, "queue", job.Queue.Name, "organization", job.Organization, "why", d.Reason,
 			"starts-in", d.Start, "critical-path", request.CriticalPath, "objective", request.Objective, "millicores", request.Millicores,
-			"snapshot-age", age, "retry-after", d.RetryAfter, "not-logged", unlogged)
+			"snapshot-age", age, "retry-after", d.RetryAfter, "not-logged", suppressed)
 	}
 	return &RefusedError{
 		Reason: refusalTexts[d.Reason], RetryAfter: d.RetryAfter, CallerLimit: d.Reason != intake.TooLate,
@@ -205,7 +202,7 @@
 
 // capOf returns the cap of an organization; a zero amount is no limit.
 func capOf(config *jobs.Config, name string) roster.Resources {
-	if config == nil || config.Organizations == nil || name == "" {
+	if !config.HasOrganizations() || name == "" {
 		return roster.Resources{}
 	}
 	if o, found := config.Organizations.ByName(name); found {
--- a/core/cell/admission_test.go
+++ b/core/cell/admission_test.go
@@ -128,11 +128,7 @@
 		t.Run(name, func(t *testing.T) {
 			memory := newMemoryStore()
 			if c.before != nil {
-				data, err := jobs.Encode(*c.before)
-				if err != nil {
-					t.Fatal(err)
-				}
-				memory.put(t, JobsTable, "job", string(data))
+				memory.putJob(t, *c.before)
 			}
 			var transport store.Transport = memory
 			if c.noReads {
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -58,11 +58,7 @@
 		t.Run(name, func(t *testing.T) {
 			memory := newMemoryStore()
 			if c.before != nil {
-				data, err := jobs.Encode(*c.before)
-				if err != nil {
-					t.Fatal(err)
-				}
-				memory.put(t, JobsTable, "job", string(data))
+				memory.putJob(t, *c.before)
 			}
 			client, err := store.New(store.Options{Transport: memory})
 			if err != nil {
--- a/core/cell/fakes_test.go
+++ b/core/cell/fakes_test.go
@@ -191,6 +191,16 @@
 	}
 }
 
+// putJob stores a job.
+func (m *memoryStore) putJob(t *testing.T, job jobs.Job) {
+	t.Helper()
+	data, err := jobs.Encode(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.put(t, JobsTable, string(job.ID), string(data))
+}
+
 // fakeWorkers runs each task for a fixed time.
 type fakeWorkers struct {
 	mu           sync.Mutex
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -182,7 +182,7 @@
 	if config := c.node.Config(); config != nil {
 		out <- prometheus.MustNewConstMetric(configDesc, prometheus.GaugeValue, float64(config.Version))
 	}
-	if view := c.node.ConfigView(); hasOrganizations(view.Config) {
+	if view := c.node.ConfigView(); view.Config.HasOrganizations() {
 		out <- prometheus.MustNewConstMetric(proofDesc, prometheus.GaugeValue, view.ProofAge.Seconds())
 	}
 	l := c.node.leader()
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -88,7 +88,8 @@
 	elector  *elector
 	peers    *peerClient
 	metrics  *metrics
-	refusals *refusalLog
+	// keyRefusals bounds the log lines about requests that were refused for their key.
+	keyRefusals *logLimit
 	// configMu makes changes of config take turns.
 	configMu sync.Mutex
 	proof    configProof
@@ -115,7 +116,7 @@
 	}
 	n.peers = newPeerClient(&n.opts)
 	n.metrics = newMetrics(n)
-	n.refusals = newRefusalLog()
+	n.keyRefusals = newLogLimit(maxRefusalLines, maxRefusalLines)
 	n.elector = newElector(n)
 	opts.Store.SetProxy(&storeProxy{node: n}, LeaderTable, LeaderKey)
 	return n
--- a/core/cell/proof.go
+++ b/core/cell/proof.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"tanagerstack.org/core/jobs"
 	"tanagerstack.org/core/store"
 )
 
@@ -152,14 +151,12 @@
 // organizations.
 func (n *Node) reportConfig() *configReport {
 	view := n.ConfigView()
-	if !hasOrganizations(view.Config) {
+	if !view.Config.HasOrganizations() {
 		return nil
 	}
 	return &configReport{Version: view.Config.Version, ProofAge: view.ProofAge}
 }
 
-func hasOrganizations(config *jobs.Config) bool { return config != nil && config.Organizations != nil }
-
 // noteLeaderConfig takes over the leader's proof from the reply to a heartbeat that was sent at an
 // instant. A VM with an older version reads the row at once. The load is one call each 0.4 s.
 func (n *Node) noteLeaderConfig(sent time.Time, report *configReport) {
@@ -240,7 +237,7 @@
 
 // Watch implements store.Feed.
 func (f configFeed) Watch(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
-	if hasOrganizations(f.node.Config()) {
+	if f.node.Config().HasOrganizations() {
 		after = max(after, f.node.proof.lastReadable())
 		wait = f.node.configWatchWait()
 	}
@@ -274,7 +271,7 @@
 func (n *Node) configCaughtUp(sent time.Time) {
 	if n.answerComplete {
 		n.proof.prove(sent, time.Now())
-	} else if n.opts.RevokeWithin > 0 && hasOrganizations(n.Config()) {
+	} else if n.opts.RevokeWithin > 0 && n.Config().HasOrganizations() {
 		n.triggerConfigRead()
 	}
 }
@@ -282,7 +279,7 @@
 // awaitConfigWatch waits while the leader's proofs make a watch unnecessary. A leader watches all the
 // time.
 func (n *Node) awaitConfigWatch(ctx context.Context) {
-	for hasOrganizations(n.Config()) && n.leader() == nil && n.proof.leaderAge(time.Now()) < n.opts.maxLeaderProofAge() {
+	for n.Config().HasOrganizations() && n.leader() == nil && n.proof.leaderAge(time.Now()) < n.opts.maxLeaderProofAge() {
 		if !store.Sleep(ctx, leaderProofInterval) {
 			return
 		}
--- a/core/engine/durations.go
+++ b/core/engine/durations.go
@@ -62,7 +62,7 @@
 func (e *Engine) selectDurations() {
 	next := e.opts.Durations
 	switch {
-	case next == DurationsAuto && e.config != nil && e.config.Organizations != nil:
+	case next == DurationsAuto && e.config.HasOrganizations():
 		next = DurationsLearned
 	case next == DurationsAuto || next == "":
 		next = DurationsEstimates
--- a/core/engine/forecast.go
+++ b/core/engine/forecast.go
@@ -110,8 +110,7 @@
 	f := &excessForecast{e: e, now: now, owed: make(map[string][]*step), excess: make(map[string][]*step), services: make(map[string]*serviceForecast)}
 	for _, j := range e.active {
 		for _, o := range j.open {
-			rank := e.rankOfCopy(now, *o, j)
-			if rank == worthless || j.excess && !e.likelyOnTime(now, *o, j) {
+			if rank, likely := e.chancesOf(now, *o, j); rank == worthless || j.excess && !likely {
 				continue
 			}
 			for _, s := range o.steps {
--- a/core/engine/health.go
+++ b/core/engine/health.go
@@ -99,7 +99,7 @@
 func (e *Engine) selectHealth() {
 	next := e.opts.Health
 	switch {
-	case next == HealthAuto && e.config != nil && e.config.Organizations != nil:
+	case next == HealthAuto && e.config.HasOrganizations():
 		next = HealthGraded
 	case next == HealthAuto || next == "":
 		next = HealthBasic
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -185,7 +185,7 @@
 	j.restoreProgress(ev.Progress, e.opts.unsafe)
 	j.openDue(now)
 	if j.organization != nil && inherited && j.state != jobs.Done {
-		j.unclosed = j.final() && e.config != nil && e.config.Organizations != nil
+		j.unclosed = j.final() && e.config.HasOrganizations()
 		e.inheritedJobs = append(e.inheritedJobs, j)
 	}
 	e.log("job loaded", "job", ev.Job.ID, "queue", ev.Job.Queue.Name, "steps", len(ev.Job.Steps),
--- a/core/engine/load.go
+++ b/core/engine/load.go
@@ -69,7 +69,10 @@
 					list = append(list, s)
 				}
 			}
-			if len(list) > first && !e.likelyOnTime(now, *o, j) {
+			if len(list) == first {
+				continue
+			}
+			if _, likely := e.chancesOf(now, *o, j); !likely {
 				list = list[:first]
 			}
 		}
@@ -78,15 +81,11 @@
 	return list
 }
 
-// likelyOnTime reports whether an occurrence is likely to end on time. It works on a copy: a snapshot must
-// not change when ranks are computed anew, and with it the order of steps.
-func (e *Engine) likelyOnTime(now time.Time, o occurrence, j *job) bool {
-	return e.rankOf(now, &o, j) == onTime && !o.atRisk
-}
-
-// rankOfCopy returns the rank of an occurrence without keeping it.
-func (e *Engine) rankOfCopy(now time.Time, o occurrence, j *job) valueRank {
-	return e.rankOf(now, &o, j)
+// chancesOf returns the rank of an occurrence and whether it is likely to end on time. It works on a copy: a
+// snapshot must not change when ranks are computed anew, and with it the order of steps.
+func (e *Engine) chancesOf(now time.Time, o occurrence, j *job) (rank valueRank, likely bool) {
+	rank = e.rankOf(now, &o, j)
+	return rank, rank == onTime && !o.atRisk
 }
 
 // loadProfile is the processor capacity, in millicores, that becomes free in each bin. Work is put into
@@ -175,7 +174,7 @@
 
 // organizationTokens returns the organizations that have used up half of what they may submit in a second.
 func (e *Engine) organizationTokens(now time.Time) []intake.Organization {
-	if e.config.Organizations == nil {
+	if !e.config.HasOrganizations() {
 		return nil
 	}
 	var list []intake.Organization
--- a/core/engine/organization.go
+++ b/core/engine/organization.go
@@ -72,7 +72,7 @@
 // setEntry sets the organization's entry to that in a configuration.
 func (o *organization) setEntry(config *jobs.Config) {
 	o.entry = nil
-	if config == nil || config.Organizations == nil {
+	if !config.HasOrganizations() {
 		return
 	}
 	if entry, listed := config.Organizations.ByName(o.name); listed {
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -79,9 +79,9 @@
 	}
 }
 
-// compareCandidates prefers workers that are sound, then those that are not slow, then the rack of the data, then the kind of
-// worker that is quickest, then the worker with the least free capacity, to keep capacity together
-// for wide gangs.
+// compareCandidates prefers workers that are sound, then those that are not slow, then the rack of the
+// data, then the kind of worker that is quickest, then the worker with the least free capacity, to keep
+// capacity together for wide gangs.
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.caution, b.caution),
--- a/core/engine/share.go
+++ b/core/engine/share.go
@@ -88,7 +88,7 @@
 	}
 	list := e.unmarkedJobs
 	e.unmarkedJobs = nil
-	if e.config.Organizations == nil || e.opts.Policy.NoExcess {
+	if !e.config.HasOrganizations() || e.opts.Policy.NoExcess {
 		return
 	}
 	slices.SortStableFunc(list, func(a, b *job) int {
@@ -133,7 +133,7 @@
 
 // shareOrder reports whether organizations below their share go first.
 func (e *Engine) shareOrder() bool {
-	return e.config != nil && e.config.Organizations != nil && !e.opts.Policy.NoShares && !e.opts.Policy.ArrivalOrder
+	return e.config.HasOrganizations() && !e.opts.Policy.NoShares && !e.opts.Policy.ArrivalOrder
 }
 
 // scheduleSteps schedules the steps in their order. Of those of the same class and queue priority, it
--- a/core/engine/wait.go
+++ b/core/engine/wait.go
@@ -50,7 +50,7 @@
 // noteWait records why a job waits, and logs changes of the reason. The first reason of a pass counts,
 // that of the job's most urgent step.
 func (e *Engine) noteWait(now time.Time, j *job, reason waitReason) {
-	if e.opts.Logger == nil || e.config == nil || e.config.Organizations == nil {
+	if e.opts.Logger == nil || !e.config.HasOrganizations() {
 		return
 	}
 	w := &j.wait
@@ -114,7 +114,7 @@
 // OrganizationUses returns the organizations of the configuration in force, at most limit of them:
 // those with the highest weights, the highest first.
 func (e *Engine) OrganizationUses(limit int) []OrganizationUse {
-	if e.config == nil || e.config.Organizations == nil {
+	if !e.config.HasOrganizations() {
 		return nil
 	}
 	entries := slices.Clone(e.config.Organizations.All())
--- a/core/jobs/config.go
+++ b/core/jobs/config.go
@@ -27,6 +27,10 @@
 	OrganizationFaults error
 }
 
+// HasOrganizations reports whether the cell has organizations, so that requests need a key. The
+// configuration may be nil.
+func (c *Config) HasOrganizations() bool { return c != nil && c.Organizations != nil }
+
 // Queue returns the queue with the given name and whether it exists.
 func (c *Config) Queue(name string) (Queue, bool) {
 	for _, q := range c.Queues {
