--- a/core/engine/straggler_test.go
+++ b/core/engine/straggler_test.go
@@ -61,14 +61,15 @@
 	}
 }
 
-// TestSlowTaskIsMoved checks that only the slow task of a step is moved if another task of the
-// step is much quicker on another worker.
-func TestSlowTaskIsMoved(t *testing.T) {
+// runSlowTask runs two tasks of a step side by side, of which the second is much slower, and returns their
+// starts and the stops that follow.
+func runSlowTask(t *testing.T, progress jobs.Progress) ([]Start, []Stop) {
+	t.Helper()
 	e := newTestEngine(t, Options{}, testWorker("w1"), testWorker("w2"), testWorker("w3"))
 	job := testJob("job", 2)
 	job.Steps[0].PerTask.Millicores = 4000
 	job.Steps[0].Estimate = 4 * time.Second
-	e.apply(JobAccepted{Job: job})
+	e.apply(JobAccepted{Job: job, Progress: progress})
 	starts := commandsOfType[Start](e.runPass(0))
 	for _, s := range starts {
 		e.apply(StartAnswered{Worker: s.Worker, Task: s.Task, Run: s.Run, Outcome: StartAccepted})
@@ -79,8 +80,23 @@
 			e.poll(s.Worker, Report{Running: []ActiveRun{{Task: s.Task, Run: s.Run, Percent: [2]int{5, 1}[i] * (step + 1)}}})
 		}
 	}
-	stops := commandsOfType[Stop](e.runPass(time.Millisecond))
+	return starts, commandsOfType[Stop](e.runPass(time.Millisecond))
+}
+
+// TestSlowTaskIsMoved checks that only the slow task of a step is moved if another task of the
+// step is much quicker on another worker.
+func TestSlowTaskIsMoved(t *testing.T) {
+	starts, stops := runSlowTask(t, jobs.Progress{})
 	if len(stops) != 1 || stops[0].Task != (jobs.TaskID{StepID: starts[1].Task.StepID, Index: starts[1].Task.Index}) {
 		t.Errorf("stops %+v, want only that of %s", stops, starts[1].Task)
 	}
 }
+
+// TestSlowTaskStaysAfterCrash guards against moving a task under which a worker crashed for being slow,
+// which uses up one of the starts that users accept after its crashes.
+func TestSlowTaskStaysAfterCrash(t *testing.T) {
+	starts, stops := runSlowTask(t, jobs.Progress{Steps: []jobs.StepProgress{{Crashes: []jobs.Failure{{Task: 1, Run: 1}}}}})
+	if len(starts) != 2 || len(stops) != 0 {
+		t.Errorf("%d starts and stops %+v, want 2 and none", len(starts), stops)
+	}
+}
