Review case 8: starts beyond the capacity of a worker that has shrunk

Cause: a leader whose term the other VMs confirm goes on starting by the last directory that it read, however old that is.

--- a/review/sim2/sim.go
+++ b/review/sim2/sim.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -512,3 +513,15 @@
 	}
 	return false
 }
+
+// awaitRun returns the worker that runs a task, or nil if none does within a time.
+func (s *sim) awaitRun(task string, limit time.Duration) *worker {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, w := range s.workers {
+			if slices.Contains(w.runs(), task) {
+				return w
+			}
+		}
+	}
+	return nil
+}
--- a/review/sim2/worker.go
+++ b/review/sim2/worker.go
@@ -38,11 +38,14 @@
 	holdMax  time.Duration
 	stopTime time.Duration
 
-	mu      sync.Mutex
-	life    *life
-	server  *http.Server
-	stopped bool
-	seq     int64
+	mu     sync.Mutex
+	life   *life
+	server *http.Server
+	seq    int64
+	// shrunkAt is when the capacity has shrunk; since counts the starts after it, and over those that brought the
+	// worker over its capacity.
+	shrunkAt    time.Time
+	since, over int
 }
 
 // life is one lifetime of a worker.
@@ -298,6 +301,7 @@
 	}
 	l.running[c.Task] = r
 	w.sim.runBegan(w, l, r, c)
+	w.noteStart(l, r)
 	writeJSON(out, http.StatusOK, map[string]any{"clock_ms": l.clock()})
 }
 
