--- a/review/sim2/filler.go
+++ b/review/sim2/filler.go
@@ -7,12 +7,8 @@
 
 func init() { cases["filler"] = filler }
 
-const (
-	// fillerRun is how long the task that fills works.
-	fillerRun = 10 * time.Second
-	// finish is finish_s, after which a submission has to run if there is capacity; calm is the span that counts.
-	finish, calm = 14 * time.Second, 3 * time.Second
-)
+// fillerRun is how long the task that fills works.
+const fillerRun = 10 * time.Second
 
 // filler: seven tasks that serve run on seven of eight workers, and a task that fills on the eighth, which is then
 // lost for good.
