Start nothing by an entry that may be older than the worker's capacity

Cause: an entry in the directory had no age. While the other VMs confirm the leader's term, it goes on starting by the last entries; the workers answer their polls, which show no capacity.

Its age follows from the worker's clock in the entry and in answers to polls, from its arrival as a change, or from the time for which the store has answered. A watch that failed is repeated without waiting for a change.

Related paths: an entry of an earlier incarnation counted as that of the present one ten seconds later, outage or not; stragglers were stopped while nothing could start. Starts log for how long the entries still count, changes of a capacity are logged, tanager_outdated_workers counts the workers concerned.

In TestProtections the split now needs both measures disabled: it keeps the directory away too, so old entries alone stop the second leader's starts.

--- a/core/cell/fakes_test.go
+++ b/core/cell/fakes_test.go
@@ -322,6 +322,7 @@
 		Name: name, PeerAddress: freeAddress(t), Store: client, Workers: workers, Adviser: adviser,
 		Directory: Directory{
 			WorkerTable: "workers", DecodeWorker: testWorker, ConfigTable: "config", ConfigKey: "config", DecodeConfig: testConfig,
+			Interval: 100 * time.Millisecond, Grace: 4 * time.Second,
 		},
 		Logger: silentLogger{}, MaxLease: 3 * time.Second, StopTime: 100 * time.Millisecond,
 		MaxRowBytes: 65_536,
--- a/core/cell/feed.go
+++ b/core/cell/feed.go
@@ -135,45 +135,6 @@
 	return rows
 }
 
-// runWorkers passes changes of the directory of workers to the engine until ctx ends.
-func (l *leader) runWorkers(ctx context.Context) {
-	watcher := &store.Watcher{
-		Feed:       l.node.opts.Store,
-		Table:      l.node.opts.Directory.WorkerTable,
-		Pause:      feedPause,
-		OnSnapshot: l.workerRows,
-		OnChanges:  l.workerChanges,
-		OnError:    l.node.watchErrorLogger(l.node.opts.Directory.WorkerTable),
-	}
-	watcher.Run(ctx)
-}
-
-func (l *leader) workerRows(rows []store.Row) {
-	var list []engine.Worker
-	for _, row := range rows {
-		if w, ok := l.decodeWorker(row); ok {
-			list = append(list, w)
-		}
-	}
-	l.apply(engine.WorkersListed{Workers: list})
-	l.startPollers()
-}
-
-func (l *leader) workerChanges(changes []store.RowChange) {
-	for _, change := range changes {
-		if change.Removed {
-			l.apply(engine.WorkerUnlisted{ID: change.Key})
-			continue
-		}
-		if w, ok := l.decodeWorker(change.Row); ok {
-			l.apply(engine.WorkerListed{Worker: w})
-		} else {
-			l.apply(engine.WorkerUnlisted{ID: change.Key})
-		}
-	}
-	l.startPollers()
-}
-
 func (l *leader) decodeWorker(row store.Row) (engine.Worker, bool) {
 	w, err := l.node.opts.Directory.DecodeWorker(row)
 	if err != nil {
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -100,6 +100,7 @@
 		LeaseTerm:           min(n.opts.MaxLease, leaseTerm),
 		MaxLease:            n.opts.MaxLease,
 		StopTime:            n.opts.StopTime,
+		EntryTerm:           n.opts.Directory.Grace - maxCommandAge,
 		PreviousActiveUntil: previous.activeUntil,
 		PreviousRoster:      engine.Roster{Workers: row.Workers, Lost: row.Lost},
 		PreviousLeasesUntil: previous.leasesUntil,
@@ -128,7 +129,7 @@
 	if !l.load(ctx) {
 		return
 	}
-	loops := []func(context.Context){l.runWorkers, l.runJobs, l.records.run, l.records.runCompact, l.runTicks, l.runTerm, newLearnedStore(l).run}
+	loops := []func(context.Context){(&workerFeed{leader: l}).run, l.runJobs, l.records.run, l.records.runCompact, l.runTicks, l.runTerm, newLearnedStore(l).run}
 	for _, loop := range loops {
 		l.loops.Add(1)
 		go (&task{call: loop, done: &l.loops}).run(ctx)
--- a/core/cell/metrics.go
+++ b/core/cell/metrics.go
@@ -144,23 +144,24 @@
 type nodeCollector struct{ node *Node }
 
 var (
-	leadingDesc = prometheus.NewDesc("tanager_leading", "1 while this VM is the leader.", nil, nil)
-	epochDesc   = prometheus.NewDesc("tanager_epoch", "Epoch of the last known leader.", nil, nil)
-	configDesc  = prometheus.NewDesc("tanager_config_version", "Version of the configuration in force.", nil, nil)
-	pendingDesc = prometheus.NewDesc("tanager_pending_jobs", "Accepted jobs that have not begun.", []string{"queue"}, nil)
-	storeDesc   = prometheus.NewDesc("tanager_store_calls_total", "Calls to the store.", []string{"kind"}, nil)
-	relaysDesc  = prometheus.NewDesc("tanager_open_relays", "Relays that the leader sends orders through.", nil, nil)
-	termDesc    = prometheus.NewDesc("tanager_leadership_proof_age_seconds", "Age of the leader's last proof that no other VM leads.", nil, nil)
-	crashesDesc = prometheus.NewDesc("tanager_task_crashes_total", "Crashes of workers under tasks, those of them that were withdrawn, and jobs that were given up, as the leader of this epoch has seen them.", []string{"outcome"}, nil)
-	proofDesc   = prometheus.NewDesc("tanager_config_proof_age_seconds", "Age of the latest proof that the configuration in force is the newest, in a cell with organizations.", nil, nil)
-	wasteDesc   = prometheus.NewDesc("tanager_wasted_core_seconds_total", "Core-seconds of runs that were of no use, as the leader of this epoch has seen them.", []string{"cause"}, nil)
-	endsDesc    = prometheus.NewDesc("tanager_run_ends_total", "Ends of runs, as the leader of this epoch has seen them.", []string{"end"}, nil)
+	leadingDesc  = prometheus.NewDesc("tanager_leading", "1 while this VM is the leader.", nil, nil)
+	epochDesc    = prometheus.NewDesc("tanager_epoch", "Epoch of the last known leader.", nil, nil)
+	configDesc   = prometheus.NewDesc("tanager_config_version", "Version of the configuration in force.", nil, nil)
+	pendingDesc  = prometheus.NewDesc("tanager_pending_jobs", "Accepted jobs that have not begun.", []string{"queue"}, nil)
+	storeDesc    = prometheus.NewDesc("tanager_store_calls_total", "Calls to the store.", []string{"kind"}, nil)
+	relaysDesc   = prometheus.NewDesc("tanager_open_relays", "Relays that the leader sends orders through.", nil, nil)
+	termDesc     = prometheus.NewDesc("tanager_leadership_proof_age_seconds", "Age of the leader's last proof that no other VM leads.", nil, nil)
+	outdatedDesc = prometheus.NewDesc("tanager_outdated_workers", "Workers that get no runs because their entries in the directory are too old.", nil, nil)
+	crashesDesc  = prometheus.NewDesc("tanager_task_crashes_total", "Crashes of workers under tasks, those of them that were withdrawn, and jobs that were given up, as the leader of this epoch has seen them.", []string{"outcome"}, nil)
+	proofDesc    = prometheus.NewDesc("tanager_config_proof_age_seconds", "Age of the latest proof that the configuration in force is the newest, in a cell with organizations.", nil, nil)
+	wasteDesc    = prometheus.NewDesc("tanager_wasted_core_seconds_total", "Core-seconds of runs that were of no use, as the leader of this epoch has seen them.", []string{"cause"}, nil)
+	endsDesc     = prometheus.NewDesc("tanager_run_ends_total", "Ends of runs, as the leader of this epoch has seen them.", []string{"end"}, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (c nodeCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, desc := range []*prometheus.Desc{
-		leadingDesc, epochDesc, configDesc, proofDesc, pendingDesc, storeDesc, relaysDesc, termDesc, endsDesc, crashesDesc, wasteDesc,
+		leadingDesc, epochDesc, configDesc, proofDesc, pendingDesc, storeDesc, relaysDesc, termDesc, outdatedDesc, endsDesc, crashesDesc, wasteDesc,
 		organizationUsageDesc, organizationCapDesc, organizationWaitingDesc, predictionErrorDesc, predictionBiasDesc, observationsDesc,
 		withheldWorkersDesc, withholdingsDesc,
 	} {
@@ -200,12 +201,14 @@
 	ends, pending, wasted := l.engine.Counters(), l.pendingLocked(), l.engine.WastedCoreSeconds()
 	organizations := l.engine.OrganizationUses(maxOrganizationMetrics)
 	graded, withheld := l.engine.Health() == engine.HealthGraded, l.engine.WithheldWorkers(time.Now())
+	outdated := l.engine.OutdatedWorkers()
 	l.collectDurations(out)
 	l.mu.Unlock()
 	collectOrganizations(out, organizations)
 	if graded {
 		collectHealth(out, withheld, ends.Withheld)
 	}
+	out <- prometheus.MustNewConstMetric(outdatedDesc, prometheus.GaugeValue, float64(outdated))
 	out <- prometheus.MustNewConstMetric(termDesc, prometheus.GaugeValue, l.confirmedBefore().Seconds())
 	out <- prometheus.MustNewConstMetric(relaysDesc, prometheus.GaugeValue, float64(l.dispatch.openLinks()))
 	for queue, count := range pending {
--- a/core/cell/platform.go
+++ b/core/cell/platform.go
@@ -53,6 +53,10 @@
 	ConfigTable  string
 	ConfigKey    string
 	DecodeConfig func(row store.Row) (*jobs.Config, error)
+	// Interval is the time between two writes of a worker's entry. Grace is how long after a worker has
+	// changed runs may still reach it by an entry from before the change. It should exceed Interval by
+	// three seconds: nothing starts by an entry that counts for less than it takes to read the next one.
+	Interval, Grace time.Duration
 }
 
 // Logger writes structured log lines.
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -8,7 +8,7 @@
 	"tanagerstack.org/core/learn"
 )
 
-// Options configures an Engine. Epoch, LeaseTerm and MaxLease are required.
+// Options configures an Engine. Epoch, LeaseTerm, MaxLease and EntryTerm are required.
 type Options struct {
 	// Epoch is the number of this leadership. Workers drop commands with a lower epoch.
 	Epoch int64
@@ -19,6 +19,8 @@
 	MaxLease time.Duration
 	// StopTime is the longest time that a worker takes to stop a run.
 	StopTime time.Duration
+	// EntryTerm is how long after a worker has written its entry runs may start by it.
+	EntryTerm time.Duration
 	// PreviousActiveUntil is the time until which the previous leader may still receive new jobs
 	// and start them. It is zero if that leader is proved to have ended. Jobs that arrive before
 	// a JobsRead of a later time may have been started by the previous leader.
@@ -68,11 +70,11 @@
 // results before their commit. The others drop starts without an answer, runs on lost workers
 // before their lease expires, stored failures, stored crashes, and runs and results of unknown jobs.
 // skipConfirmation acts without proof that there is no later leader. keepCapacity ignores changes of
-// a worker's capacity. ignoreCaps starts tasks beyond the cap of their organization, and
+// a worker's capacity, and trustOldEntries starts runs by entries of any age. ignoreCaps starts tasks beyond the cap of their organization, and
 // forgetEarlierUsage does so for what earlier leaders may have running.
 type unsafeOptions struct {
 	skipPreviousWorkers, skipOverlap, ackEarly, forgetUnanswered, forgetLost, forgetFailures, forgetOrphans bool
-	skipConfirmation, keepCapacity, forgetCrashes                                                           bool
+	skipConfirmation, keepCapacity, trustOldEntries, forgetCrashes                                          bool
 	ignoreCaps, forgetEarlierUsage                                                                          bool
 }
 
@@ -117,8 +119,10 @@
 	// confirmed is the last proof of this leadership. unconfirmed is set while it is too old to act on.
 	confirmed   LeadershipConfirmed
 	unconfirmed bool
-	commands    []Command
-	superseded  bool
+	// outdatedWorkers is the number of listed workers whose entries are too old to start runs by.
+	outdatedWorkers int
+	commands        []Command
+	superseded      bool
 	// durations is the source of predicted durations in force, and learned what was learned.
 	durations Durations
 	learned   learn.Model
@@ -193,8 +197,11 @@
 		e.workersListed(now, ev)
 	case WorkerListed:
 		e.workerListed(now, ev.Worker)
+		e.entryWritten(now, e.workers[ev.Worker.ID], ev.WrittenAfter)
 	case WorkerUnlisted:
 		e.workerUnlisted(now, ev.ID)
+	case DirectoryRead:
+		e.directoryRead(now, ev)
 	case AdviceProxiesChanged:
 		e.adviceProxiesChanged(now, ev.Names)
 	case JobAccepted:
@@ -287,6 +294,7 @@
 // to send again, and the periodic check for stragglers.
 func (e *Engine) tick(now time.Time) {
 	e.noteTerm(now)
+	e.noteOutdated(now)
 	e.noteContact(now)
 	for _, w := range e.sortedWorkers {
 		e.expireLease(now, w)
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -27,6 +27,8 @@
 	LeavesIn time.Duration
 	// StartedAt distinguishes incarnations of the worker with the same ID.
 	StartedAt time.Time
+	// Clock is the reading of the worker's monotonic clock when it wrote the entry, or zero if unknown.
+	Clock time.Duration
 }
 
 // Event is an external event that the engine handles. The types of this file implement it.
@@ -38,8 +40,16 @@
 // WorkersListed carries the complete directory. Workers that it lacks are gone.
 type WorkersListed struct{ Workers []Worker }
 
-// WorkerListed carries one entry of the directory.
-type WorkerListed struct{ Worker Worker }
+// WorkerListed carries one entry of the directory. It was written after WrittenAfter, which is zero if
+// that is not known.
+type WorkerListed struct {
+	Worker       Worker
+	WrittenAfter time.Time
+}
+
+// DirectoryRead reports that each worker whose entry was delivered last had written the same entry, or
+// would have written another one, after WrittenAfter.
+type DirectoryRead struct{ WrittenAfter time.Time }
 
 // WorkerUnlisted reports that the directory no longer has an entry for a worker.
 type WorkerUnlisted struct{ ID string }
@@ -141,6 +151,7 @@
 func (JobAccepted) event()          {}
 func (JobsRead) event()             {}
 func (LeadershipConfirmed) event()  {}
+func (DirectoryRead) event()        {}
 func (JobCanceled) event()          {}
 func (WorkerPolled) event()         {}
 func (PollFailed) event()           {}
--- a/core/engine/lease_test.go
+++ b/core/engine/lease_test.go
@@ -47,16 +47,16 @@
 	if opts.Epoch == 0 {
 		opts.Epoch = 1
 	}
-	opts.StopTime = time.Second
+	opts.StopTime, opts.EntryTerm = time.Second, simEntryTerm
 	if opts.MaxLease == 0 {
 		opts.LeaseTerm, opts.MaxLease = testLease, testLease
 	}
 	e := &testEngine{Engine: New(opts), now: testStart}
-	e.confirm()
 	for _, w := range workers {
 		e.apply(WorkerListed{Worker: w})
 		e.poll(w.ID, Report{})
 	}
+	e.confirm()
 	roster, _ := e.WantedRoster(e.now)
 	e.RosterRecorded(roster)
 	return e
@@ -81,8 +81,9 @@
 	e.RosterRecorded(roster)
 }
 
-// confirm proves to the engine that there is no later leader yet.
+// confirm lets the store answer: there is no later leader yet, and the directory is as delivered.
 func (e *testEngine) confirm() []Command {
+	e.apply(DirectoryRead{WrittenAfter: e.now})
 	return e.apply(LeadershipConfirmed{At: e.now, Until: e.now.Add(simTerm)})
 }
 
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -188,7 +188,7 @@
 func (e *Engine) openWorkers(now time.Time) []*worker {
 	list := make([]*worker, 0, len(e.sortedWorkers))
 	for _, w := range e.sortedWorkers {
-		if w.usable(now) && !e.withheld(now, w) && e.inRecordedRoster(w.ID) {
+		if w.usable(now) && e.entryCurrent(now, w) && !e.withheld(now, w) && e.inRecordedRoster(w.ID) {
 			w.openInPass = e.passes
 			list = append(list, w)
 		}
--- a/core/engine/pass_bench_test.go
+++ b/core/engine/pass_bench_test.go
@@ -53,7 +53,7 @@
 // number of waiting tasks, of the given number of organizations.
 func newPassBenchmark(workers, tasks, organizations int) *passBenchmark {
 	c := &passBenchmark{
-		Engine: New(Options{Epoch: 1, LeaseTerm: testLease, MaxLease: testLease, StopTime: time.Second}), now: testStart,
+		Engine: New(Options{Epoch: 1, LeaseTerm: testLease, MaxLease: testLease, StopTime: time.Second, EntryTerm: simEntryTerm}), now: testStart,
 		rand: rand.New(rand.NewPCG(1, 2)), workerClock: time.Minute,
 	}
 	queues := []jobs.Queue{
@@ -73,7 +73,7 @@
 		w := testWorker(fmt.Sprintf("i-%08x", i))
 		w.Capacity = roster.Resources{Millicores: 16000, MemoryBytes: 32 << 30}
 		w.Rack = fmt.Sprintf("r%d", i/8)
-		c.Apply(c.now, WorkerListed{Worker: w})
+		c.Apply(c.now, WorkerListed{Worker: w, WrittenAfter: c.now.AddDate(1, 0, 0)})
 		c.Apply(c.now, WorkerPolled{Worker: w.ID, Sent: c.now, Fence: c.fence(c.workers[w.ID]), Report: Report{Clock: c.workerClock, StartedAt: w.StartedAt}})
 	}
 	roster, _ := c.WantedRoster(c.now)
--- a/core/engine/simulation_rapid_test.go
+++ b/core/engine/simulation_rapid_test.go
@@ -69,6 +69,16 @@
 		s := sim.workers[fmt.Sprintf("w%d", r.IntN(4))]
 		sim.after(randomBelow(r, simLoadTime), func() { sim.resize(s, time.Second+randomBelow(r, 9*time.Second)) })
 	}
+	outages := rand.New(rand.NewPCG(seed, 17))
+	for range faults.directoryOutages {
+		sim.after(randomBelow(outages, simLoadTime), func() {
+			sim.directoryAway++
+			sim.after(time.Second+randomBelow(outages, 9*time.Second), func() {
+				sim.directoryAway--
+				sim.directoryBack = sim.now
+			})
+		})
+	}
 	sim.run(simLoadTime)
 	sim.faults = simFaults{keepOldLeaders: faults.keepOldLeaders, advice: faults.advice, slowStore: faults.slowStore, slowPolls: faults.slowPolls, newIDs: faults.newIDs, durations: faults.durations, health: faults.health, misled: faults.misled}
 	settled := simLoadTime + simSettleTime + time.Duration(faults.deadly)*simDeadlyTime
@@ -139,6 +149,7 @@
 			durations:      rapid.SampledFrom([]Durations{DurationsEstimates, DurationsLearned, DurationsNoise}).Draw(t, "durations"),
 			misled:         rapid.Bool().Draw(t, "misled"),
 		}
+		faults.directoryOutages = rapid.IntRange(0, 2).Draw(t, "directory-outages")
 		sim := simulate(seed, faults, unsafeOptions{})
 		for _, v := range sim.violations {
 			t.Errorf("%s\n%s", v, sim.linesAbout(jobNamedIn(v)))
@@ -178,11 +189,15 @@
 			unsafeOptions{forgetOrphans: true}, simFaults{takeovers: 6, keepOldLeaders: true, slowPolls: true, slowFeed: true},
 		},
 		"leases expire, and work starts, only while no other VM can lead": {
-			unsafeOptions{skipConfirmation: true}, simFaults{splits: 2},
+			// A split keeps the directory away as well, which also stops starts.
+			unsafeOptions{skipConfirmation: true, trustOldEntries: true}, simFaults{splits: 2},
 		},
 		"a capacity that has shrunk counts": {
 			unsafeOptions{keepCapacity: true}, simFaults{resizes: 6},
 		},
+		"an entry that may be old does not count": {
+			unsafeOptions{trustOldEntries: true}, simFaults{resizes: 6, directoryOutages: 3},
+		},
 		"failures are counted across leaders": {
 			unsafeOptions{forgetFailures: true}, simFaults{failTask: 0.5, takeovers: 3},
 		},
--- a/core/engine/simulation_test.go
+++ b/core/engine/simulation_test.go
@@ -62,6 +62,9 @@
 	configs     []*jobs.Config
 	configSince []time.Time
 	closed      map[jobs.ID]jobs.Job
+	// directoryAway counts the present outages of the directory, and directoryBack is the end of the last.
+	directoryAway int
+	directoryBack time.Time
 }
 
 type leaderJob struct {
@@ -118,8 +121,10 @@
 	// health is how the leaders tell unreliable workers.
 	health Health
 	misled bool
-	// slowDirectory makes the directory reach the leaders after up to a second.
-	slowDirectory bool
+	// slowDirectory makes the directory reach the leaders after up to a second. directoryOutages is how
+	// often it does not reach them for a time.
+	slowDirectory    bool
+	directoryOutages int
 	// deadly is the number of jobs with a task that crashes its workers. With newIDs, these workers
 	// come back under other IDs.
 	deadly int
@@ -259,7 +264,16 @@
 func (s *simWorker) setCapacity(capacity roster.Resources) {
 	s.entry.Capacity = capacity
 	s.capacities = append(s.capacities, simCapacity{capacity, s.sim.now})
-	s.sim.after(randomBelow(s.sim.rand, simHeartbeat), func() { s.listedCapacity = s.entry.Capacity })
+	s.sim.after(randomBelow(s.sim.rand, simHeartbeat), s.writeEntry)
+}
+
+// writeEntry writes the worker's entry, or tries again while the directory is away.
+func (s *simWorker) writeEntry() {
+	if s.sim.directoryAway > 0 {
+		s.sim.after(simHeartbeat-time.Millisecond, s.writeEntry)
+		return
+	}
+	s.listedCapacity = s.entry.Capacity
 }
 
 // mayUse reports whether a start that was decided at the given time may bring a worker to the used
@@ -317,7 +331,7 @@
 	takeoverVersion := sim.version
 	l := &simLeader{epoch: sim.epoch}
 	l.Engine = New(Options{
-		Epoch: sim.epoch, LeaseTerm: testLease - 2*time.Second, MaxLease: testLease, StopTime: 300 * time.Millisecond,
+		Epoch: sim.epoch, LeaseTerm: testLease - 2*time.Second, MaxLease: testLease, StopTime: 300 * time.Millisecond, EntryTerm: simEntryTerm,
 		PreviousActiveUntil: sim.now.Add(2 * time.Second), PreviousRoster: sim.recordedRoster, PreviousLeasesUntil: sim.now.Add(testLease*102/100 + 3*time.Second), unsafe: sim.unsafe,
 		Logger: simLogger{sim, sim.epoch}, Durations: sim.faults.durations, Health: sim.faults.health,
 	})
@@ -373,18 +387,22 @@
 			entries = append(entries, entry)
 		}
 	}
+	read := sim.now
 	if sim.faults.slowDirectory {
-		sim.after(randomBelow(sim.rand, time.Second), func() { sim.receiveDirectory(l, entries) })
+		sim.after(randomBelow(sim.rand, time.Second), func() { sim.receiveDirectory(l, entries, read) })
 		return
 	}
-	sim.receiveDirectory(l, entries)
+	sim.receiveDirectory(l, entries, read)
 }
 
-// receiveDirectory delivers a directory to a leader with a path to the store, and records the roster
-// that the leader wants.
-func (sim *simulation) receiveDirectory(l *simLeader, entries []Worker) {
-	if !l.isolated {
+// receiveDirectory delivers a directory that was read at a time to a leader with a path to the store,
+// and records the roster that the leader wants.
+func (sim *simulation) receiveDirectory(l *simLeader, entries []Worker, read time.Time) {
+	if !l.isolated && sim.directoryAway == 0 {
 		sim.apply(l, WorkersListed{Workers: entries})
+		if written := read.Add(-simHeartbeat); !written.Before(sim.directoryBack) {
+			sim.apply(l, DirectoryRead{WrittenAfter: written})
+		}
 	}
 	if roster, _ := l.WantedRoster(sim.now); l.epoch == sim.epoch {
 		l.RosterSent(roster)
@@ -405,8 +423,12 @@
 	simCapacityGrace = 4*time.Second + simHeartbeat
 )
 
-// simTerm is how long after a proof of its leadership a leader may act.
-const simTerm = 2500 * time.Millisecond
+// simTerm is how long after a proof of its leadership a leader may act, and simEntryTerm how long after
+// a worker has written its entry.
+const (
+	simTerm      = 2500 * time.Millisecond
+	simEntryTerm = simCapacityGrace
+)
 
 // confirm periodically proves to a leader that there was no later one when it asked the store.
 func (sim *simulation) confirm(l *simLeader) {
--- a/core/engine/start.go
+++ b/core/engine/start.go
@@ -38,14 +38,15 @@
 }
 
 // logStarts logs the tasks of a step that were started together in one line: their workers, the
-// age of the oldest report of these workers, and the least processor capacity left on one of
-// them.
+// age of the oldest report of these workers, the shortest time for which an entry of them still
+// counts, and the least processor capacity left on one of them.
 func (e *Engine) logStarts(now time.Time, s *step, tasks []*task, number int) {
 	if e.opts.Logger == nil {
 		return
 	}
 	var where []byte
 	var oldestReport time.Duration
+	entryUntil := tasks[0].run.worker.entryUntil
 	free := tasks[0].run.worker.free().Millicores
 	resumed := 0
 	for i, t := range tasks {
@@ -56,11 +57,14 @@
 		where = append(append(where, '@'), t.run.worker.ID...)
 		oldestReport = max(oldestReport, now.Sub(t.run.worker.lastSeen))
 		free = min(free, t.run.worker.free().Millicores)
+		if t.run.worker.entryUntil.Before(entryUntil) {
+			entryUntil = t.run.worker.entryUntil
+		}
 		if t.run.resumed {
 			resumed++
 		}
 	}
-	e.log("runs started", "step", s.id, "run", number, "epoch", e.opts.Epoch, "confirmed-before", now.Sub(e.confirmed.At), "tasks", len(tasks), "left", s.tasksLeft, "where", string(where), "seen-before", oldestReport,
+	e.log("runs started", "step", s.id, "run", number, "epoch", e.opts.Epoch, "confirmed-before", now.Sub(e.confirmed.At), "tasks", len(tasks), "left", s.tasksLeft, "where", string(where), "seen-before", oldestReport, "entries-count-for", entryUntil.Sub(now),
 		"free-millicores", free, "waited", now.Sub(s.job.ArrivedAt), "late-by", now.Sub(s.job.deadline), "resumed", resumed)
 }
 
--- a/core/engine/straggler.go
+++ b/core/engine/straggler.go
@@ -32,8 +32,11 @@
 	maxMovesPerTask = 2
 )
 
-// moveStragglers stops runs that would be done sooner elsewhere.
+// moveStragglers stops runs that would be done sooner elsewhere, while runs may start.
 func (e *Engine) moveStragglers(now time.Time) {
+	if !e.mayStartSomewhere(now) {
+		return
+	}
 	for _, w := range e.sortedWorkers {
 		if !w.usable(now) && !w.Leaving {
 			continue
--- a/core/engine/term.go
+++ b/core/engine/term.go
@@ -15,11 +15,9 @@
 	e.noteTerm(now)
 }
 
-// mayLead reports whether the term lasts. A suspended VM's monotonic clock may have stood still, so
-// the wall clock must agree.
+// mayLead reports whether the term lasts.
 func (e *Engine) mayLead(now time.Time) bool {
-	until := e.confirmed.Until
-	return e.opts.unsafe.skipConfirmation || now.Before(until) && now.Round(0).Before(until.Round(0))
+	return e.opts.unsafe.skipConfirmation || isBefore(now, e.confirmed.Until)
 }
 
 // provedUntil returns the latest time, now at most, until which there was no later leader.
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -44,6 +44,9 @@
 	// that has answered last, and incarnationSince when it did so first.
 	entryStartedAt   time.Time
 	incarnationSince time.Time
+	// entryUntil is the time until which runs may start by the entry. entryDoubtedSince is the time from
+	// which an entry that names another incarnation should have been replaced.
+	entryUntil, entryDoubtedSince time.Time
 	// synced is set once this incarnation was polled in this epoch with the current fencing token.
 	synced bool
 	// resultsKnown is set once a report of this incarnation in this epoch listed all results that
@@ -147,7 +150,7 @@
 // describedByEntry reports whether the directory entry describes the incarnation that answers: another
 // one may have other labels and capacity. An entry without start time describes any.
 func (w *worker) describedByEntry(now time.Time) bool {
-	return w.entryStartedAt.Equal(w.StartedAt) || w.entryStartedAt.UnixMilli() <= 0 || now.Sub(w.incarnationSince) > entryLag
+	return w.entryStartedAt.Equal(w.StartedAt) || w.entryStartedAt.UnixMilli() <= 0 || now.Sub(w.entryDoubtedSince) > entryLag
 }
 
 func (w *worker) hasLabel(label string) bool {
@@ -220,8 +223,8 @@
 		e.log("worker listed", "worker", entry.ID, "address", entry.Address, "rack", entry.Rack, "leaving", entry.Leaving)
 		return
 	}
-	if entry.Leaving != w.Leaving || !w.listed {
-		e.log("worker entry changed", "worker", entry.ID, "leaving", entry.Leaving, "leaves-in", entry.LeavesIn, "was-listed", w.listed,
+	if entry.Leaving != w.Leaving || entry.Capacity != w.Capacity || !w.listed {
+		e.log("worker entry changed", "worker", entry.ID, "capacity", entry.Capacity, "capacity-before", w.Capacity, "leaving", entry.Leaving, "leaves-in", entry.LeavesIn, "was-listed", w.listed,
 			"born", w.StartedAt, "entry-born", entry.StartedAt)
 	}
 	w.listed = true
@@ -276,7 +279,7 @@
 		w.grade.restarted(now)
 	}
 	e.log("worker restarted", "worker", w.ID, "runs", len(w.runs), "born", startedAt, "born-before", w.StartedAt, "entry-born", w.entryStartedAt)
-	w.StartedAt, w.incarnationSince = startedAt, now
+	w.StartedAt, w.incarnationSince, w.entryDoubtedSince = startedAt, now, now
 	w.synced, w.resultsKnown = false, false
 	w.raiseFence()
 	if now.Before(e.opts.PreviousActiveUntil) {
@@ -312,6 +315,7 @@
 		return
 	}
 	w.clock.observe(now, ev.Report.Clock)
+	e.entryPolled(now, w, ev)
 	e.withdrawPresumedCrashes(w)
 	// An idle worker delays its answer to a poll and reports its state at the time of the answer,
 	// so the age of the report is counted from its arrival.
--- a/core/store/client.go
+++ b/core/store/client.go
@@ -78,6 +78,7 @@
 	opts          Options
 	remote        Transport
 	breaker       breaker
+	uptime        uptime
 	proxy         atomic.Pointer[proxyRoute]
 	commitLimiter *rate.Limiter
 	stats         Stats
@@ -248,6 +249,7 @@
 		source = proxy
 	}
 	changes, err := source.Watch(ctx, table, after, wait)
+	c.noteAnswer(parent, err)
 	if err == nil {
 		return changes, nil
 	}
@@ -277,6 +279,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := call(ctx, c.remote)
+	c.noteAnswer(parent, err)
 	switch {
 	case err == nil || errors.Is(err, ErrRejected) || errors.Is(err, ErrBusy) && c.proxy.Load() == nil:
 		c.breaker.succeeded()
--- a/core/store/proxy.go
+++ b/core/store/proxy.go
@@ -73,9 +73,11 @@
 // breaker.
 func (c *Client) callViaProxy(ctx context.Context, route *proxyRoute, timeout time.Duration, call func(context.Context, Transport) error) error {
 	c.stats.Proxied.Add(1)
+	parent := ctx
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := call(ctx, route)
+	c.noteAnswer(parent, err)
 	if errors.Is(err, ErrNoProxy) {
 		return errBreakerOpen
 	}
--- a/core/store/watch.go
+++ b/core/store/watch.go
@@ -17,6 +17,9 @@
 	maxUntruncatedChanges = 100
 	firstWatchRetry       = 50 * time.Millisecond
 	maxWatchRetry         = 400 * time.Millisecond
+	// retryWatchWait is how long a call after one that failed waits for a change: its answer tells
+	// soon that nothing was missed.
+	retryWatchWait = time.Millisecond
 )
 
 // Watcher follows a table: it takes a snapshot, then watches for changes. If the service no
@@ -57,8 +60,10 @@
 	if w.AfterVersion > 0 {
 		version = w.AfterVersion
 	}
+	retrying := false
 	for ctx.Err() == nil {
-		next, err := w.step(ctx, version)
+		next, err := w.step(ctx, version, retrying)
+		retrying = err != nil
 		if err == nil {
 			delays.Reset()
 			version = next
@@ -82,8 +87,8 @@
 }
 
 // step makes one call and returns the version from which the next one continues. A negative
-// version requests a snapshot.
-func (w *Watcher) step(ctx context.Context, version int64) (int64, error) {
+// version requests a snapshot. Retrying is set if the last call failed.
+func (w *Watcher) step(ctx context.Context, version int64, retrying bool) (int64, error) {
 	sent := time.Now()
 	if version < 0 {
 		rows, next, err := w.Feed.Snapshot(ctx, w.Table, "")
@@ -95,7 +100,10 @@
 		return next, nil
 	}
 	wait := w.Wait
-	if wait <= 0 {
+	switch {
+	case retrying:
+		wait = retryWatchWait
+	case wait <= 0:
 		wait = DefaultWatchWait
 	}
 	changes, err := w.Feed.Watch(ctx, w.Table, version, wait)
--- a/core/store/watch_test.go
+++ b/core/store/watch_test.go
@@ -10,13 +10,14 @@
 )
 
 // scriptedFeed is a Feed that returns the errors and Changes of a script and then ends the
-// test's context. after records the version of each watch.
+// test's context. after records the version of each watch, and waits how long it waits for changes.
 type scriptedFeed struct {
 	mu        sync.Mutex
 	snapshots int
 	script    []any
 	end       context.CancelFunc
 	after     []int64
+	waits     []time.Duration
 }
 
 func (f *scriptedFeed) Snapshot(context.Context, string, string) ([]Row, int64, error) {
@@ -26,10 +27,10 @@
 	return []Row{{Key: "snapshot"}}, int64(100 * f.snapshots), nil
 }
 
-func (f *scriptedFeed) Watch(_ context.Context, _ string, after int64, _ time.Duration) (Changes, error) {
+func (f *scriptedFeed) Watch(_ context.Context, _ string, after int64, wait time.Duration) (Changes, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.after = append(f.after, after)
+	f.after, f.waits = append(f.after, after), append(f.waits, wait)
 	if len(f.script) == 0 {
 		f.end()
 		return Changes{Next: after}, nil
@@ -74,3 +75,15 @@
 		})
 	}
 }
+
+// TestWatcherCatchesUpAtOnce guards against a watcher that reports only after a whole wait that it has
+// caught up again, once the service is back.
+func TestWatcherCatchesUpAtOnce(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	feed := &scriptedFeed{script: []any{errors.New("down"), errors.New("down"), Changes{Next: 105}}, end: cancel}
+	watcher := Watcher{Feed: feed, Table: "t", OnSnapshot: func([]Row) {}, OnChanges: func([]RowChange) {}}
+	watcher.Run(ctx)
+	if want := []time.Duration{DefaultWatchWait, retryWatchWait, retryWatchWait, DefaultWatchWait}; !slices.Equal(feed.waits, want) {
+		t.Errorf("waits %v, want %v", feed.waits, want)
+	}
+}
--- a/model/play/simulation.go
+++ b/model/play/simulation.go
@@ -29,6 +29,9 @@
 // startTime is the simulated time at which a simulation begins.
 var startTime = time.Unix(1_800_000_000, 0)
 
+// forever is later than any simulation lasts.
+var forever = startTime.AddDate(1, 0, 0)
+
 // Simulate runs the jobs drawn from a seed under a policy. Load multiplies the arrival rates of the
 // scenario. The result is deterministic, except for LongestPass.
 func Simulate(s *Scenario, policy engine.Policy, seed uint64, load float64) *Result {
@@ -86,7 +89,7 @@
 		proxyFreeAt: make(map[string]time.Time), doneAt: make(map[jobs.ID]time.Time), started: make(map[jobs.ID]bool),
 		result: newResult(),
 	}
-	c.engine = engine.New(engine.Options{Epoch: 1, LeaseTerm: leaseTerm, MaxLease: leaseTerm, StopTime: time.Duration(s.Workers.StopTime), Policy: policy, Durations: s.Durations, Health: s.Health})
+	c.engine = engine.New(engine.Options{Epoch: 1, LeaseTerm: leaseTerm, MaxLease: leaseTerm, StopTime: time.Duration(s.Workers.StopTime), EntryTerm: time.Hour, Policy: policy, Durations: s.Durations, Health: s.Health})
 	directory, err := s.Organizations.directory(s)
 	if err != nil {
 		panic(err) // ParseScenario validates the organizations
@@ -96,8 +99,7 @@
 		config.Queues = append(config.Queues, s.Queues[i].settings())
 		c.result.Queues[s.Queues[i].Name] = &QueueResult{}
 	}
-	// Nobody else leads in the model.
-	forever := startTime.AddDate(1, 0, 0)
+	// Nobody else leads in the model, and the entries of the workers stay as they are.
 	c.apply(engine.LeadershipConfirmed{At: forever, Until: forever})
 	c.apply(engine.ConfigChanged{Config: config})
 	names := make([]string, 0, s.VMs)
@@ -124,7 +126,7 @@
 		}
 		c.workers = append(c.workers, w)
 		c.byID[w.info.ID] = w
-		c.apply(engine.WorkerListed{Worker: w.info})
+		c.apply(engine.WorkerListed{Worker: w.info, WrittenAfter: forever})
 		request, _ := c.engine.NextPoll(c.now, w.info.ID)
 		c.apply(engine.WorkerPolled{Worker: w.info.ID, Sent: c.now, Fence: request.Fence, Report: engine.Report{Clock: c.clock(), StartedAt: startTime}})
 	}
