Make no claims for steps that cannot fit

What callers saw: one gang with more members than the workers hold stopped all less urgent queues of its service.

Cause: from 2 s on, workers are dedicated to the waiting gang until its members would fit if they were empty. If they never do, it takes all of them. Ruled out: order alone, advice, caps, health, preemption (docs/incidents).

A step whose missing tasks would not fit if all workers were empty is unfit: nothing is dedicated, reserved or left free for it, and the adviser is not asked. It is tried again as workers, capacities and verdicts change; workers that are out of contact or that the adviser was not asked about count in its favor.

Related paths: capacity was left free of excess for such gangs; twelve unfit steps kept the adviser from all others of their queue; a worker was kept for an isolated task that no longer fits there.

--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -248,7 +248,7 @@
 		}
 		for _, o := range j.open {
 			for _, s := range o.steps {
-				if e.readySoon(p.now, s) && !e.waitsForCap(s, s.tasksLeft) && !e.requestAdvice(p, s, s.tasksLeft) {
+				if e.readySoon(p.now, s) && !e.waitsForCap(s, s.tasksLeft) && e.fitsEmptyFleet(s, s.tasksLeft) && !e.requestAdvice(p, s, s.tasksLeft) {
 					p.noProxyFor[j.Queue.Name] = true
 				}
 			}
--- a/core/engine/crash.go
+++ b/core/engine/crash.go
@@ -156,7 +156,8 @@
 	return true
 }
 
-// releaseKeptWorkers releases the workers whose isolated task has ended, or runs elsewhere. A gang
+// releaseKeptWorkers releases the workers whose isolated task has ended, runs elsewhere, or no longer
+// fits. A gang
 // keeps workers only while it runs, since gangs that wait for each other's workers would not end.
 func (e *Engine) releaseKeptWorkers(now time.Time) {
 	e.keptWorkers = 0
@@ -165,7 +166,7 @@
 		if t == nil {
 			continue
 		}
-		if !t.isolated() || t.step.job.final() || t.run == nil && (t.step.Gang || !w.usable(now) || e.waitsForCap(t.step, 1)) || t.run != nil && t.run.worker != w {
+		if !t.isolated() || t.step.job.final() || t.run == nil && (t.step.Gang || !w.usable(now) || t.step.fitsIfEmpty(w, 1) == 0 || e.waitsForCap(t.step, 1)) || t.run != nil && t.run.worker != w {
 			w.keptFor = nil
 			continue
 		}
--- a/core/engine/crash_test.go
+++ b/core/engine/crash_test.go
@@ -291,6 +291,33 @@
 	}
 }
 
+// TestKeptWorkerIsReleasedOnceItIsTooSmall guards against a worker that idles for an isolated task which
+// no longer fits there, since its capacity has shrunk.
+func TestKeptWorkerIsReleasedOnceItIsTooSmall(t *testing.T) {
+	e := newCrashTest(t, "w1", "w2")
+	e.apply(JobAccepted{Job: testJob("load", 8)})
+	e.accept(commandsOfType[Start](e.runPass(0)))
+	crashes := []jobs.Failure{{Run: 1}, {Run: 2}}
+	e.apply(JobAccepted{Job: testJob("suspect", 1), Progress: jobs.Progress{Steps: []jobs.StepProgress{{Crashes: crashes}}}})
+	kept := func() (id string) {
+		e.runPass(10 * time.Millisecond)
+		for _, w := range e.sortedWorkers {
+			if w.keptFor != nil {
+				id = w.ID
+			}
+		}
+		return id
+	}
+	first := kept()
+	if first == "" {
+		t.Fatal("no worker is kept for the suspect")
+	}
+	e.setProcessors(first, 500)
+	if second := kept(); second == first || second == "" {
+		t.Errorf("kept %q after %q has shrunk, want the other worker", second, first)
+	}
+}
+
 // TestIsolatedTaskGetsAWorker guards against a suspect that never starts, because other work keeps
 // all workers busy, and against suspects that stop the fleet.
 func TestIsolatedTaskGetsAWorker(t *testing.T) {
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -83,6 +83,9 @@
 	retryAt time.Time
 	// waitingSince is the time at which tasks of the step first found no free capacity, or zero.
 	waitingSince time.Time
+	// unfit is set while the step's waiting tasks would not fit if all workers were empty. Such a step
+	// makes no claims: nothing is dedicated, reserved or left free for it, and the adviser is not asked.
+	unfit bool
 	// rank is the value rank of the step's occurrence as of the last pass.
 	rank valueRank
 	// class is what the order of steps goes by first, as of the last pass.
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"tanagerstack.org/core/ledger"
 	"tanagerstack.org/core/roster"
 )
 
@@ -108,7 +107,9 @@
 // is to be scheduled again in the pass; any other must not be, since its tickets would count twice.
 func (e *Engine) scheduleStep(p *pass, s *step, limit int) (limited bool) {
 	if p.now.Before(s.retryAt) {
-		p.addOwed(s, s.tasksLeft)
+		if !s.unfit {
+			p.addOwed(s, s.tasksLeft)
+		}
 		e.noteWait(p.now, s.job, s.job.wait.reason)
 		return false
 	}
@@ -157,6 +158,12 @@
 	if s.waitingSince.IsZero() {
 		s.waitingSince = p.now
 	}
+	if e.noteFit(s, missing); s.unfit {
+		e.noteWait(p.now, s.job, waitsForWorkers)
+		e.releaseReservation(s)
+		s.retryAt = p.now.Add(gangRetryDelay)
+		return
+	}
 	e.noteWait(p.now, s.job, e.reasonOf(p, s))
 	p.addOwed(s, missing)
 	if s.Gang {
@@ -181,7 +188,7 @@
 }
 
 // gangRetryDelay is the pause before a gang is tried again that found too little capacity and had
-// no request to send: each try considers all workers, and gangs wait for seconds.
+// no request to send, or a step that does not fit: each try considers all workers.
 const gangRetryDelay = 30 * time.Millisecond
 
 // openWorkers returns the workers that may get work now.
@@ -218,7 +225,9 @@
 		if !s.mayRunOn(w) || advised && !s.advice.permitted.has(w) {
 			continue
 		}
-		list = append(list, candidate{worker: w, free: w.free(), fits: ledger.FitCount(s.demand(), w.Capacity, missing)})
+		if fits := s.fitsIfEmpty(w, missing); fits > 0 {
+			list = append(list, candidate{worker: w, free: w.free(), fits: fits})
+		}
 	}
 	for _, c := range mostFree(list, float64(missing), 1, len(list)) {
 		p.dedicated[c.worker] = s
--- a/core/engine/wait.go
+++ b/core/engine/wait.go
@@ -25,6 +25,8 @@
 	waitsForShare waitReason = "share"
 	// waitsForAdvice means that the job has no valid ticket.
 	waitsForAdvice waitReason = "advice"
+	// waitsForWorkers means that the tasks would not fit if all workers were empty that may run them.
+	waitsForWorkers waitReason = "workers"
 	// waitsForCapacity means that there is too little capacity that is not kept for others.
 	waitsForCapacity waitReason = "capacity"
 )
--- a/core/engine/worker.go
+++ b/core/engine/worker.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -104,6 +105,14 @@
 
 func (s workerSet) hasNumber(n int) bool { return n/64 < len(s) && s[n/64]>>(n%64)&1 != 0 }
 
+func (s workerSet) count() int {
+	n := 0
+	for _, word := range s {
+		n += bits.OnesCount64(word)
+	}
+	return n
+}
+
 func (s *workerSet) add(w *worker) {
 	if missing := w.number/64 + 1 - len(*s); missing > 0 {
 		*s = append(*s, make([]uint64, missing)...)
