--- a/core/engine/crash.go
+++ b/core/engine/crash.go
@@ -157,8 +157,8 @@
 }
 
 // releaseKeptWorkers releases the workers whose isolated task has ended, runs elsewhere, or no longer
-// fits. A gang
-// keeps workers only while it runs, since gangs that wait for each other's workers would not end.
+// fits. A gang keeps workers only while it runs, since gangs that wait for each other's workers would
+// not end.
 func (e *Engine) releaseKeptWorkers(now time.Time) {
 	e.keptWorkers = 0
 	for _, w := range e.sortedWorkers {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -70,8 +70,9 @@
 // results before their commit. The others drop starts without an answer, runs on lost workers
 // before their lease expires, stored failures, stored crashes, and runs and results of unknown jobs.
 // skipConfirmation acts without proof that there is no later leader. keepCapacity ignores changes of
-// a worker's capacity, and trustOldEntries starts runs by entries of any age. ignoreCaps starts tasks beyond the cap of their organization, and
-// forgetEarlierUsage does so for what earlier leaders may have running.
+// a worker's capacity, and trustOldEntries starts runs by entries of any age. ignoreCaps starts tasks
+// beyond the cap of their organization, and forgetEarlierUsage does so for what earlier leaders may have
+// running.
 type unsafeOptions struct {
 	skipPreviousWorkers, skipOverlap, ackEarly, forgetUnanswered, forgetLost, forgetFailures, forgetOrphans bool
 	skipConfirmation, keepCapacity, trustOldEntries, forgetCrashes                                          bool
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -47,8 +47,8 @@
 	WrittenAfter time.Time
 }
 
-// DirectoryRead reports that each worker whose entry was delivered last had written the same entry, or
-// would have written another one, after WrittenAfter.
+// DirectoryRead reports that all entries were delivered, and that each worker has written its entry
+// after WrittenAfter, even if it stayed the same.
 type DirectoryRead struct{ WrittenAfter time.Time }
 
 // WorkerUnlisted reports that the directory no longer has an entry for a worker.
--- a/core/engine/fit.go
+++ b/core/engine/fit.go
@@ -41,6 +41,6 @@
 		return
 	}
 	s.unfit = unfit
-	e.log("step fits or not if all workers are empty", "step", s.id, "fits", !unfit, "missing", missing, "gang", s.Gang,
+	e.log("fit of waiting step changed", "step", s.id, "fits", !unfit, "missing", missing, "gang", s.Gang,
 		"demand", s.demand(), "workers", len(e.sortedWorkers), "asked", s.advice.asked.count(), "permitted", len(s.advice.permittedWorkers))
 }
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -158,7 +158,8 @@
 	if s.waitingSince.IsZero() {
 		s.waitingSince = p.now
 	}
-	if e.noteFit(s, missing); s.unfit {
+	e.noteFit(s, missing)
+	if s.unfit {
 		e.noteWait(p.now, s.job, waitsForWorkers)
 		e.releaseReservation(s)
 		s.retryAt = p.now.Add(gangRetryDelay)
