Withdraw jobs that are canceled before they are stored

Cause: a cancellation that found no row answered 410 and left nothing behind. The store may execute an insert without an answer seconds later; its condition, no row, still held.

Change: such a cancellation writes a tombstone in the place of the job's row, on the condition that there is still none, before it answers 410. Of the insert and the tombstone the store executes one. A submission that meets the tombstone of its own organization is stored as canceled.

--- a/core/cell/feed.go
+++ b/core/cell/feed.go
@@ -84,6 +84,10 @@
 			l.node.noteUnreadableRow("job", row, err)
 			continue
 		}
+		if job.Withdrawn {
+			l.withdrawals.add(time.Now(), job.ID, row.Version)
+			continue
+		}
 		if l.unreadable[job.ID] {
 			continue
 		}
--- a/core/cell/leader.go
+++ b/core/cell/leader.go
@@ -71,7 +71,9 @@
 
 	wake    chan struct{}
 	records *recorder
-	loops   sync.WaitGroup
+	// withdrawals holds the tombstones of withdrawn jobs.
+	withdrawals *withdrawals
+	loops       sync.WaitGroup
 }
 
 // followerVM is a VM that sends heartbeats to this leader.
@@ -116,6 +118,7 @@
 	}
 	l.confirm(began)
 	l.records = newRecorder(l)
+	l.withdrawals = newWithdrawals(l)
 	l.dispatch = newDispatcher(l)
 	return l
 }
@@ -129,7 +132,7 @@
 	if !l.load(ctx) {
 		return
 	}
-	loops := []func(context.Context){(&workerFeed{leader: l}).run, l.runJobs, l.records.run, l.records.runCompact, l.runTicks, l.runTerm, newLearnedStore(l).run}
+	loops := []func(context.Context){(&workerFeed{leader: l}).run, l.runJobs, l.records.run, l.records.runCompact, l.withdrawals.run, l.runTicks, l.runTerm, newLearnedStore(l).run}
 	for _, loop := range loops {
 		l.loops.Add(1)
 		go (&task{call: loop, done: &l.loops}).run(ctx)
--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"tanagerstack.org/core/engine"
 	"tanagerstack.org/core/guard"
 	"tanagerstack.org/core/jobs"
@@ -106,11 +108,13 @@
 	pendingAt time.Time
 	admission admission
 	stopping  atomic.Bool
+	// withdrawals bounds the tombstones that this VM writes.
+	withdrawals *rate.Limiter
 }
 
 // New returns a node that is idle until Run is called.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, instance: rand.Text(), configReads: make(chan struct{}, 1)}
+	n := &Node{opts: opts, instance: rand.Text(), configReads: make(chan struct{}, 1), withdrawals: newWithdrawalLimiter()}
 	if n.opts.Dial == nil {
 		n.opts.Dial = (&net.Dialer{}).DialContext
 	}
--- a/core/engine/progress.go
+++ b/core/engine/progress.go
@@ -30,11 +30,6 @@
 	e.finalize(now, j, jobs.Failed)
 }
 
-// closed returns what remains of a finalized job in the store.
-func (j *job) closed() jobs.Job {
-	return jobs.Job{ID: j.ID, Queue: jobs.Queue{Name: j.Queue.Name}, ArrivedAt: j.ArrivedAt, FinalState: j.state, Organization: j.Organization}
-}
-
 // record returns the command that stores the job's progress.
 func (e *Engine) record(j *job) Record {
 	p := jobs.Progress{State: j.state, Started: j.started}
@@ -50,7 +45,7 @@
 	}
 	record := Record{ID: ProgressID{Job: j.ID, Revision: j.revision}, Progress: p}
 	if e.mayClose(j) {
-		closed := j.closed()
+		closed := j.Closed(j.state)
 		record.Closed = &closed
 	}
 	j.unclosed = j.final() && record.Closed == nil
--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -28,6 +28,14 @@
 	// Organization is the name of the organization whose key submitted the job. It is empty for a
 	// job of a public queue, and in a cell without organizations.
 	Organization string `cbor:"10,keyasint,omitempty"`
+	// Withdrawn marks the row as the tombstone of a job that was canceled before it was stored: writes of
+	// the job that were sent before can no longer succeed. A later submission is stored as canceled.
+	Withdrawn bool `cbor:"11,keyasint,omitempty"`
+}
+
+// Closed returns what remains in the store of the job once it has a final state.
+func (j *Job) Closed(state State) Job {
+	return Job{ID: j.ID, Queue: Queue{Name: j.Queue.Name}, ArrivedAt: j.ArrivedAt, FinalState: state, Organization: j.Organization}
 }
 
 // Recurrence is the schedule of a recurring job: Count occurrences, the first due at First
