Show canceled jobs as canceled while no leader answers

What callers saw: after a cancellation that was answered with 200, the state could be given as running while no leader answered.

Cause: the state from the store read the row of the cancellation only if the job had no progress.

Change: it is read unless the state is final. A running job takes three reads instead of two, only while no leader answers. If that read fails, the answer is 503 instead of "queued".

Evidence: TestCanceledJobStaysCanceledWithoutLeader, case "running", failed on the commit before this one (x86-64): "state: running, want canceled". It passes now.

--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -282,3 +282,37 @@
 		t.Errorf("submission of a job of %d steps: %v, want %v", len(job.Steps), err, jobs.ErrInvalid)
 	}
 }
+
+// TestCanceledJobStaysCanceledWithoutLeader guards against telling the caller of a canceled job that it
+// runs, while no leader answers.
+func TestCanceledJobStaysCanceledWithoutLeader(t *testing.T) {
+	cases := map[string]struct {
+		progress *jobs.Progress
+		want     jobs.State
+	}{
+		"nothing started": {nil, jobs.Canceled},
+		"running":         {&jobs.Progress{State: jobs.Running, Started: true}, jobs.Canceled},
+		"done before":     {&jobs.Progress{State: jobs.Done, Started: true}, jobs.Done},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			memory := newMemoryStore()
+			memory.putJob(t, testJob("job"))
+			if c.progress != nil {
+				data, err := jobs.Encode(*c.progress)
+				if err != nil {
+					t.Fatal(err)
+				}
+				memory.put(t, progressTable, "job", string(data))
+			}
+			node := idleElector(t).node
+			node.opts.Store = testClient(t, memory)
+			if err := node.Cancel(t.Context(), "job"); err != nil {
+				t.Fatal(err)
+			}
+			if state, err := node.Status(t.Context(), "job"); err != nil || state != c.want {
+				t.Errorf("state: %v, %v; want %v", state, err, c.want)
+			}
+		})
+	}
+}
--- a/core/cell/submit.go
+++ b/core/cell/submit.go
@@ -327,6 +327,7 @@
 	if job.FinalState.Final() {
 		return job.FinalState, nil
 	}
+	state := jobs.Queued
 	row, err := n.opts.Store.Read(ctx, progressTable, string(id))
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
@@ -339,13 +340,17 @@
 		if p.State.Final() {
 			return p.State, nil
 		}
-		return jobs.Running, nil
+		state = jobs.Running
 	}
 	canceled, err := n.opts.Store.Read(ctx, JobsTable, string(id)+cancelSuffix)
-	if err == nil && canceled.Version != store.Absent {
+	switch {
+	case err != nil:
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	case canceled.Version != store.Absent:
 		return jobs.Canceled, nil
+	default:
+		return state, nil
 	}
-	return jobs.Queued, nil
 }
 
 // Pending returns the number of accepted jobs of a queue that have not started, as last
