Engine: keep a cancellation that arrives before its job

A job whose cancellation had been acknowledged could start and run until the leader's feed caught up.

Cause: VMs tell the leader of a job and of its cancellation in messages that may overtake each other, and the engine dropped a cancellation of a job that it did not know.

Change: it keeps the cancellation until the job arrives.

Evidence: TestCancellationBeforeJob, case "job", failed on (x86-64): two tasks were started, the state was queued. It passes now, with the package's other tests.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -94,6 +94,8 @@
 	// nextWorkerNumber is the number of the next new worker.
 	nextWorkerNumber int
 	jobs             map[jobs.ID]*job
+	// canceledEarly holds the jobs whose cancellations arrived before them.
+	canceledEarly map[jobs.ID]struct{}
 	// active holds the jobs without a final state, in the order in which they arrived.
 	active []*job
 	// previousWorkers holds the workers that may still execute runs of previous leaders, with the
@@ -172,6 +174,7 @@
 		opts:            opts,
 		workers:         make(map[string]*worker),
 		jobs:            make(map[jobs.ID]*job),
+		canceledEarly:   make(map[jobs.ID]struct{}),
 		previousWorkers: make(map[string][]jobs.ID),
 		orphanedResults: make(map[jobs.ID][]*orphanedResult),
 		orphanedRuns:    make(map[jobs.ID][]orphanedRun),
@@ -207,6 +210,7 @@
 		e.adviceProxiesChanged(now, ev.Names)
 	case JobAccepted:
 		e.jobAccepted(now, ev)
+		e.cancelIfOvertaken(now, ev.Job.ID)
 	case JobsRead:
 		e.jobsRead = ev.Before
 		e.caughtUp = e.caughtUp || ev.Before.After(e.opts.PreviousActiveUntil)
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -73,7 +73,8 @@
 // the next leader waits for what may follow from that.
 type LeadershipConfirmed struct{ At, Until time.Time }
 
-// JobCanceled reports that the cancellation of a job is stored.
+// JobCanceled reports that the cancellation of a job is stored. It may arrive before the JobAccepted of
+// the job: messages of different VMs overtake each other.
 type JobCanceled struct{ ID jobs.ID }
 
 // WorkerPolled carries a worker's report. Sent is the time at which the poll was sent: the report
--- a/core/engine/job.go
+++ b/core/engine/job.go
@@ -357,13 +357,25 @@
 // jobCanceled finalizes a job as canceled and stops its runs.
 func (e *Engine) jobCanceled(now time.Time, id jobs.ID) {
 	j := e.jobs[id]
-	if j == nil || j.final() {
+	if j == nil {
+		e.canceledEarly[id] = struct{}{}
+		return
+	}
+	if j.final() {
 		return
 	}
 	e.log("job canceled", "job", id, "state", j.state, "age", now.Sub(j.loadedAt))
 	e.finalize(now, j, jobs.Canceled)
 }
 
+// cancelIfOvertaken cancels a job that has just been added if its cancellation arrived before it.
+func (e *Engine) cancelIfOvertaken(now time.Time, id jobs.ID) {
+	if _, canceled := e.canceledEarly[id]; canceled && e.jobs[id] != nil {
+		delete(e.canceledEarly, id)
+		e.jobCanceled(now, id)
+	}
+}
+
 // finalize gives a job its final state and stops its remaining runs.
 func (e *Engine) finalize(now time.Time, j *job, state jobs.State) {
 	j.state = state
