Guard: answer each request that was read before a shutdown

What callers saw: under planned work only, a whole request ended without an answer, 2.5 s after its machine's SIGTERM, or when a connection's idle timeout was reached (LOST).

Cause: http.Server.Shutdown closes a kept connection as idle until the header of its next request is parsed, and drops each request whose header is parsed after the call, on new connections too. The guard closed connections at their idle timeout in the same way.

Change: Port.Shutdown closes the listeners, ends connections that carry no request, announces the end in each answer, and calls the server's Shutdown once no request is left. A connection without a request ends by its read; bytes that a read has returned are served first.

--- a/core/guard/conn.go
+++ b/core/guard/conn.go
@@ -46,6 +46,10 @@
 	reads    bodyReads
 	hijacked bool
 	detached bool
+	// active is set while the server knows of a request on the connection.
+	active bool
+	// retired is set if the connection may carry no other request.
+	retired bool
 }
 
 // bodyReads is the progress of a body while the server does not wait for it. The zero value is that
@@ -141,8 +145,12 @@
 	return closing, ok
 }
 
-// Read reads from the connection. Bytes of a header are taken from the budget.
+// Read reads from the connection. Bytes of a header are taken from the budget. It returns io.EOF once
+// the connection may carry no other request.
 func (c *Conn) Read(p []byte) (int, error) {
+	if !c.mayRead() {
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.received(n) {
 		return 0, ErrRefused
@@ -155,6 +163,7 @@
 func (c *Conn) received(n int) bool {
 	g, now := c.port.guard, time.Now()
 	g.mu.Lock()
+	c.unretire()
 	switch c.phase {
 	case fresh, idle:
 		c.enter(header, now)
@@ -225,11 +234,19 @@
 	return c.Conn.Close()
 }
 
+// beginRequest notes that the server knows of a request.
+func (c *Conn) beginRequest() {
+	c.port.guard.mu.Lock()
+	defer c.port.guard.mu.Unlock()
+	c.active = true
+}
+
 // endRequest gives back the cost of a request that has been answered.
 func (c *Conn) endRequest() {
 	c.port.guard.mu.Lock()
 	defer c.port.guard.mu.Unlock()
 	c.release()
+	c.active = false
 	c.enter(idle, time.Now())
 }
 
--- a/core/guard/doc.go
+++ b/core/guard/doc.go
@@ -16,6 +16,10 @@
 // without progress first, are closed. If that is not enough, the request is answered with 503 and
 // Retry-After, and its connection is closed.
 //
+// A server is shut down by its port, which answers each request that was read:
+//
+//	err = port.Shutdown(ctx, server)
+//
 // The answer 503 means that the request has not run. A handler must therefore read the body to its
 // end before it acts on it.
 //
--- a/core/guard/exchange.go
+++ b/core/guard/exchange.go
@@ -57,6 +57,9 @@
 	if !x.ended {
 		x.conn.setPhase(body)
 	}
+	if x.conn.port.isClosing() {
+		x.Header().Set("Connection", "close")
+	}
 	if status != http.StatusOK {
 		x.ResponseWriter.WriteHeader(status)
 	}
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -177,8 +177,8 @@
 	}
 }
 
-// sweep removes the connections that make less than the least progress and returns them. The time
-// for which the process was suspended is not held against clients.
+// sweep removes the connections that make less than the least progress and returns them, and retires
+// those that carry no request and have reached their timeout. The time for which the process was suspended is not held against clients.
 func (g *Guard) sweep(now time.Time) []*Conn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -190,17 +190,20 @@
 			if suspended > 0 {
 				c.since, c.progressAt = c.since.Add(suspended), c.progressAt.Add(suspended)
 			}
-			if c.isTooSlow(now) {
+			switch {
+			case c.retired || !c.isTooSlow(now):
+			case c.phase == idle:
+				// The usual end of a connection that is kept.
+				c.retire()
+			case c.phase == fresh:
+				g.refused[c.stallReason()]++
+				c.retire()
+			default:
 				closing = append(closing, c)
 			}
 		}
 	}
 	for _, c := range closing {
-		if c.phase == idle {
-			// The usual end of a connection that is kept.
-			c.detach()
-			continue
-		}
 		g.drop(c, c.stallReason())
 	}
 	return closing
--- a/core/guard/port.go
+++ b/core/guard/port.go
@@ -51,6 +51,10 @@
 	// none.
 	serverHeader, serverIdle   time.Duration
 	headerTimeout, idleTimeout time.Duration
+	// closing is set once the port shuts down, listeners holds the listeners to close then. The mutex of
+	// the guard protects both.
+	closing   bool
+	listeners []net.Listener
 }
 
 // Port returns the port of a class. Several listeners may use one class; they then have one share.
@@ -86,7 +90,15 @@
 	if err := p.boundBacklog(inner); err != nil {
 		return nil, errors.Join(err, inner.Close())
 	}
-	return &listener{Listener: inner, port: p}, nil
+	return p.listener(inner), nil
+}
+
+// listener returns a listener of the port, which closes it when it shuts down.
+func (p *Port) listener(inner net.Listener) net.Listener {
+	p.guard.mu.Lock()
+	defer p.guard.mu.Unlock()
+	p.listeners = append(p.listeners, inner)
+	return &listener{Listener: inner, port: p}
 }
 
 // boundBacklog replaces the backlog of a listener, which is the system's largest.
@@ -134,11 +146,15 @@
 	port *Port
 }
 
-// Accept returns the next connection for which there is room.
+// Accept returns the next connection for which there is room. The error is http.ErrServerClosed once
+// the port shuts down.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil {
+		switch {
+		case err != nil && l.port.isClosing():
+			return nil, http.ErrServerClosed
+		case err != nil:
 			return nil, err
 		}
 		if c := l.port.admit(conn); c != nil {
@@ -149,10 +165,14 @@
 	}
 }
 
-// admit returns the connection with its cost taken, or nil if there is no room.
+// admit returns the connection with its cost taken, or nil if there is no room or the port shuts down.
 func (p *Port) admit(conn net.Conn) *Conn {
 	g, s, now := p.guard, p.share, time.Now()
 	g.mu.Lock()
+	if p.closing {
+		g.mu.Unlock()
+		return nil
+	}
 	var closing []*Conn
 	if len(s.conns) >= s.maxConnections {
 		target := s.maxConnections - 1 - int(roomShare*float64(s.maxConnections))
@@ -211,11 +231,13 @@
 			return
 		}
 		switch state {
+		case http.StateActive:
+			c.beginRequest()
 		case http.StateIdle:
 			c.endRequest()
 		case http.StateHijacked:
 			c.hijack()
-		case http.StateNew, http.StateActive, http.StateClosed:
+		case http.StateNew, http.StateClosed:
 		}
 	}
 	return s
--- a/entry/node/listen.go
+++ b/entry/node/listen.go
@@ -23,6 +23,7 @@
 // server is an HTTP server with its listener.
 type server struct {
 	name     string
+	port     *guard.Port
 	listener net.Listener
 	http     *http.Server
 }
@@ -61,6 +62,7 @@
 func newServer(name string, port *guard.Port, listener net.Listener, handler http.Handler) *server {
 	return &server{
 		name:     name,
+		port:     port,
 		listener: listener,
 		http: port.Wrap(&http.Server{
 			Handler:           handler,
@@ -82,7 +84,7 @@
 // shutdown waits for the responses in progress until ctx is done, then closes the remaining
 // connections.
 func (s *server) shutdown(ctx context.Context) {
-	if s.http.Shutdown(ctx) != nil {
+	if s.port.Shutdown(ctx, s.http) != nil {
 		_ = s.http.Close()
 	}
 }
