Engine: isolated tasks ask the adviser about vacant workers only

Cause: tasks under which two workers crashed start only on a vacant worker, but asked for tickets by free capacity. Tickets that they could not use took the proxies and the places of steps with tickets; steps behind them never asked.

Change: a step of which all waiting tasks are isolated asks only while vacant workers are permitted or without a verdict, or too few permitted ones are known, and names vacant ones.

--- a/core/engine/advice.go
+++ b/core/engine/advice.go
@@ -217,11 +217,15 @@
 		return nil // not all of the reserved capacity is free yet
 	}
 	var permitted []candidate
+	isolated := s.awaitsIsolation()
 	for i := range s.advice.permittedWorkers {
 		w, ticket := s.advice.permittedWorkers[i].worker, &s.advice.permittedWorkers[i].ticket
 		if ticket.usable(p.now) || !p.isOpen(w) || w.free().Millicores < s.demand().Millicores || !s.mayRunOn(w) {
 			continue
 		}
+		if isolated && !e.mayHostIsolated(p, s, w) {
+			continue
+		}
 		if fits := s.fits(w, missing); fits > 0 {
 			permitted = append(permitted, candidate{worker: w, free: w.freeFor(s), fits: fits})
 		}
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -174,6 +174,10 @@
 	if s.job.Queue.Advice == nil || p.noProxyFor[queue] {
 		return
 	}
+	if e.awaitsVacancy(p, s, missing) {
+		s.retryAt = p.now.Add(gangRetryDelay)
+		return
+	}
 	if s.advice.hasTicket(p.now) {
 		p.ticketedSteps[queue]++
 		if p.ticketedSteps[queue] >= maxTicketedSteps {
