--- a/core/guard/shutdown.go
+++ b/core/guard/shutdown.go
@@ -98,14 +98,14 @@
 	}
 	c.retired = true
 	// It fails only if the connection is closed.
-	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
+	_ = c.SetReadDeadline(aLongTimeAgo)
 }
 
 // unretire takes back a retirement, since bytes were read before it. The mutex must be held.
 func (c *Conn) unretire() {
 	if c.retired {
 		c.retired = false
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		_ = c.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -113,5 +113,5 @@
 func (c *Conn) mayRead() bool {
 	c.port.guard.mu.Lock()
 	defer c.port.guard.mu.Unlock()
-	return !c.retired && !(c.port.closing && c.phase == idle)
+	return !c.retired && (!c.port.closing || c.phase != idle)
 }
