Tests of canceled jobs: one cell, faults by what a commit writes

The tests ran side by side and took each other's ports, and took a job's insert for another commit if it shared one with others.

--- a/core/cell/node.go
+++ b/core/cell/node.go
@@ -108,13 +108,13 @@
 	pendingAt time.Time
 	admission admission
 	stopping  atomic.Bool
-	// withdrawals bounds the tombstones that this VM writes.
-	withdrawals *rate.Limiter
+	// withdrawalLimit bounds the tombstones that this VM writes.
+	withdrawalLimit *rate.Limiter
 }
 
 // New returns a node that is idle until Run is called.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, instance: rand.Text(), configReads: make(chan struct{}, 1), withdrawals: newWithdrawalLimiter()}
+	n := &Node{opts: opts, instance: rand.Text(), configReads: make(chan struct{}, 1), withdrawalLimit: newWithdrawalLimiter()}
 	if n.opts.Dial == nil {
 		n.opts.Dial = (&net.Dialer{}).DialContext
 	}
--- a/core/cell/withdrawal.go
+++ b/core/cell/withdrawal.go
@@ -46,7 +46,7 @@
 // tombstone is stored, or ErrTooManyWithdrawals; another one means that the row has changed or that it
 // is not known whether the tombstone is stored.
 func (n *Node) withdraw(ctx context.Context, caller Caller, id jobs.ID, over int64) error {
-	if !n.withdrawals.Allow() {
+	if !n.withdrawalLimit.Allow() {
 		return ErrTooManyWithdrawals
 	}
 	tombstone := jobs.Job{ID: id, ArrivedAt: time.Now(), FinalState: jobs.Canceled, Organization: caller.Organization, Withdrawn: true}
--- a/core/cell/withdrawal_test.go
+++ b/core/cell/withdrawal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,48 +13,73 @@
 	"tanagerstack.org/core/store"
 )
 
-// writesJob reports whether a commit writes the row of a job.
-func writesJob(changes []store.Change, id jobs.ID) bool {
-	put, ok := changes[0].(store.Put)
-	return ok && put.Table == JobsTable && put.Key == string(id)
-}
-
-// firstWriteOf returns a fault for the first commit that writes the row of a job.
-func firstWriteOf(id jobs.ID, fault storeFault) func([]store.Change) storeFault {
-	done := false
-	return func(changes []store.Change) storeFault {
-		if done || !writesJob(changes, id) {
-			return noFault
+// writtenJob returns the job that a commit writes as the row of an ID, and that change. Transactions of
+// others may share the commit.
+func writtenJob(changes []store.Change, id jobs.ID) (job jobs.Job, change store.Put, ok bool) {
+	for _, change := range changes {
+		put, isPut := change.(store.Put)
+		if !isPut || put.Table != JobsTable || put.Key != string(id) {
+			continue
 		}
-		done = true
-		return fault
+		job, err := jobs.Decode[jobs.Job](put.Value)
+		return job, put, err == nil
 	}
+	return jobs.Job{}, store.Put{}, false
 }
 
-// lateWritesOf returns a fault by which each commit that writes the row of a job, and whose condition
-// holds, gets no answer and is late.
-func lateWritesOf(memory *memoryStore, id jobs.ID) func([]store.Change) storeFault {
+// lateInserts returns a fault by which each insert of a job whose condition holds is late and gets no
+// answer. The first other write of its row fails with first.
+func lateInserts(memory *memoryStore, id jobs.ID, first storeFault) func([]store.Change) storeFault {
+	done := false
 	return func(changes []store.Change) storeFault {
-		if !writesJob(changes, id) {
+		job, put, ok := writtenJob(changes, id)
+		if !ok {
 			return noFault
 		}
-		if key, expected := changeTarget(changes[0]); expected != nil && memory.row(key).Version != *expected {
+		if !job.FinalState.Final() {
+			if key, expected := changeTarget(put); expected != nil && memory.row(key).Version != *expected {
+				return noFault
+			}
+			return writeLate
+		}
+		if done {
 			return noFault
 		}
-		return writeLate
+		done = true
+		return first
 	}
 }
 
-// submitWithoutAnswer submits a job with a short time limit, and expects that its outcome is unknown.
-func submitWithoutAnswer(t *testing.T, node *Node, job jobs.Job) {
+// submitWithoutAnswer submits a job until an insert is late, and expects that its outcome is unknown.
+func submitWithoutAnswer(t *testing.T, node *Node, memory *memoryStore, job jobs.Job) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	go (&lateWatch{memory, cancel}).run()
 	if err := node.Submit(ctx, job); !errors.Is(err, ErrOutcomeUnknown) {
 		t.Fatalf("submission without an answer: %v, want %v", err, ErrOutcomeUnknown)
 	}
 }
 
+// lateWatch cancels a context once a commit is late.
+type lateWatch struct {
+	memory *memoryStore
+	cancel func()
+}
+
+func (w *lateWatch) run() {
+	for {
+		w.memory.mu.Lock()
+		late := len(w.memory.late)
+		w.memory.mu.Unlock()
+		if late > 0 {
+			w.cancel()
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // checkNeverStarted fails the test if tasks of a job were started, once a job that was submitted after
 // everything else is done.
 func checkNeverStarted(t *testing.T, node *Node, workers *fakeWorkers, id jobs.ID) {
@@ -82,10 +108,10 @@
 	recurring.Recurrence = &jobs.Recurrence{First: time.Now(), Interval: 10 * time.Millisecond, Count: 3}
 	service := testJob("job")
 	service.Steps[0].Service = true
-	refused := jobs.Job{ID: "job", Refused: true}
 	cases := map[string]struct {
-		job    jobs.Job
-		before *jobs.Job
+		job jobs.Job
+		// refused is set if there is the tombstone of a refusal.
+		refused bool
 		// cancelFault is how the first write of the cancellation fails.
 		cancelFault storeFault
 		handOver    bool
@@ -94,7 +120,7 @@
 		"late insert":                           {job: testJob("job")},
 		"recurring job":                         {job: recurring},
 		"service":                               {job: service},
-		"over the tombstone of a refusal":       {job: testJob("job"), before: &refused},
+		"over the tombstone of a refusal":       {job: testJob("job"), refused: true},
 		"cancellation without an answer":        {job: testJob("job"), cancelFault: answerLost},
 		"cancellation is not executed":          {job: testJob("job"), cancelFault: writeLost},
 		"cancellation is late as well":          {job: testJob("job"), cancelFault: writeLate},
@@ -102,25 +128,33 @@
 		"submitted again":                       {job: testJob("job"), resubmit: true},
 		"submitted again after a hand-over":     {job: testJob("job"), handOver: true, resubmit: true},
 		"service that is submitted again":       {job: service, resubmit: true},
-		"submitted again over a refused job":    {job: testJob("job"), before: &refused, resubmit: true},
+		"submitted again over a refused job":    {job: testJob("job"), refused: true, resubmit: true},
 		"submitted again, cancellation is late": {job: testJob("job"), cancelFault: writeLate, resubmit: true},
 	}
+	workers := newFakeWorkers(10 * time.Millisecond)
+	memory, nodes, _ := startCell(t, workers, "vm1", "vm2")
+	number := 0
 	for name, c := range cases {
+		number++
+		id := jobs.ID(fmt.Sprint("job-", number))
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			workers := newFakeWorkers(10 * time.Millisecond)
-			memory, nodes, stops := startCell(t, workers, "vm1", "vm2")
+			workers, memory, nodes := workers, memory, nodes
+			var stops []func()
+			if c.handOver {
+				workers = newFakeWorkers(10 * time.Millisecond)
+				memory, nodes, stops = startCell(t, workers, "vm3", "vm4")
+			}
 			leading, other := 0, 1
 			if nodes[0].leader() == nil {
 				leading, other = 1, 0
 			}
-			if c.before != nil {
-				memory.putJob(t, *c.before)
+			c.job.ID = id
+			if c.refused {
+				memory.putJob(t, jobs.Job{ID: id, Refused: true})
 			}
-			memory.setFault(lateWritesOf(memory, "job"))
-			submitWithoutAnswer(t, nodes[leading], c.job)
-			memory.setFault(firstWriteOf("job", c.cancelFault))
-			if err := nodes[other].Cancel(t.Context(), "job"); !errors.Is(err, ErrNotFound) {
+			memory.setFault(lateInserts(memory, id, c.cancelFault))
+			submitWithoutAnswer(t, nodes[leading], memory, c.job)
+			if err := nodes[other].Cancel(t.Context(), id); !errors.Is(err, ErrNotFound) {
 				t.Fatalf("cancellation: %v, want %v", err, ErrNotFound)
 			}
 			if c.handOver {
@@ -130,7 +164,7 @@
 			if memory.executeLate() == 0 {
 				t.Fatal("no write was late")
 			}
-			if state, err := nodes[other].Status(t.Context(), "job"); !errors.Is(err, ErrNotFound) {
+			if state, err := nodes[other].Status(t.Context(), id); !errors.Is(err, ErrNotFound) {
 				t.Errorf("state of the canceled job: %v, %v; want %v", state, err, ErrNotFound)
 			}
 			if c.resubmit {
@@ -138,12 +172,12 @@
 					t.Errorf("submission repeated after the cancellation: %v", err)
 				}
 				for range 2 {
-					if state, err := nodes[other].Status(t.Context(), "job"); err != nil || state != jobs.Canceled {
+					if state, err := nodes[other].Status(t.Context(), id); err != nil || state != jobs.Canceled {
 						t.Errorf("state of the canceled job that was submitted again: %v, %v; want %v", state, err, jobs.Canceled)
 					}
 				}
 			}
-			checkNeverStarted(t, nodes[other], workers, "job")
+			checkNeverStarted(t, nodes[other], workers, id)
 		})
 	}
 }
@@ -164,11 +198,16 @@
 func TestCancellationCrossesInsert(t *testing.T) {
 	workers := newFakeWorkers(10 * time.Millisecond)
 	memory, nodes, _ := startCell(t, workers, "vm1")
-	memory.setFault(firstWriteOf("job", writeLost))
-	attempts := 0
+	attempts, lost := 0, false
+	memory.setFault(func(changes []store.Change) storeFault {
+		if _, _, ok := writtenJob(changes, "job"); !ok || lost {
+			return noFault
+		}
+		lost = true
+		return writeLost
+	})
 	inserting, _ := testNodeOnTransport(t, "vm2", &gatedStore{memory, func(group []store.Transaction) {
-		put, ok := group[0][0].(store.Put)
-		if !ok || put.Key != "job" {
+		if _, _, ok := writtenJob(slices.Concat(group...), "job"); !ok {
 			return
 		}
 		if attempts++; attempts != 2 {
@@ -192,18 +231,18 @@
 func TestCancellationFindsInsert(t *testing.T) {
 	workers := newFakeWorkers(time.Hour)
 	memory, nodes, _ := startCell(t, workers, "vm1")
-	memory.setFault(lateWritesOf(memory, "job"))
-	submitWithoutAnswer(t, nodes[0], testJob("job"))
-	executed := false
+	inserts, executed := lateInserts(memory, "job", noFault), false
 	memory.setFault(func(changes []store.Change) storeFault {
-		if writesJob(changes, "job") && !executed {
+		fault := inserts(changes)
+		if _, _, ok := writtenJob(changes, "job"); ok && fault != writeLate && !executed {
 			executed = true
 			for _, late := range memory.late {
 				_, _ = memory.apply(late)
 			}
 		}
-		return noFault
+		return fault
 	})
+	submitWithoutAnswer(t, nodes[0], memory, testJob("job"))
 	if err := nodes[0].Cancel(t.Context(), "job"); err != nil {
 		t.Errorf("cancellation of a job that was stored meanwhile: %v", err)
 	}
@@ -337,7 +376,6 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			workers := newFakeWorkers(time.Millisecond)
 			_, nodes, _ := startCell(t, workers, "vm1")
 			if err := nodes[0].CancelFor(t.Context(), a, "job"); !errors.Is(err, ErrNotFound) {
