--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -178,7 +178,8 @@
 }
 
 // sweep removes the connections that make less than the least progress and returns them, and retires
-// those that carry no request and have reached their timeout. The time for which the process was suspended is not held against clients.
+// those that carry no request and have reached their timeout. The time for which the process was
+// suspended is not held against clients.
 func (g *Guard) sweep(now time.Time) []*Conn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
