Engine: look for vacant workers once a pass

Cause: each isolated step looked through all 1,100 workers in each pass.

Change: a pass collects the vacant workers once, when first asked.

--- a/core/engine/crash.go
+++ b/core/engine/crash.go
@@ -203,7 +203,7 @@
 }
 
 // vacantFor reports whether a worker has no other work than a step's gang, and services past their
-// probation.
+// probation. The step may be nil.
 func (w *worker) vacantFor(now time.Time, s *step) bool {
 	for _, r := range w.runs {
 		if !r.staysBeside(now, s) {
@@ -218,7 +218,7 @@
 	if r.owner == nil {
 		return false
 	}
-	return s.Gang && r.owner.step == s || r.owner.step.Service && now.Sub(r.startSentAt) > serviceProbation
+	return s != nil && s.Gang && r.owner.step == s || r.owner.step.Service && now.Sub(r.startSentAt) > serviceProbation
 }
 
 // keepWorkerFor keeps the worker for an isolated task that will be vacant first.
--- a/core/engine/pass.go
+++ b/core/engine/pass.go
@@ -54,6 +54,9 @@
 	// of byFree. Gangs look through all workers of a full fleet, most of which have too little.
 	bounds         []int64
 	boundsPriority int
+	// vacant holds the vacant workers once vacantKnown is set.
+	vacant      []*worker
+	vacantKnown bool
 	// tasks is the space for the waiting tasks of the step that is being scheduled.
 	tasks []*task
 }
--- a/core/engine/vacancy.go
+++ b/core/engine/vacancy.go
@@ -42,7 +42,7 @@
 	if !s.awaitsIsolation() || !s.permittedSuffice(p, needed) {
 		return false
 	}
-	for _, w := range p.open {
+	for _, w := range p.vacantWorkers() {
 		if s.advice.asked.has(w) && !s.advice.permitted.has(w) || !e.mayHostIsolated(p, s, w) {
 			continue
 		}
@@ -53,6 +53,20 @@
 	return true
 }
 
+// vacantWorkers returns the open workers that had no other work than services past their probation when
+// it was first called in the pass: few of a busy fleet.
+func (p *pass) vacantWorkers() []*worker {
+	if !p.vacantKnown {
+		p.vacantKnown = true
+		for _, w := range p.open {
+			if w.vacantFor(p.now, nil) {
+				p.vacant = append(p.vacant, w)
+			}
+		}
+	}
+	return p.vacant
+}
+
 // permittedSuffice reports whether tasks of the step would fit on the open workers that the adviser has
 // permitted, if these were empty.
 func (s *step) permittedSuffice(p *pass, needed int) bool {
